Build the whole path of a call, thin

Cause: nothing existed. Change: a workspace of six packages with the binaries boragetrestle-node and boragetrestle. A call enters a node over HTTP/1.1, is identified by the digest of its key, passes the rate gate, is dispatched to an announced target with a signed context in place of the key, and its whole answer returns. Configuration and keys are one log of changes in the table service. Nodes link over authenticated WebSockets with CBOR. Ruled out: one process per service of the platform; the stand-ins are embedded, so that tests run on a virtual clock. Conclusion: the seams (gates, slot source, target choice, rate policy, peer messages) are in place for the parts that follow.

--- /dev/null
+++ b/packages/bench/src/boragetrestle_bench/__init__.py
@@ -0,0 +1,1 @@
+"""Benchmarks of boragetrestle with regression bounds."""
--- /dev/null
+++ b/packages/kernel/src/boragetrestle_kernel/__init__.py
@@ -0,0 +1,1 @@
+"""Shared ids, settings, errors, messages and telemetry of boragetrestle."""
--- /dev/null
+++ b/packages/kernel/src/boragetrestle_kernel/address.py
@@ -0,0 +1,35 @@
+"""An IP address with a port."""
+
+from typing import NamedTuple, Self
+
+from boragetrestle_kernel.errors import SettingsError
+
+_MAX_PORT = 65535
+
+
+class Address(NamedTuple):
+    """An IP address with a port.
+
+    >>> Address.parse('127.0.0.1:8080')
+    Address(host='127.0.0.1', port=8080)
+    >>> str(Address('127.0.0.1', 8080))
+    '127.0.0.1:8080'
+    """
+
+    host: str
+    port: int
+
+    @classmethod
+    def parse(cls, text: str) -> Self:
+        """Parse ``HOST:PORT``; raise ``SettingsError`` for any other shape."""
+        host, _, port = text.rpartition(':')
+        if not host or not port.isdigit() or int(port) > _MAX_PORT:
+            raise SettingsError(
+                f'{text!r} is not an address',
+                remedy='write it as IP:PORT, for instance 127.0.0.1:8080',
+            )
+        return cls(host.strip('[]'), int(port))
+
+    def __str__(self) -> str:
+        """Return ``HOST:PORT``."""
+        return f'{self.host}:{self.port}'
--- /dev/null
+++ b/packages/kernel/src/boragetrestle_kernel/context.py
@@ -0,0 +1,91 @@
+"""The signed context that travels with a call through the chain.
+
+The key of the caller never reaches a target. In its place goes this context,
+signed with a fleet secret and valid until the deadline of the call.
+"""
+
+import base64
+import hashlib
+import hmac
+from collections.abc import Mapping
+
+import msgspec
+
+from boragetrestle_kernel.errors import ContextError
+
+HEADER = b'boragetrestle-context'
+
+_SIGNATURE_BYTES = 16
+
+
+class CallContext(msgspec.Struct, frozen=True, array_like=True):
+    """What a node tells the next about a call.
+
+    ``service`` is the service the call was sent to, so that a context replayed
+    on another service is refused. ``deadline`` is wall time in seconds.
+    """
+
+    call_id: str
+    organisation: str
+    key_id: str
+    service: str
+    call_class: int
+    deadline: float
+    attempts_left: int
+    depth: int = 0
+
+
+class ContextSigner:
+    """Sign and verify contexts with the secrets of the fleet.
+
+    The newest secret signs; every known one verifies, so that a rotation
+    refuses no call in flight.
+
+    >>> signer = ContextSigner({1: b'secret'})
+    >>> ctx = CallContext('c', 'org', 'k', 'walks', 1, 10.0, 3)
+    >>> signer.verify(signer.sign(ctx), now=5.0) == ctx
+    True
+    """
+
+    def __init__(self, secrets: Mapping[int, bytes]) -> None:
+        self.secrets = dict(secrets)
+
+    def sign(self, context: CallContext) -> bytes:
+        """Return the header value of a context."""
+        if not self.secrets:
+            raise ContextError(
+                'no fleet secret is known',
+                remedy='wait until the node has read its configuration',
+            )
+        number = max(self.secrets)
+        body = base64.urlsafe_b64encode(msgspec.json.encode(context))
+        signature = _signature(self.secrets[number], body)
+        return b'%d.%s.%s' % (number, body, signature)
+
+    def verify(self, header: bytes, *, now: float) -> CallContext:
+        """Return the context; raise ``ContextError`` unless it is valid."""
+        number, _, rest = header.partition(b'.')
+        body, _, signature = rest.partition(b'.')
+        secret = self.secrets.get(int(number)) if number.isdigit() else None
+        if secret is None:
+            raise ContextError('the context names no known secret')
+        if not hmac.compare_digest(_signature(secret, body), signature):
+            raise ContextError('the signature of the context is wrong')
+        try:
+            context = msgspec.json.decode(
+                base64.urlsafe_b64decode(body),
+                type=CallContext,
+            )
+        except (ValueError, msgspec.DecodeError) as error:
+            raise ContextError('the context has a wrong shape') from error
+        if context.deadline < now:
+            raise ContextError(
+                'the context has expired',
+                remedy='make a new call',
+            )
+        return context
+
+
+def _signature(secret: bytes, body: bytes) -> bytes:
+    digest = hashlib.blake2b(body, key=secret, digest_size=_SIGNATURE_BYTES)
+    return digest.hexdigest().encode()
--- /dev/null
+++ b/packages/kernel/src/boragetrestle_kernel/errors.py
@@ -0,0 +1,88 @@
+"""Typed errors with stable codes.
+
+Every error carries a code for programs, a message for people and a remedy that
+names what to do next.
+"""
+
+from typing import ClassVar
+
+
+class BoragetrestleError(Exception):
+    """Base of all errors raised by the project.
+
+    >>> str(SettingsError('port is 0', remedy='set a port from 1 to 65535'))
+    'port is 0; set a port from 1 to 65535'
+    """
+
+    code: ClassVar[str] = 'internal-error'
+
+    def __init__(self, message: str, *, remedy: str = '') -> None:
+        super().__init__(message)
+        self.message = message
+        self.remedy = remedy
+
+    def __str__(self) -> str:
+        """Return the message followed by its remedy."""
+        if not self.remedy:
+            return self.message
+        return f'{self.message}; {self.remedy}'
+
+
+class SettingsError(BoragetrestleError):
+    """Report a settings file that is missing or has a wrong field."""
+
+    code = 'settings-invalid'
+
+
+class TextError(BoragetrestleError):
+    """Report a services text that has a wrong field."""
+
+    code = 'text-invalid'
+
+
+class ConflictError(BoragetrestleError):
+    """Report that another operator changed the configuration first."""
+
+    code = 'configuration-conflict'
+
+
+class StoreError(BoragetrestleError):
+    """Report that the platform gave no usable answer."""
+
+    code = 'store-unavailable'
+
+
+class OutcomeUnknownError(StoreError):
+    """Report a write that may or may not have taken effect."""
+
+    code = 'store-outcome-unknown'
+
+
+class ContextError(BoragetrestleError):
+    """Report a call context that is forged, expired or misplaced."""
+
+    code = 'context-invalid'
+
+
+class WireError(BoragetrestleError):
+    """Report a message between nodes that has a wrong shape."""
+
+    code = 'wire-invalid'
+
+
+class HttpError(BoragetrestleError):
+    """Report a peer that broke the HTTP exchange."""
+
+    code = 'http-broken'
+
+
+class IncompleteAnswerError(HttpError):
+    """Report an answer that ended before its declared end."""
+
+    code = 'answer-incomplete'
+
+
+class DialError(BoragetrestleError):
+    """Report an address that accepts no connection."""
+
+    code = 'dial-failed'
--- /dev/null
+++ b/packages/kernel/src/boragetrestle_kernel/fleet_state.py
@@ -0,0 +1,138 @@
+"""The configuration in force, built from changes in order of version."""
+
+from collections.abc import Callable
+from typing import Any, NamedTuple
+
+import msgspec
+
+from boragetrestle_kernel.change import (
+    Change,
+    KeyGiven,
+    KeyWithdrawn,
+    SecretAdded,
+    SecretRetired,
+    TextApplied,
+)
+from boragetrestle_kernel.ids import Digest, KeyId, OrgId, Version
+from boragetrestle_kernel.route_table import RouteTable
+from boragetrestle_kernel.service_text import (
+    Organisation,
+    Service,
+    ServiceText,
+)
+
+
+class KeyRecord(msgspec.Struct, frozen=True):
+    """A key that callers may show, known by its digest only."""
+
+    key_id: KeyId
+    digest: Digest
+    organisation: OrgId
+
+
+class Snapshot(msgspec.Struct, frozen=True):
+    """The whole configuration at one version."""
+
+    version: Version
+    text: ServiceText
+    keys: tuple[KeyRecord, ...] = ()
+    secrets: dict[int, bytes] = {}
+
+
+class Applied(NamedTuple):
+    """Whether a change was taken and which version is in force now."""
+
+    is_taken: bool
+    version: Version
+
+
+_Applier = Callable[['FleetState', Any], None]
+_APPLIERS: dict[type, _Applier] = {}
+
+
+def _applies(kind: type) -> Callable[[_Applier], _Applier]:
+    def register(applier: _Applier) -> _Applier:
+        _APPLIERS[kind] = applier
+        return applier
+
+    return register
+
+
+class FleetState:
+    """Hold the configuration in force; versions only ever grow."""
+
+    def __init__(self) -> None:
+        self.version = Version(0)
+        self.text = ServiceText()
+        self.routes = RouteTable({})
+        self.services: dict[str, Service] = {}
+        self.organisations: dict[str, Organisation] = {}
+        self.keys: dict[Digest, KeyRecord] = {}
+        self.secrets: dict[int, bytes] = {}
+
+    def apply(self, change: Change) -> Applied:
+        """Take the change with the next version; pass over any other."""
+        if change.version != self.version + 1:
+            return Applied(is_taken=False, version=self.version)
+        _APPLIERS[type(change.change)](self, change.change)
+        self.version = change.version
+        return Applied(is_taken=True, version=self.version)
+
+    def restore(self, snapshot: Snapshot) -> Applied:
+        """Take a snapshot unless it is older than what is in force."""
+        if snapshot.version <= self.version:
+            return Applied(is_taken=False, version=self.version)
+        self.use_text(snapshot.text)
+        self.keys = {record.digest: record for record in snapshot.keys}
+        self.secrets = dict(snapshot.secrets)
+        self.version = snapshot.version
+        return Applied(is_taken=True, version=self.version)
+
+    def snapshot(self) -> Snapshot:
+        """Return the whole configuration in force."""
+        return Snapshot(
+            version=self.version,
+            text=self.text,
+            keys=tuple(self.keys.values()),
+            secrets=dict(self.secrets),
+        )
+
+    def use_text(self, text: ServiceText) -> None:
+        """Compile and use a services text."""
+        self.text = text
+        self.routes = RouteTable.compile(text.services)
+        self.services = {srv.name: srv for srv in text.services}
+        self.organisations = {org.name: org for org in text.organisations}
+
+
+@_applies(TextApplied)
+def _apply_text(state: FleetState, change: TextApplied) -> None:
+    state.use_text(change.text)
+
+
+@_applies(KeyGiven)
+def _apply_key_given(state: FleetState, change: KeyGiven) -> None:
+    state.keys[change.digest] = KeyRecord(
+        key_id=change.key_id,
+        digest=change.digest,
+        organisation=change.organisation,
+    )
+
+
+@_applies(KeyWithdrawn)
+def _apply_key_withdrawn(state: FleetState, change: KeyWithdrawn) -> None:
+    state.keys = {
+        digest: record
+        for digest, record in state.keys.items()
+        if record.key_id != change.key_id
+    }
+
+
+@_applies(SecretAdded)
+def _apply_secret_added(state: FleetState, change: SecretAdded) -> None:
+    state.secrets[change.number] = change.secret
+
+
+@_applies(SecretRetired)
+def _apply_secret_retired(state: FleetState, change: SecretRetired) -> None:
+    state.secrets.pop(change.number, None)
--- /dev/null
+++ b/packages/kernel/src/boragetrestle_kernel/refusal.py
@@ -0,0 +1,111 @@
+"""Refusals as RFC 9457 problem documents."""
+
+from enum import Enum
+from http import HTTPStatus
+from typing import NamedTuple
+
+import msgspec
+
+CONTENT_TYPE = b'application/problem+json'
+
+
+class RunState(Enum):
+    """Whether a refused call may have reached a target."""
+
+    NOT_RUN = 'not-run'
+    UNKNOWN = 'unknown'
+
+
+class RefusalCode(Enum):
+    """Stable code of each refusal."""
+
+    NO_ROUTE = 'no-route'
+    NOT_AUTHORISED = 'not-authorised'
+    BAD_REQUEST = 'bad-request'
+    RATE_EXCEEDED = 'rate-exceeded'
+    OVERLOADED = 'overloaded'
+    DEPENDENCY_OVERLOADED = 'dependency-overloaded'
+    NO_TARGET = 'no-target'
+    TARGET_FAILED = 'target-failed'
+    ANSWER_LOST = 'answer-lost'
+    DEADLINE = 'deadline-exceeded'
+    ATTEMPTS_SPENT = 'attempts-spent'
+    QUARANTINED = 'request-quarantined'
+    NODE_ISOLATED = 'node-isolated'
+    NODE_DRAINING = 'node-draining'
+    STORE_UNAVAILABLE = 'store-unavailable'
+    KEY_REQUIRED = 'idempotency-key-required'
+    KEY_REUSED = 'idempotency-key-reused'
+    CALL_RUNNING = 'call-running'
+    OUTCOME_UNKNOWN = 'outcome-unknown'
+    TOO_LARGE = 'request-too-large'
+    TOO_MANY_CONNECTIONS = 'too-many-connections'
+
+
+_STATUS: dict[RefusalCode, HTTPStatus] = {
+    RefusalCode.NO_ROUTE: HTTPStatus.NOT_FOUND,
+    RefusalCode.NOT_AUTHORISED: HTTPStatus.UNAUTHORIZED,
+    RefusalCode.BAD_REQUEST: HTTPStatus.BAD_REQUEST,
+    RefusalCode.RATE_EXCEEDED: HTTPStatus.TOO_MANY_REQUESTS,
+    RefusalCode.TARGET_FAILED: HTTPStatus.BAD_GATEWAY,
+    RefusalCode.ANSWER_LOST: HTTPStatus.BAD_GATEWAY,
+    RefusalCode.DEADLINE: HTTPStatus.GATEWAY_TIMEOUT,
+    RefusalCode.KEY_REQUIRED: HTTPStatus.BAD_REQUEST,
+    RefusalCode.KEY_REUSED: HTTPStatus.UNPROCESSABLE_ENTITY,
+    RefusalCode.CALL_RUNNING: HTTPStatus.CONFLICT,
+    RefusalCode.OUTCOME_UNKNOWN: HTTPStatus.CONFLICT,
+    RefusalCode.TOO_LARGE: HTTPStatus.REQUEST_ENTITY_TOO_LARGE,
+}
+
+
+class Refusal(NamedTuple):
+    """A final answer that boragetrestle gives in place of a target.
+
+    ``retry_after`` is in seconds.
+    """
+
+    code: RefusalCode
+    run_state: RunState = RunState.NOT_RUN
+    detail: str = ''
+    retry_after: float | None = None
+
+    @property
+    def status(self) -> int:
+        """The HTTP status of the refusal."""
+        return _STATUS.get(self.code, HTTPStatus.SERVICE_UNAVAILABLE).value
+
+    def headers(self) -> list[tuple[bytes, bytes]]:
+        """Return the header fields of the answer."""
+        fields = [
+            (b'content-type', CONTENT_TYPE),
+            (b'boragetrestle-code', self.code.value.encode()),
+            (b'boragetrestle-run', self.run_state.value.encode()),
+        ]
+        if self.retry_after is not None:
+            seconds = max(1, round(self.retry_after))
+            fields.append((b'retry-after', str(seconds).encode()))
+        return fields
+
+    def body(self, *, call_id: str = '') -> bytes:
+        """Return the problem document.
+
+        >>> Refusal(RefusalCode.NO_ROUTE).body(call_id='c1').decode()[:30]
+        '{"type":"urn:boragetrestle:no-'
+        """
+        return msgspec.json.encode({
+            'type': f'urn:boragetrestle:{self.code.value}',
+            'title': self.code.value.replace('-', ' '),
+            'status': self.status,
+            'detail': self.detail,
+            'code': self.code.value,
+            'run': self.run_state.value,
+            'call': call_id,
+        })
+
+
+class RefusedError(Exception):
+    """Carry a refusal up to the connection that answers the caller."""
+
+    def __init__(self, refusal: Refusal) -> None:
+        super().__init__(refusal.code.value)
+        self.refusal = refusal
--- /dev/null
+++ b/packages/kernel/src/boragetrestle_kernel/settings.py
@@ -0,0 +1,97 @@
+"""Settings of a node, read from a JSON file."""
+
+import ipaddress
+import os
+from pathlib import Path
+from typing import Annotated
+
+import msgspec
+
+from boragetrestle_kernel.address import Address
+from boragetrestle_kernel.errors import SettingsError
+
+_Seconds = Annotated[float, msgspec.Meta(gt=0, le=3600)]
+
+
+class Credential(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """A reference to a secret: an environment variable or a file."""
+
+    env: str | None = None
+    file: str | None = None
+
+    def resolve(self) -> bytes:
+        """Return the secret; raise ``SettingsError`` if it is absent."""
+        if self.env is not None and self.env in os.environ:
+            return os.environ[self.env].encode()
+        if self.file is not None and Path(self.file).is_file():
+            return Path(self.file).read_bytes().strip()
+        raise SettingsError(
+            f'the credential {self.env or self.file!r} is absent',
+            remedy='set the variable or write the file that it names',
+        )
+
+
+class Listen(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """Addresses of a node as ``IP:PORT``."""
+
+    calls: str
+    peers: str
+    admin: str
+
+
+class PlatformSettings(
+    msgspec.Struct,
+    frozen=True,
+    forbid_unknown_fields=True,
+):
+    """How to reach the table service and the object store."""
+
+    adapter: str
+    address: str = ''
+    timeout: _Seconds = 2.0
+
+
+class NodeSettings(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """Settings of one node.
+
+    The first of ``fleet_secrets`` proves this node to its peers; any of them is
+    accepted from a peer, so that secrets rotate without a lost link.
+    """
+
+    node: Annotated[str, msgspec.Meta(pattern='^[A-Za-z0-9._-]{1,64}$')]
+    domain: Annotated[str, msgspec.Meta(pattern='^[A-Za-z0-9._-]{1,64}$')]
+    listen: Listen
+    platform: PlatformSettings
+    fleet_secrets: Annotated[
+        tuple[Credential, ...],
+        msgspec.Meta(min_length=1, max_length=4),
+    ]
+    region: str = ''
+    peers: tuple[str, ...] = ()
+    drain_timeout: _Seconds = 30.0
+
+
+def parse_settings(raw: bytes) -> NodeSettings:
+    """Return checked settings; raise ``SettingsError`` naming the field."""
+    try:
+        settings = msgspec.json.decode(raw, type=NodeSettings)
+    except msgspec.DecodeError as error:
+        raise SettingsError(
+            str(error),
+            remedy='correct this field of the settings',
+        ) from error
+    for name in settings.listen.__struct_fields__:
+        _check_ip(f'$.listen.{name}', getattr(settings.listen, name))
+    for place, peer in enumerate(settings.peers):
+        _check_ip(f'$.peers[{place}]', peer)
+    return settings
+
+
+def _check_ip(where: str, text: str) -> None:
+    try:
+        ipaddress.ip_address(Address.parse(text).host)
+    except (SettingsError, ValueError) as error:
+        raise SettingsError(
+            f'{where} is {text!r}',
+            remedy='write it as IP:PORT, for instance 10.0.0.7:7100',
+        ) from error
--- /dev/null
+++ b/packages/kernel/src/boragetrestle_kernel/timeline.py
@@ -0,0 +1,90 @@
+"""A bounded ring of typed events in one process."""
+
+from collections import deque
+from enum import Enum
+from typing import TYPE_CHECKING
+
+import msgspec
+
+if TYPE_CHECKING:
+    from boragetrestle_kernel.hybrid_clock import HybridClock
+
+DEFAULT_EVENTS = 4096
+
+
+class EventKind(Enum):
+    """What an event tells."""
+
+    CALL_ENTERED = 'call-entered'
+    CALL_SENT = 'call-sent'
+    CALL_ANSWERED = 'call-answered'
+    CALL_REFUSED = 'call-refused'
+    CALL_RETRIED = 'call-retried'
+    TARGET_JOINED = 'target-joined'
+    TARGET_DRAINING = 'target-draining'
+    TARGET_LEFT = 'target-left'
+    TARGET_SUSPECTED = 'target-suspected'
+    TARGET_EJECTED = 'target-ejected'
+    TARGET_RETURNED = 'target-returned'
+    CHANGE_IN_FORCE = 'change-in-force'
+    SHARE_LAPSED = 'share-lapsed'
+    SHARE_GRANTED = 'share-granted'
+    STORE_LOST = 'store-lost'
+    STORE_BACK = 'store-back'
+    LINK_REJECTED = 'link-rejected'
+    FAULT = 'fault'
+
+
+class Event(msgspec.Struct, frozen=True):
+    """One event; ``micros`` and ``counter`` are its hybrid stamp."""
+
+    micros: int
+    counter: int
+    node: str
+    kind: EventKind
+    reason: str = ''
+    call: str = ''
+    organisation: str = ''
+    service: str = ''
+    subject: str = ''
+
+
+class Timeline:
+    """Keep the newest events of a process."""
+
+    def __init__(
+        self,
+        clock: 'HybridClock',
+        *,
+        node: str,
+        size: int = DEFAULT_EVENTS,
+    ) -> None:
+        self.clock = clock
+        self.node = node
+        self.ring: deque[Event] = deque(maxlen=size)
+
+    def record(
+        self,
+        kind: EventKind,
+        *,
+        reason: str = '',
+        call: str = '',
+        organisation: str = '',
+        service: str = '',
+        subject: str = '',
+    ) -> None:
+        """Add an event stamped now."""
+        stamp = self.clock.tick()
+        self.ring.append(
+            Event(
+                micros=stamp.micros,
+                counter=stamp.counter,
+                node=self.node,
+                kind=kind,
+                reason=reason,
+                call=call,
+                organisation=organisation,
+                service=service,
+                subject=subject,
+            ),
+        )
--- /dev/null
+++ b/packages/node/src/boragetrestle_node/__init__.py
@@ -0,0 +1,1 @@
+"""Overload control node that runs beside each target."""
--- /dev/null
+++ b/packages/node/src/boragetrestle_node/call.py
@@ -0,0 +1,34 @@
+"""One call on its way through a node."""
+
+from dataclasses import dataclass
+
+import trio
+
+from boragetrestle_kernel.call_class import CallClass
+from boragetrestle_kernel.ids import CallId, KeyId, OrgId, ServiceName
+from boragetrestle_kernel.service_text import Route
+
+
+@dataclass(slots=True)
+class Call:
+    """What a node decides by, from entry to answer.
+
+    ``deadline`` is on the clock of trio. ``attempts_left`` bounds the attempts
+    of the whole chain below this call. ``depth`` is 0 at the entry of a chain.
+    """
+
+    call_id: CallId
+    organisation: OrgId
+    key_id: KeyId
+    service: ServiceName
+    route: Route
+    call_class: CallClass
+    deadline: float
+    attempts_left: int
+    depth: int = 0
+    idempotency_key: str = ''
+
+    @property
+    def remaining(self) -> float:
+        """Seconds until the deadline."""
+        return self.deadline - trio.current_time()
--- /dev/null
+++ b/packages/node/src/boragetrestle_node/main.py
@@ -0,0 +1,48 @@
+"""The command ``boragetrestle-node``."""
+
+import signal
+import sys
+from pathlib import Path
+
+import defopt
+import trio
+from eliot import to_file
+
+import boragetrestle_platform.http_platform  # noqa: F401
+from boragetrestle_kernel.errors import BoragetrestleError
+from boragetrestle_kernel.network import TcpNetwork
+from boragetrestle_kernel.settings import NodeSettings, parse_settings
+from boragetrestle_node.node import Node
+from boragetrestle_platform.platform import connect_platform
+
+
+def run_node(settings: Path) -> None:
+    """Run one node until it gets SIGTERM or SIGINT.
+
+    :param settings: JSON file with the settings of the node
+    """
+    parsed = parse_settings(settings.read_bytes())
+    to_file(sys.stderr)
+    trio.run(_run, parsed)
+
+
+async def _run(settings: NodeSettings) -> None:
+    network = TcpNetwork()
+    platform = connect_platform(settings.platform, network)
+    node = Node(settings, network=network, platform=platform)
+    with trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
+        async with trio.open_nursery() as nursery:
+            await nursery.start(node.run)
+            await anext(signals)
+            await node.membership.drain()
+            await node.membership.leave()
+            nursery.cancel_scope.cancel()
+
+
+def main() -> None:
+    """Run the command line; exit with 2 for wrong settings."""
+    try:
+        defopt.run(run_node)
+    except (BoragetrestleError, OSError) as error:
+        sys.stderr.write(f'boragetrestle-node: {error}\n')
+        sys.exit(2)
--- /dev/null
+++ b/packages/node/src/boragetrestle_node/metrics.py
@@ -0,0 +1,46 @@
+"""Metrics of a node through OpenTelemetry."""
+
+from opentelemetry.sdk.metrics import MeterProvider
+from opentelemetry.sdk.metrics.export import InMemoryMetricReader
+
+from boragetrestle_kernel.refusal import Refusal
+from boragetrestle_node.call import Call
+
+
+class NodeMetrics:
+    """Count calls and refusals."""
+
+    def __init__(self) -> None:
+        self.reader = InMemoryMetricReader()
+        provider = MeterProvider(
+            metric_readers=[self.reader],
+            shutdown_on_exit=False,
+        )
+        meter = provider.get_meter('boragetrestle.node')
+        self.calls = meter.create_counter(
+            'boragetrestle.calls',
+            unit='{call}',
+            description='Calls answered',
+        )
+        self.refusals = meter.create_counter(
+            'boragetrestle.refusals',
+            unit='{call}',
+            description='Calls refused, by code',
+        )
+
+    def answered(self, call: Call) -> None:
+        """Count a call that a target answered whole."""
+        self.calls.add(1, {'service': call.service})
+
+    def refused(self, refusal: Refusal, call: Call | None) -> None:
+        """Count a refusal."""
+        service = call.service if call else ''
+        self.refusals.add(
+            1,
+            {'service': service, 'code': refusal.code.value},
+        )
+
+    def export(self) -> str:
+        """Return the metrics as OpenTelemetry JSON."""
+        collected = self.reader.get_metrics_data()
+        return collected.to_json() if collected else '{}'
--- /dev/null
+++ b/packages/node/src/boragetrestle_node/node.py
@@ -0,0 +1,173 @@
+"""One node: its parts, its listeners and its tasks."""
+
+import random
+from collections import Counter
+from collections.abc import Awaitable, Callable
+
+import trio
+from eliot import log_message
+
+from boragetrestle_kernel.address import Address
+from boragetrestle_kernel.clock import SystemClock, WallClock
+from boragetrestle_kernel.errors import StoreError
+from boragetrestle_kernel.fleet_state import FleetState
+from boragetrestle_kernel.http_server import (
+    HttpServerConnection,
+    RequestHandler,
+)
+from boragetrestle_kernel.hybrid_clock import HybridClock
+from boragetrestle_kernel.ids import NodeId, TargetId
+from boragetrestle_kernel.network import Network
+from boragetrestle_kernel.settings import NodeSettings
+from boragetrestle_kernel.timeline import EventKind, Timeline
+from boragetrestle_node.admin import Admin
+from boragetrestle_node.config_reader import ConfigReader
+from boragetrestle_node.connection_pool import ConnectionPool
+from boragetrestle_node.directory import Directory
+from boragetrestle_node.dispatcher import Dispatcher
+from boragetrestle_node.entry import Entry
+from boragetrestle_node.even_split import EvenSplit
+from boragetrestle_node.forwarder import Forwarder
+from boragetrestle_node.gate import RateGate
+from boragetrestle_node.identity import Identifier
+from boragetrestle_node.membership import Membership
+from boragetrestle_node.metrics import NodeMetrics
+from boragetrestle_node.peer_links import PeerLinks
+from boragetrestle_node.peer_proof import PeerProver
+from boragetrestle_node.slot_source import UnlimitedSlots
+from boragetrestle_node.target_choice import TwoRandom
+from boragetrestle_platform.change_log import ChangeLog
+from boragetrestle_platform.platform import Platform
+
+_READ_SECONDS = 1.0
+_READ_JITTER = (0.8, 1.2)
+
+
+class Node:
+    """The process beside a target.
+
+    ``seed`` makes its random choices repeatable.
+    """
+
+    def __init__(
+        self,
+        settings: NodeSettings,
+        *,
+        network: Network,
+        platform: Platform,
+        clock: WallClock | None = None,
+        seed: int | None = None,
+    ) -> None:
+        wall_clock = clock or SystemClock()
+        self.settings = settings
+        self.network = network
+        self.rng = random.Random(seed)
+        self.state = FleetState()
+        self.directory = Directory()
+        self.in_flight: Counter[TargetId] = Counter()
+        self.metrics = NodeMetrics()
+        self.timeline = Timeline(HybridClock(wall_clock), node=settings.node)
+        self.identifier = Identifier(self.state, wall_clock)
+        self.pool = ConnectionPool(network)
+        self.membership = Membership(
+            settings,
+            platform.table,
+            self.directory,
+            first_incarnation=int(wall_clock.wall()),
+        )
+        self.config = ConfigReader(
+            ChangeLog(platform.table),
+            self.state,
+            self.timeline,
+        )
+        self.links = PeerLinks(
+            NodeId(settings.node),
+            network=network,
+            prover=PeerProver([
+                secret.resolve() for secret in settings.fleet_secrets
+            ]),
+            clock=wall_clock,
+            timeline=self.timeline,
+        )
+        self.dispatcher = Dispatcher(
+            identifier=self.identifier,
+            directory=self.directory,
+            choice=TwoRandom(self.load_of, self.rng),
+            slots=UnlimitedSlots(self.in_flight),
+            forwarder=Forwarder(self.pool),
+        )
+        self.entry = Entry(
+            identifier=self.identifier,
+            gates=[RateGate(EvenSplit(self.state, self.count_nodes))],
+            dispatcher=self.dispatcher,
+            timeline=self.timeline,
+            metrics=self.metrics,
+        )
+        self.admin = Admin(
+            membership=self.membership,
+            identifier=self.identifier,
+            state=self.state,
+            timeline=self.timeline,
+            metrics=self.metrics,
+        )
+
+    def count_nodes(self) -> int:
+        """Return how many nodes the fleet has, as far as this one knows."""
+        return len({rec.node for rec in self.directory.records.values()})
+
+    def load_of(self, target: TargetId) -> float:
+        """Return the calls of this node that run at a target."""
+        return self.in_flight[target]
+
+    async def run(
+        self,
+        *,
+        task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED,
+    ) -> None:
+        """Serve until cancelled."""
+        async with trio.open_nursery() as nursery:
+            await self._try_read(self.config.read)
+            await self._try_read(self.membership.read)
+            nursery.start_soon(self._keep_reading, self.config.read)
+            nursery.start_soon(self._keep_reading, self.membership.read)
+            await nursery.start(
+                self._listen,
+                self.settings.listen.calls,
+                self.entry.handle,
+            )
+            await nursery.start(
+                self._listen,
+                self.settings.listen.admin,
+                self.admin.handle,
+            )
+            await nursery.start(
+                self.links.run,
+                Address.parse(self.settings.listen.peers),
+            )
+            log_message(message_type='node:started', node=self.settings.node)
+            task_status.started()
+
+    async def _listen(
+        self,
+        address: str,
+        handler: RequestHandler,
+        *,
+        task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED,
+    ) -> None:
+        async def serve(stream: trio.abc.Stream) -> None:
+            await HttpServerConnection(stream).serve(handler)
+
+        listener = await self.network.listen(Address.parse(address))
+        task_status.started()
+        await trio.serve_listeners(serve, [listener])
+
+    async def _keep_reading(self, read: Callable[[], Awaitable[None]]) -> None:
+        while True:
+            await trio.sleep(_READ_SECONDS * self.rng.uniform(*_READ_JITTER))
+            await self._try_read(read)
+
+    async def _try_read(self, read: Callable[[], Awaitable[None]]) -> None:
+        try:
+            await read()
+        except StoreError as error:
+            self.timeline.record(EventKind.STORE_LOST, reason=str(error))
--- /dev/null
+++ b/packages/operate/src/boragetrestle/__init__.py
@@ -0,0 +1,1 @@
+"""Operators command of boragetrestle."""
--- /dev/null
+++ b/packages/operate/src/boragetrestle/operator.py
@@ -0,0 +1,106 @@
+"""What operators do to a fleet, apart from how it is printed."""
+
+import secrets
+import time
+from typing import NamedTuple
+
+import msgspec
+
+from boragetrestle_kernel.change import (
+    KeyGiven,
+    KeyWithdrawn,
+    SecretAdded,
+    TextApplied,
+)
+from boragetrestle_kernel.digest import digest_key, new_key
+from boragetrestle_kernel.errors import TextError
+from boragetrestle_kernel.fleet_state import FleetState
+from boragetrestle_kernel.ids import KeyId, OrgId, Version
+from boragetrestle_kernel.service_text import ServiceText
+from boragetrestle_kernel.target_record import TargetRecord
+from boragetrestle_platform.change_log import ChangeLog
+from boragetrestle_platform.platform import Platform
+
+_SECRET_BYTES = 32
+_KEY_ID_BYTES = 4
+_TARGET_PREFIX = 'target/'
+
+
+class GivenKey(NamedTuple):
+    """A key as it is shown once to the operator who gives it."""
+
+    key_id: KeyId
+    key: str
+
+
+class Operator:
+    """Change and read the configuration on behalf of one operator."""
+
+    def __init__(self, platform: Platform, *, name: str = 'operator') -> None:
+        self.platform = platform
+        self.name = name
+        self.log = ChangeLog(platform.table)
+
+    async def state(self) -> FleetState:
+        """Return the newest accepted configuration."""
+        state = FleetState()
+        head = await self.log.head()
+        while state.version < head.version:
+            for change in await self.log.after(state.version):
+                state.apply(change)
+        return state
+
+    async def apply(self, text: ServiceText) -> Version:
+        """Put a services text in force; raise ``ConflictError`` on a race."""
+        state = await self.state()
+        if not state.secrets:
+            secret = SecretAdded(1, secrets.token_bytes(_SECRET_BYTES))
+            await self._append(secret, state.version)
+            state = await self.state()
+        return await self._append(TextApplied(text), state.version)
+
+    async def give_key(self, organisation: str) -> GivenKey:
+        """Give a new key to an organisation and return it."""
+        state = await self.state()
+        if organisation not in state.organisations:
+            raise TextError(
+                f'{organisation!r} is no organisation',
+                remedy='add it to the services text and apply that first',
+            )
+        key = new_key()
+        key_id = KeyId(secrets.token_hex(_KEY_ID_BYTES))
+        change = KeyGiven(key_id, digest_key(key), OrgId(organisation))
+        await self._append(change, state.version)
+        return GivenKey(key_id, key)
+
+    async def withdraw_key(self, key_id: str) -> Version:
+        """Withdraw a key by its id."""
+        state = await self.state()
+        known = {record.key_id for record in state.keys.values()}
+        if key_id not in known:
+            raise TextError(
+                f'{key_id!r} is no key in force',
+                remedy="see 'boragetrestle key list'",
+            )
+        change = KeyWithdrawn(KeyId(key_id))
+        return await self._append(change, state.version)
+
+    async def targets(self) -> list[TargetRecord]:
+        """Return the records of all targets in the table."""
+        found = await self.platform.table.scan(_TARGET_PREFIX)
+        return [
+            msgspec.json.decode(row.content, type=TargetRecord)
+            for row in found.rows
+        ]
+
+    async def _append(
+        self,
+        change: KeyGiven | KeyWithdrawn | SecretAdded | TextApplied,
+        expected: Version,
+    ) -> Version:
+        return await self.log.append(
+            change,
+            expected=expected,
+            author=self.name,
+            made_at=time.time(),
+        )
--- /dev/null
+++ b/packages/platform/src/boragetrestle_platform/__init__.py
@@ -0,0 +1,1 @@
+"""Clients of the platform table service and object store."""
--- /dev/null
+++ b/packages/platform/src/boragetrestle_platform/http_messages.py
@@ -0,0 +1,22 @@
+"""JSON messages of the platform's HTTP interface."""
+
+import msgspec
+
+READ_PATH = b'/table/read'
+SCAN_PATH = b'/table/scan'
+COMMIT_PATH = b'/table/commit'
+OBJECT_PATH = b'/objects/'
+
+
+class ReadBody(msgspec.Struct, frozen=True):
+    """Ask for rows by key."""
+
+    keys: tuple[str, ...]
+
+
+class ScanBody(msgspec.Struct, frozen=True):
+    """Ask for rows by prefix."""
+
+    prefix: str
+    after: str = ''
+    limit: int = 1000
--- /dev/null
+++ b/packages/standin/src/boragetrestle_standin/__init__.py
@@ -0,0 +1,1 @@
+"""Small stand-ins for the platform and for targets."""
--- /dev/null
+++ b/packages/standin/src/boragetrestle_standin/fleet.py
@@ -0,0 +1,228 @@
+"""A small fleet of real nodes and stand-in targets in one process."""
+
+import itertools
+import os
+from collections.abc import Sequence
+from typing import NamedTuple
+
+import trio
+
+from boragetrestle_kernel.address import Address
+from boragetrestle_kernel.clock import WallClock
+from boragetrestle_kernel.http_client import HttpClientConnection
+from boragetrestle_kernel.http_fields import Fields, find_field
+from boragetrestle_kernel.memory_network import HostNetwork, MemoryNetwork
+from boragetrestle_kernel.network import Network
+from boragetrestle_kernel.settings import (
+    Credential,
+    Listen,
+    NodeSettings,
+    PlatformSettings,
+)
+from boragetrestle_node.node import Node
+from boragetrestle_platform.platform import Platform
+from boragetrestle_standin.target import Onward, StandinTarget
+
+SECRET_VARIABLE = 'BORAGETRESTLE_FLEET_SECRET'
+
+_HOSTS_PER_BLOCK = 250
+_CALLS_PORT = 17_400
+_PEERS_PORT = 17_401
+_ADMIN_PORT = 17_402
+_TARGET_PORT = 17_403
+_STANDIN_SECRET = 'stand-in fleet secret'
+_CALLER_HOST = '127.2.0.1'
+
+
+class HostPlan(NamedTuple):
+    """What runs on one host; ``work`` is the time of a call in seconds."""
+
+    service: str
+    domain: str = 'a'
+    region: str = ''
+    slots: int = 50
+    connections: int = 400
+    work: float = 0
+    body: bytes = b'ok'
+    onward: tuple[Onward, ...] = ()
+
+
+class Answer(NamedTuple):
+    """A whole answer as a caller sees it."""
+
+    status: int
+    fields: Fields
+    body: bytes
+
+    @property
+    def code(self) -> str:
+        """The refusal code, empty for a target's answer."""
+        return find_field(self.fields, b'boragetrestle-code').decode()
+
+    @property
+    def run_state(self) -> str:
+        """What a refusal says about running, empty for a target's answer."""
+        return find_field(self.fields, b'boragetrestle-run').decode()
+
+    @property
+    def call_id(self) -> str:
+        """The id of the call."""
+        return find_field(self.fields, b'boragetrestle-call').decode()
+
+
+class FleetHost:
+    """A host with its node and its target."""
+
+    def __init__(self, place: int, node: Node, target: StandinTarget) -> None:
+        self.place = place
+        self.node = node
+        self.target = target
+        self.cancel = trio.CancelScope()
+
+    @property
+    def calls_address(self) -> Address:
+        """The address that callers reach the node at."""
+        return Address.parse(self.node.settings.listen.calls)
+
+    async def run(
+        self,
+        *,
+        task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED,
+    ) -> None:
+        """Run node and target until the host crashes."""
+        with self.cancel:
+            async with trio.open_nursery() as nursery:
+                await nursery.start(self.node.run)
+                await nursery.start(self.target.run)
+                await self.target.announce()
+                task_status.started()
+
+    def crash(self) -> None:
+        """End node and target at once."""
+        self.cancel.cancel()
+
+
+class Fleet:
+    """Hosts by plan, on a network and a platform that the caller gives.
+
+    Every host has its own loopback address, so that the same plan runs over TCP
+    and in memory.
+    """
+
+    def __init__(
+        self,
+        plans: Sequence[HostPlan],
+        *,
+        network: Network,
+        platform: Platform,
+        clock: WallClock | None = None,
+        seed: int = 0,
+    ) -> None:
+        self.network = network
+        self.platform = platform
+        self.clock = clock
+        self.seed = seed
+        self.places = itertools.count(1)
+        self.hosts = [self.make_host(plan) for plan in plans]
+
+    async def start(self, nursery: trio.Nursery) -> None:
+        """Start all hosts, one after another."""
+        for host in self.hosts:
+            await nursery.start(host.run)
+
+    async def add(self, plan: HostPlan, nursery: trio.Nursery) -> FleetHost:
+        """Start one more host."""
+        host = self.make_host(plan)
+        self.hosts.append(host)
+        await nursery.start(host.run)
+        return host
+
+    def of_service(self, service: str) -> list[FleetHost]:
+        """Return the hosts whose target serves a service."""
+        return [host for host in self.hosts if host.target.service == service]
+
+    def make_host(self, plan: HostPlan) -> FleetHost:
+        """Build a host on the next free address without starting it."""
+        place = next(self.places)
+        ip = host_ip(place)
+        os.environ.setdefault(SECRET_VARIABLE, _STANDIN_SECRET)
+        network = self.network_of(ip)
+        settings = self.settings_of(place, plan)
+        node = Node(
+            settings,
+            network=network,
+            platform=self.platform,
+            clock=self.clock,
+            seed=self.seed + place,
+        )
+        target = StandinTarget(
+            network,
+            Address(ip, _TARGET_PORT),
+            service=plan.service,
+            node_admin=Address(ip, _ADMIN_PORT),
+            node_calls=Address(ip, _CALLS_PORT),
+            slots=plan.slots,
+            connections=plan.connections,
+            work=plan.work,
+            body=plan.body,
+            onward=plan.onward,
+        )
+        return FleetHost(place, node, target)
+
+    def settings_of(self, place: int, plan: HostPlan) -> NodeSettings:
+        """Return the settings of the node on a host."""
+        ip = host_ip(place)
+        return NodeSettings(
+            node=f'node-{place}',
+            domain=plan.domain,
+            region=plan.region,
+            listen=Listen(
+                calls=f'{ip}:{_CALLS_PORT}',
+                peers=f'{ip}:{_PEERS_PORT}',
+                admin=f'{ip}:{_ADMIN_PORT}',
+            ),
+            platform=PlatformSettings(adapter='embedded'),
+            fleet_secrets=(Credential(env=SECRET_VARIABLE),),
+        )
+
+    def network_of(self, ip: str) -> Network:
+        """Return the network as seen from one host."""
+        if isinstance(self.network, MemoryNetwork):
+            return HostNetwork(self.network, ip)
+        return self.network
+
+    async def call(
+        self,
+        host: FleetHost,
+        path: str,
+        *,
+        key: str = '',
+        method: str = 'GET',
+        body: bytes = b'',
+        fields: Fields | None = None,
+    ) -> Answer:
+        """Make one call at the node of a host on a new connection."""
+        address = host.calls_address
+        stream = await self.network_of(_CALLER_HOST).dial(address)
+        async with HttpClientConnection(stream) as connection:
+            sent = [(b'host', str(address).encode()), *(fields or [])]
+            if key:
+                sent.append((b'authorization', f'Bearer {key}'.encode()))
+            response = await connection.request(
+                method.encode(),
+                path.encode(),
+                sent,
+                body,
+            )
+            whole = await response.read()
+        return Answer(response.status, response.fields, whole)
+
+
+def host_ip(place: int) -> str:
+    """Return the loopback address of a host.
+
+    >>> host_ip(1), host_ip(251)
+    ('127.1.0.1', '127.1.1.1')
+    """
+    block, offset = divmod(place - 1, _HOSTS_PER_BLOCK)
+    return f'127.1.{block}.{offset + 1}'
--- /dev/null
+++ b/packages/standin/src/boragetrestle_standin/target.py
@@ -0,0 +1,166 @@
+"""A small target that answers calls and makes onward calls."""
+
+from collections import Counter
+from http import HTTPStatus
+
+import msgspec
+import trio
+
+from boragetrestle_kernel.address import Address
+from boragetrestle_kernel.context import HEADER
+from boragetrestle_kernel.http_client import HttpClientConnection
+from boragetrestle_kernel.http_fields import Fields
+from boragetrestle_kernel.http_server import HttpRequest, HttpServerConnection
+from boragetrestle_kernel.network import Network
+from boragetrestle_standin.faults import TargetFaults
+
+_PART_BYTES = 16_384
+
+
+class Announcement(msgspec.Struct, frozen=True):
+    """What a target tells its node about itself."""
+
+    service: str
+    address: str
+    slots: int
+    connections: int
+    state: str = 'ready'
+
+
+class Onward(msgspec.Struct, frozen=True):
+    """A call that the target makes for each call that it gets."""
+
+    method: str
+    path: str
+
+
+class StandinTarget:
+    """Answer each call with a body of fixed size after a fixed time.
+
+    ``work`` is the time of a call in seconds. Calls that the target receives
+    are counted by path, and the header fields of the last one are kept.
+    """
+
+    def __init__(
+        self,
+        network: Network,
+        address: Address,
+        *,
+        service: str,
+        node_admin: Address,
+        node_calls: Address,
+        slots: int = 50,
+        connections: int = 400,
+        work: float = 0.0,
+        body: bytes = b'ok',
+        onward: tuple[Onward, ...] = (),
+    ) -> None:
+        self.network = network
+        self.address = address
+        self.service = service
+        self.node_admin = node_admin
+        self.node_calls = node_calls
+        self.slots = slots
+        self.connections = connections
+        self.work = work
+        self.body = body
+        self.onward = onward
+        self.faults = TargetFaults()
+        self.calls: Counter[str] = Counter()
+        self.running = 0
+        self.last_fields: Fields = []
+        self.cancel = trio.CancelScope()
+
+    async def run(
+        self,
+        *,
+        task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED,
+    ) -> None:
+        """Serve calls until cancelled or crashed."""
+        listener = await self.network.listen(self.address)
+        with self.cancel:
+            task_status.started()
+            await trio.serve_listeners(self._serve, [listener])
+        with trio.CancelScope(shield=True):
+            await listener.aclose()
+
+    async def announce(self, state: str = 'ready') -> None:
+        """Tell the node beside this target its state."""
+        body = msgspec.json.encode(
+            Announcement(
+                service=self.service,
+                address=str(self.address),
+                slots=self.slots,
+                connections=self.connections,
+                state=state,
+            ),
+        )
+        stream = await self.network.dial(self.node_admin)
+        async with HttpClientConnection(stream) as connection:
+            fields = [(b'host', str(self.node_admin).encode())]
+            response = await connection.request(
+                b'POST',
+                b'/v1/target',
+                fields,
+                body,
+            )
+            await response.read()
+
+    async def _serve(self, stream: trio.abc.Stream) -> None:
+        await HttpServerConnection(stream).serve(self._answer)
+
+    async def _answer(
+        self,
+        request: HttpRequest,
+        connection: HttpServerConnection,
+    ) -> None:
+        await request.read()
+        path = request.target.decode()
+        self.calls[path] += 1
+        self.last_fields = request.fields
+        if self.faults.crash_path and path.startswith(self.faults.crash_path):
+            self.cancel.cancel()
+        self.running += 1
+        try:
+            status = await self._work(request)
+        finally:
+            self.running -= 1
+        await self._send(connection, status)
+
+    async def _work(self, request: HttpRequest) -> int:
+        if self.faults.is_shedding:
+            return HTTPStatus.SERVICE_UNAVAILABLE.value
+        await trio.sleep(self.work + self.faults.delay)
+        for onward in self.onward:
+            status = await self._call_onward(request, onward)
+            if status != HTTPStatus.OK:
+                return HTTPStatus.BAD_GATEWAY.value
+        return HTTPStatus.OK.value
+
+    async def _call_onward(self, request: HttpRequest, onward: Onward) -> int:
+        stream = await self.network.dial(self.node_calls)
+        async with HttpClientConnection(stream) as connection:
+            fields = [
+                (b'host', str(self.node_calls).encode()),
+                (HEADER, request.field(HEADER)),
+            ]
+            response = await connection.request(
+                onward.method.encode(),
+                onward.path.encode(),
+                fields,
+            )
+            await response.read()
+            return response.status
+
+    async def _send(
+        self,
+        connection: HttpServerConnection,
+        status: int,
+    ) -> None:
+        if self.faults.cut_after is None:
+            await connection.answer(status, [], self.body)
+            return
+        length = str(len(self.body)).encode()
+        await connection.send_head(status, [(b'content-length', length)])
+        await connection.send_data(self.body[: self.faults.cut_after])
+        await trio.aclose_forcefully(connection.stream)
--- /dev/null
+++ b/tests/builders.py
@@ -0,0 +1,115 @@
+"""Builders of test data."""
+
+from collections.abc import AsyncGenerator, Sequence
+from contextlib import asynccontextmanager
+from typing import NamedTuple
+
+import trio
+
+from boragetrestle.operator import Operator
+from boragetrestle_kernel.clock import VirtualWallClock
+from boragetrestle_kernel.memory_network import MemoryNetwork
+from boragetrestle_kernel.service_text import (
+    Dependency,
+    Organisation,
+    Route,
+    Service,
+    ServiceText,
+)
+from boragetrestle_platform.memory_objects import MemoryObjects
+from boragetrestle_platform.memory_table import MemoryTable
+from boragetrestle_platform.platform import Platform
+from boragetrestle_standin.faults import StoreFaults
+from boragetrestle_standin.faulty_table import FaultyTable
+from boragetrestle_standin.fleet import Fleet, HostPlan
+
+SETTLE_SECONDS = 5.0
+
+READ = Route('GET', '/items/*', idempotent=True)
+OPEN = Route('GET', '/open', open=True, idempotent=True)
+WRITE = Route('POST', '/orders')
+KEYED_WRITE = Route('POST', '/charges', idempotency_key='required')
+ROUTES = (READ, OPEN, WRITE, KEYED_WRITE)
+
+
+def service(
+    name: str,
+    *depends_on: str,
+    routes: tuple[Route, ...] = ROUTES,
+) -> Service:
+    """Build a service with required dependencies."""
+    dependencies = tuple(Dependency(other) for other in depends_on)
+    return Service(name, routes=routes, depends_on=dependencies)
+
+
+def organisation(
+    name: str = 'acacia',
+    *,
+    rate: float = 1000,
+    burst: float = 1000,
+) -> Organisation:
+    """Build an organisation with an ample rate."""
+    return Organisation(name, rate=rate, burst=burst)
+
+
+def service_text(
+    *services: Service,
+    organisations: Sequence[Organisation] | None = None,
+) -> ServiceText:
+    """Build a text; without services it has one named ``walks``."""
+    return ServiceText(
+        services=services or (service('walks'),),
+        organisations=tuple(organisations or (organisation(),)),
+    )
+
+
+class RunningFleet(NamedTuple):
+    """A fleet in memory with its operator, its faults and one key."""
+
+    fleet: Fleet
+    operator: Operator
+    network: MemoryNetwork
+    store: StoreFaults
+    table: MemoryTable
+    key: str
+    key_id: str
+    nursery: trio.Nursery
+
+
+@asynccontextmanager
+async def running_fleet(
+    plans: Sequence[HostPlan],
+    *,
+    text: ServiceText | None = None,
+    seed: int = 0,
+) -> AsyncGenerator[RunningFleet, None]:
+    """Run a fleet on the in-memory network with its text and a key in force."""
+    network = MemoryNetwork()
+    table = MemoryTable()
+    faults = StoreFaults()
+    platform = Platform(FaultyTable(table, faults), MemoryObjects())
+    operator = Operator(platform, name='tester')
+    used = text or service_text()
+    await operator.apply(used)
+    given = await operator.give_key(used.organisations[0].name)
+    fleet = Fleet(
+        plans,
+        network=network,
+        platform=platform,
+        clock=VirtualWallClock(),
+        seed=seed,
+    )
+    async with trio.open_nursery() as nursery:
+        await fleet.start(nursery)
+        await trio.sleep(SETTLE_SECONDS)
+        yield RunningFleet(
+            fleet,
+            operator,
+            network,
+            faults,
+            table,
+            given.key,
+            given.key_id,
+            nursery,
+        )
+        nursery.cancel_scope.cancel()
--- /dev/null
+++ b/tests/conftest.py
@@ -0,0 +1,40 @@
+"""Settings of all tests, and the tests that are known to fail."""
+
+from pathlib import Path
+
+import hypothesis
+import pytest
+
+hypothesis.settings.register_profile(
+    'ci', derandomize=True, deadline=None, database=None
+)
+hypothesis.settings.load_profile('ci')
+
+_ROOT = Path(__file__).parent.parent
+_KNOWN_RED = _ROOT / 'KNOWN-RED.txt'
+_TEST_FIELD = 'test: '
+
+
+def _known_red() -> list[str]:
+    """Return the test ids that ``KNOWN-RED.txt`` lists."""
+    if not _KNOWN_RED.exists():
+        return []
+    return [
+        line.removeprefix(_TEST_FIELD).strip()
+        for line in _KNOWN_RED.read_text().splitlines()
+        if line.startswith(_TEST_FIELD)
+    ]
+
+
+def pytest_collection_modifyitems(items):
+    """Let the run pass over listed tests that fail; they still run."""
+    listed = _known_red()
+    for item in items:
+        if item.nodeid in listed:
+            item.add_marker(pytest.mark.xfail(reason='KNOWN-RED.txt'))
+
+
+def pytest_terminal_summary(terminalreporter):
+    """Print the list of known failures."""
+    for test in _known_red():
+        terminalreporter.write_line(f'known red: {test}')
