Choose rate and target policies by registered name

Cause: benchmarks must run the same node with other policies. Change: Policies names one entry of each registry; Node and the stand-in fleet take it. No behaviour changes. Conclusion: further policies are added by name.

--- a/packages/node/src/boragetrestle_node/node.py
+++ b/packages/node/src/boragetrestle_node/node.py
@@ -7,6 +7,7 @@
 import trio
 from eliot import log_message
 
+import boragetrestle_node.even_split  # noqa: F401
 from boragetrestle_kernel.address import Address
 from boragetrestle_kernel.clock import SystemClock, WallClock
 from boragetrestle_kernel.errors import StoreError
@@ -26,7 +27,6 @@
 from boragetrestle_node.directory import Directory
 from boragetrestle_node.dispatcher import Dispatcher
 from boragetrestle_node.entry import Entry
-from boragetrestle_node.even_split import EvenSplit
 from boragetrestle_node.forwarder import Forwarder
 from boragetrestle_node.gate import RateGate
 from boragetrestle_node.identity import Identifier
@@ -34,11 +34,15 @@
 from boragetrestle_node.metrics import NodeMetrics
 from boragetrestle_node.peer_links import PeerLinks
 from boragetrestle_node.peer_proof import PeerProver
+from boragetrestle_node.policies import Policies
+from boragetrestle_node.rate_policy import RATE_POLICIES
 from boragetrestle_node.slot_source import UnlimitedSlots
-from boragetrestle_node.target_choice import TwoRandom
+from boragetrestle_node.target_choice import TARGET_CHOICES
 from boragetrestle_platform.change_log import ChangeLog
 from boragetrestle_platform.platform import Platform
 
+DEFAULT_POLICIES = Policies()
+
 _READ_SECONDS = 1.0
 _READ_JITTER = (0.8, 1.2)
 
@@ -57,6 +61,7 @@
         platform: Platform,
         clock: WallClock | None = None,
         seed: int | None = None,
+        policies: Policies = DEFAULT_POLICIES,
     ) -> None:
         wall_clock = clock or SystemClock()
         self.settings = settings
@@ -89,16 +94,19 @@
             clock=wall_clock,
             timeline=self.timeline,
         )
+        build_choice = TARGET_CHOICES[policies.choice]
+        build_rates = RATE_POLICIES[policies.rates]
+        rates = build_rates(self.state, self.count_nodes)
         self.dispatcher = Dispatcher(
             identifier=self.identifier,
             directory=self.directory,
-            choice=TwoRandom(self.load_of, self.rng),
+            choice=build_choice(self.load_of, self.rng),
             slots=UnlimitedSlots(self.in_flight),
             forwarder=Forwarder(self.pool),
         )
         self.entry = Entry(
             identifier=self.identifier,
-            gates=[RateGate(EvenSplit(self.state, self.count_nodes))],
+            gates=[RateGate(rates)],
             dispatcher=self.dispatcher,
             timeline=self.timeline,
             metrics=self.metrics,
--- /dev/null
+++ b/packages/node/src/boragetrestle_node/policies.py
@@ -0,0 +1,13 @@
+"""The names of the policies that a node runs."""
+
+from typing import NamedTuple
+
+
+class Policies(NamedTuple):
+    """One registered name for each behaviour that varies.
+
+    Benchmarks run the same node with other names to compare policies.
+    """
+
+    rates: str = 'even-split'
+    choice: str = 'two-random'
--- a/packages/standin/src/boragetrestle_standin/fleet.py
+++ b/packages/standin/src/boragetrestle_standin/fleet.py
@@ -19,7 +19,8 @@
     NodeSettings,
     PlatformSettings,
 )
-from boragetrestle_node.node import Node
+from boragetrestle_node.node import DEFAULT_POLICIES, Node
+from boragetrestle_node.policies import Policies
 from boragetrestle_platform.platform import Platform
 from boragetrestle_standin.target import Onward, StandinTarget
 
@@ -117,11 +118,13 @@
         platform: Platform,
         clock: WallClock | None = None,
         seed: int = 0,
+        policies: Policies = DEFAULT_POLICIES,
     ) -> None:
         self.network = network
         self.platform = platform
         self.clock = clock
         self.seed = seed
+        self.policies = policies
         self.places = itertools.count(1)
         self.hosts = [self.make_host(plan) for plan in plans]
 
@@ -154,6 +157,7 @@
             platform=self.platform,
             clock=self.clock,
             seed=self.seed + place,
+            policies=self.policies,
         )
         target = StandinTarget(
             network,
--- a/tests/builders.py
+++ b/tests/builders.py
@@ -16,6 +16,8 @@
     Service,
     ServiceText,
 )
+from boragetrestle_node.node import DEFAULT_POLICIES
+from boragetrestle_node.policies import Policies
 from boragetrestle_platform.memory_objects import MemoryObjects
 from boragetrestle_platform.memory_table import MemoryTable
 from boragetrestle_platform.platform import Platform
@@ -82,6 +84,7 @@
     *,
     text: ServiceText | None = None,
     seed: int = 0,
+    policies: Policies = DEFAULT_POLICIES,
 ) -> AsyncGenerator[RunningFleet, None]:
     """Run a fleet on the in-memory network with its text and a key in force."""
     network = MemoryNetwork()
@@ -98,6 +101,7 @@
         platform=platform,
         clock=VirtualWallClock(),
         seed=seed,
+        policies=policies,
     )
     async with trio.open_nursery() as nursery:
         await fleet.start(nursery)
