Stall, lose, delay and freeze on the in-memory network

Cause: failure tests need partitions, one-way loss, delay and paused hosts; the network could only cut connections abruptly, which a real partition does not do. Ruled out: faults inside trio's memory streams, which have no delay and no hook per direction; dropping bytes, since TCP sends them again. Change: own pipes per direction, NetworkFaults (delay_of, lose, partition, heal, freeze, thaw). A stalled path keeps its bytes; a dial on it waits. Conclusion: tests of all parts can use network.faults.

--- a/packages/kernel/src/boragetrestle_kernel/memory_network.py
+++ b/packages/kernel/src/boragetrestle_kernel/memory_network.py
@@ -1,7 +1,6 @@
-"""An in-memory network with delays and cuts.
+"""An in-memory network with delays, cuts, losses and frozen hosts.
 
-Streams are pairs of ``trio`` memory streams, so the network needs no sockets and
-runs on a virtual clock.
+The network needs no sockets and runs on a virtual clock.
 """
 
 import socket
@@ -9,10 +8,11 @@
 from typing import NamedTuple
 
 import trio
-import trio.testing
 
 from boragetrestle_kernel.address import Address
 from boragetrestle_kernel.errors import DialError
+from boragetrestle_kernel.memory_stream import connect_hosts
+from boragetrestle_kernel.network_faults import NetworkFaults
 
 _QUEUE_CONNECTIONS = 1024
 
@@ -71,12 +71,13 @@
 class MemoryNetwork:
     """Connect addresses inside one process.
 
-    ``delay`` is the time in seconds to open a connection. ``is_cut`` tells for a
-    dialing host and an address whether packets between them are lost.
+    ``delay`` is the time in seconds that bytes take one way. ``is_cut`` tells
+    for a dialing host and an address whether connections are refused; ``faults``
+    holds the softer faults, which stall streams without an error.
     """
 
     def __init__(self, *, delay: float = 0) -> None:
-        self.delay = delay
+        self.faults = NetworkFaults(delay=delay)
         self.listeners: dict[Address, MemoryListener] = {}
         self.links: list[Link] = []
         self.is_cut: Callable[[str, Address], bool] = _never_cut
@@ -87,15 +88,18 @@
         *,
         dialer: str = '',
     ) -> trio.abc.Stream:
-        """Connect to an address; raise ``DialError`` where none listens."""
-        await trio.sleep(self.delay)
+        """Connect to an address; raise ``DialError`` where none listens.
+
+        On a stalled path this waits until the path is whole.
+        """
+        await self._handshake(dialer, address.host)
         listener = self.listeners.get(address)
         if listener is None or self.is_cut(dialer, address):
             raise DialError(
                 f'no connection to {address}',
                 remedy='start a listener at this address',
             )
-        near, far = trio.testing.memory_stream_pair()
+        near, far = connect_hosts(dialer, address.host, self.faults)
         try:
             listener.arrivals.send_nowait(far)
         except (trio.BrokenResourceError, trio.ClosedResourceError) as error:
@@ -124,6 +128,13 @@
             for end in link.ends:
                 await trio.aclose_forcefully(end)
 
+    async def _handshake(self, near: str, far: str) -> None:
+        faults = self.faults
+        await faults.passable(near, far)
+        await trio.sleep(faults.delay_of(near, far))
+        await faults.passable(far, near)
+        await trio.sleep(faults.delay_of(far, near))
+
 
 class HostNetwork:
     """The in-memory network as seen from one host."""
