--- a/packages/operate/src/boragetrestle/trial.py
+++ b/packages/operate/src/boragetrestle/trial.py
@@ -13,7 +13,8 @@
 from boragetrestle_platform.memory_objects import MemoryObjects
 from boragetrestle_platform.memory_table import MemoryTable
 from boragetrestle_platform.platform import Platform
-from boragetrestle_standin.fleet import Fleet, HostPlan
+from boragetrestle_standin.fleet import Fleet
+from boragetrestle_standin.host_plan import HostPlan
 
 _DOMAINS = ('a', 'b', 'c')
 _TARGETS_PER_SERVICE = 2
--- a/packages/standin/src/boragetrestle_standin/faults.py
+++ b/packages/standin/src/boragetrestle_standin/faults.py
@@ -21,12 +21,15 @@
 
     A target that is ``shedding`` refuses each call. ``crash_path`` is a path
     that ends the target when it is called. ``cut_after`` is the number of body
-    bytes after which answers are cut.
+    bytes after which answers are cut. ``slowdown`` multiplies the time of a
+    call. A target that is ``failing`` works on each call and then answers 500.
     """
 
     delay: float = 0.0
     cold_start: float = 0.0
+    slowdown: float = 1
     is_shedding: bool = False
+    is_failing: bool = False
     crash_path: str = ''
     cut_after: int | None = None
     reported_load: float | None = None
--- a/packages/standin/src/boragetrestle_standin/fleet.py
+++ b/packages/standin/src/boragetrestle_standin/fleet.py
@@ -22,32 +22,17 @@
 from boragetrestle_node.node import DEFAULT_POLICIES, Node
 from boragetrestle_node.policies import Policies
 from boragetrestle_platform.platform import Platform
-from boragetrestle_standin.target import Onward, StandinTarget
+from boragetrestle_standin.host_addresses import HostAddresses, host_ip
+from boragetrestle_standin.host_plan import HostPlan
+from boragetrestle_standin.target import StandinTarget
+from boragetrestle_standin.work_log import WorkLog
 
 SECRET_VARIABLE = 'BORAGETRESTLE_FLEET_SECRET'
 
-_HOSTS_PER_BLOCK = 250
-_CALLS_PORT = 17_400
-_PEERS_PORT = 17_401
-_ADMIN_PORT = 17_402
-_TARGET_PORT = 17_403
 _STANDIN_SECRET = 'stand-in fleet secret'
 _CALLER_HOST = '127.2.0.1'
 
 
-class HostPlan(NamedTuple):
-    """What runs on one host; ``work`` is the time of a call in seconds."""
-
-    service: str
-    domain: str = 'a'
-    region: str = ''
-    slots: int = 50
-    connections: int = 400
-    work: float = 0
-    body: bytes = b'ok'
-    onward: tuple[Onward, ...] = ()
-
-
 class Answer(NamedTuple):
     """A whole answer as a caller sees it."""
 
@@ -119,12 +104,14 @@
         clock: WallClock | None = None,
         seed: int = 0,
         policies: Policies = DEFAULT_POLICIES,
+        work_log: WorkLog | None = None,
     ) -> None:
         self.network = network
         self.platform = platform
         self.clock = clock
         self.seed = seed
         self.policies = policies
+        self.work_log = work_log
         self.places = itertools.count(1)
         self.hosts = [self.make_host(plan) for plan in plans]
 
@@ -147,12 +134,11 @@
     def make_host(self, plan: HostPlan) -> FleetHost:
         """Build a host on the next free address without starting it."""
         place = next(self.places)
-        ip = host_ip(place)
         os.environ.setdefault(SECRET_VARIABLE, _STANDIN_SECRET)
+        ip = host_ip(place)
         network = self.network_of(ip)
-        settings = self.settings_of(place, plan)
         node = Node(
-            settings,
+            self.settings_of(place, plan),
             network=network,
             platform=self.platform,
             clock=self.clock,
@@ -161,29 +147,23 @@
         )
         target = StandinTarget(
             network,
-            Address(ip, _TARGET_PORT),
-            service=plan.service,
-            node_admin=Address(ip, _ADMIN_PORT),
-            node_calls=Address(ip, _CALLS_PORT),
-            slots=plan.slots,
-            connections=plan.connections,
-            work=plan.work,
-            body=plan.body,
-            onward=plan.onward,
+            HostAddresses.of_host(ip),
+            plan,
+            work_log=self.work_log,
         )
         return FleetHost(place, node, target)
 
     def settings_of(self, place: int, plan: HostPlan) -> NodeSettings:
         """Return the settings of the node on a host."""
-        ip = host_ip(place)
+        at = HostAddresses.of_host(host_ip(place))
         return NodeSettings(
             node=f'node-{place}',
             domain=plan.domain,
             region=plan.region,
             listen=Listen(
-                calls=f'{ip}:{_CALLS_PORT}',
-                peers=f'{ip}:{_PEERS_PORT}',
-                admin=f'{ip}:{_ADMIN_PORT}',
+                calls=str(at.calls),
+                peers=str(at.peers),
+                admin=str(at.admin),
             ),
             platform=PlatformSettings(adapter='embedded'),
             fleet_secrets=(Credential(env=SECRET_VARIABLE),),
@@ -220,13 +200,3 @@
             )
             whole = await response.read()
         return Answer(response.status, response.fields, whole)
-
-
-def host_ip(place: int) -> str:
-    """Return the loopback address of a host.
-
-    >>> host_ip(1), host_ip(251)
-    ('127.1.0.1', '127.1.1.1')
-    """
-    block, offset = divmod(place - 1, _HOSTS_PER_BLOCK)
-    return f'127.1.{block}.{offset + 1}'
--- /dev/null
+++ b/packages/standin/src/boragetrestle_standin/host_addresses.py
@@ -0,0 +1,44 @@
+"""The addresses of one host of a stand-in fleet."""
+
+from typing import NamedTuple, Self
+
+from boragetrestle_kernel.address import Address
+
+_HOSTS_PER_BLOCK = 250
+_CALLS_PORT = 17_400
+_PEERS_PORT = 17_401
+_ADMIN_PORT = 17_402
+_TARGET_PORT = 17_403
+
+
+class HostAddresses(NamedTuple):
+    """Addresses of a node and of the target beside it."""
+
+    calls: Address
+    peers: Address
+    admin: Address
+    target: Address
+
+    @classmethod
+    def of_host(cls, ip: str) -> Self:
+        """Return the addresses on a host.
+
+        >>> str(HostAddresses.of_host('127.1.0.1').calls)
+        '127.1.0.1:17400'
+        """
+        return cls(
+            Address(ip, _CALLS_PORT),
+            Address(ip, _PEERS_PORT),
+            Address(ip, _ADMIN_PORT),
+            Address(ip, _TARGET_PORT),
+        )
+
+
+def host_ip(place: int) -> str:
+    """Return the loopback address of a host.
+
+    >>> host_ip(1), host_ip(251)
+    ('127.1.0.1', '127.1.1.1')
+    """
+    block, offset = divmod(place - 1, _HOSTS_PER_BLOCK)
+    return f'127.1.{block}.{offset + 1}'
--- /dev/null
+++ b/packages/standin/src/boragetrestle_standin/host_plan.py
@@ -0,0 +1,25 @@
+"""What runs on one host of a stand-in fleet."""
+
+from typing import NamedTuple
+
+import msgspec
+
+
+class Onward(msgspec.Struct, frozen=True):
+    """A call that the target makes for each call that it gets."""
+
+    method: str
+    path: str
+
+
+class HostPlan(NamedTuple):
+    """What runs on one host; ``work`` is the time of a call in seconds."""
+
+    service: str
+    domain: str = 'a'
+    region: str = ''
+    slots: int = 50
+    connections: int = 400
+    work: float = 0
+    body: bytes = b'ok'
+    onward: tuple[Onward, ...] = ()
--- a/packages/standin/src/boragetrestle_standin/target.py
+++ b/packages/standin/src/boragetrestle_standin/target.py
@@ -6,13 +6,15 @@
 import msgspec
 import trio
 
-from boragetrestle_kernel.address import Address
 from boragetrestle_kernel.context import HEADER
 from boragetrestle_kernel.http_client import HttpClientConnection
 from boragetrestle_kernel.http_fields import Fields
 from boragetrestle_kernel.http_server import HttpRequest, HttpServerConnection
 from boragetrestle_kernel.network import Network
 from boragetrestle_standin.faults import TargetFaults
+from boragetrestle_standin.host_addresses import HostAddresses
+from boragetrestle_standin.host_plan import HostPlan, Onward
+from boragetrestle_standin.work_log import WorkLog
 
 _PART_BYTES = 16_384
 
@@ -27,47 +29,37 @@
     state: str = 'ready'
 
 
-class Onward(msgspec.Struct, frozen=True):
-    """A call that the target makes for each call that it gets."""
-
-    method: str
-    path: str
-
-
 class StandinTarget:
     """Answer each call with a body of fixed size after a fixed time.
 
-    ``work`` is the time of a call in seconds. Calls that the target receives
-    are counted by path, and the header fields of the last one are kept.
+    ``work`` is the time of a call in seconds. At most ``slots`` calls run at a
+    time; further ones wait inside the target, first in first out. Calls that
+    the target receives are counted by path, and the header fields of the last
+    one are kept. ``work_log`` gets the slot time of each call.
     """
 
     def __init__(
         self,
         network: Network,
-        address: Address,
+        addresses: HostAddresses,
+        plan: HostPlan,
         *,
-        service: str,
-        node_admin: Address,
-        node_calls: Address,
-        slots: int = 50,
-        connections: int = 400,
-        work: float = 0.0,
-        body: bytes = b'ok',
-        onward: tuple[Onward, ...] = (),
+        work_log: WorkLog | None = None,
     ) -> None:
         self.network = network
-        self.address = address
-        self.service = service
-        self.node_admin = node_admin
-        self.node_calls = node_calls
-        self.slots = slots
-        self.connections = connections
-        self.work = work
-        self.body = body
-        self.onward = onward
+        self.addresses = addresses
+        self.address = addresses.target
+        self.service = plan.service
+        self.slots = plan.slots
+        self.connections = plan.connections
+        self.work = plan.work
+        self.body = plan.body
+        self.onward = plan.onward
         self.faults = TargetFaults()
         self.calls: Counter[str] = Counter()
         self.running = 0
+        self.limiter = trio.CapacityLimiter(plan.slots)
+        self.work_log = work_log
         self.last_fields: Fields = []
         self.cancel = trio.CancelScope()
 
@@ -95,9 +87,9 @@
                 state=state,
             ),
         )
-        stream = await self.network.dial(self.node_admin)
+        stream = await self.network.dial(self.addresses.admin)
         async with HttpClientConnection(stream) as connection:
-            fields = [(b'host', str(self.node_admin).encode())]
+            fields = [(b'host', str(self.addresses.admin).encode())]
             response = await connection.request(
                 b'POST',
                 b'/v1/target',
@@ -130,18 +122,37 @@
     async def _work(self, request: HttpRequest) -> int:
         if self.faults.is_shedding:
             return HTTPStatus.SERVICE_UNAVAILABLE.value
-        await trio.sleep(self.work + self.faults.delay)
+        async with self.limiter:
+            started_at = trio.current_time()
+            try:
+                return await self._use_slot(request)
+            finally:
+                self._log_work(request, started_at)
+
+    async def _use_slot(self, request: HttpRequest) -> int:
+        seconds = self.work * self.faults.slowdown + self.faults.delay
+        await trio.sleep(seconds)
+        if self.faults.is_failing:
+            return HTTPStatus.INTERNAL_SERVER_ERROR.value
         for onward in self.onward:
             status = await self._call_onward(request, onward)
             if status != HTTPStatus.OK:
                 return HTTPStatus.BAD_GATEWAY.value
         return HTTPStatus.OK.value
 
+    def _log_work(self, request: HttpRequest, started_at: float) -> None:
+        if self.work_log is not None:
+            self.work_log.add(
+                request.field(HEADER),
+                self.service,
+                trio.current_time() - started_at,
+            )
+
     async def _call_onward(self, request: HttpRequest, onward: Onward) -> int:
-        stream = await self.network.dial(self.node_calls)
+        stream = await self.network.dial(self.addresses.calls)
         async with HttpClientConnection(stream) as connection:
             fields = [
-                (b'host', str(self.node_calls).encode()),
+                (b'host', str(self.addresses.calls).encode()),
                 (HEADER, request.field(HEADER)),
             ]
             response = await connection.request(
--- a/tests/builders.py
+++ b/tests/builders.py
@@ -23,7 +23,8 @@
 from boragetrestle_platform.platform import Platform
 from boragetrestle_standin.faults import StoreFaults
 from boragetrestle_standin.faulty_table import FaultyTable
-from boragetrestle_standin.fleet import Fleet, HostPlan
+from boragetrestle_standin.fleet import Fleet
+from boragetrestle_standin.host_plan import HostPlan
 
 SETTLE_SECONDS = 5.0
 
--- a/tests/test_peer_links.py
+++ b/tests/test_peer_links.py
@@ -9,7 +9,7 @@
 from boragetrestle_kernel.peer_message import peer_message
 from boragetrestle_kernel.timeline import EventKind
 from boragetrestle_node.peer_proof import PeerProver
-from boragetrestle_standin.fleet import HostPlan
+from boragetrestle_standin.host_plan import HostPlan
 
 _PLANS = (HostPlan('walks'), HostPlan('walks'))
 
--- a/tests/test_whole_path.py
+++ b/tests/test_whole_path.py
@@ -7,8 +7,7 @@
 from boragetrestle_kernel.context import HEADER
 from boragetrestle_kernel.errors import IncompleteAnswerError
 from boragetrestle_kernel.http_fields import find_field
-from boragetrestle_standin.fleet import HostPlan
-from boragetrestle_standin.target import Onward
+from boragetrestle_standin.host_plan import HostPlan, Onward
 
 _PLANS = (HostPlan('walks'), HostPlan('walks', domain='b'))
 _PATH = '/walks/items/7'
