Run the stand-ins as processes, with faults over HTTP

Cause: real-process tests need a platform and targets that they start and break. Ruled out: signals for faults (they carry no values); a second admin listener.

--- a/packages/standin/src/boragetrestle_standin/faults.py
+++ b/packages/standin/src/boragetrestle_standin/faults.py
@@ -1,18 +1,23 @@
 """Faults that tests and the trial set on stand-ins."""
 
-from dataclasses import dataclass
+from dataclasses import dataclass, fields
+from typing import Any
+
+import msgspec
 
 
 @dataclass(slots=True)
 class StoreFaults:
     """Faults of the platform; ``delay`` is in seconds.
 
-    ``lost_answers`` counts the next commits that are applied without an answer.
+    ``lost_answers`` and ``lost_puts`` count the next commits and the next
+    writes of objects that are applied without an answer.
     """
 
     delay: float = 0.0
     is_down: bool = False
     lost_answers: int = 0
+    lost_puts: int = 0
 
 
 @dataclass(slots=True)
@@ -31,3 +36,18 @@
     cut_after: int | None = None
     reported_load: float | None = None
     reported_health: bool | None = None
+
+
+def replace_faults(faults: Any, raw: bytes) -> None:
+    """Set all faults from JSON; fields that it leaves out are cleared.
+
+    Raises ``msgspec.DecodeError`` for a wrong field.
+
+    >>> faults = StoreFaults(is_down=True)
+    >>> replace_faults(faults, b'{"delay": 2}')
+    >>> faults.delay, faults.is_down
+    (2.0, False)
+    """
+    fresh = msgspec.json.decode(raw, type=type(faults))
+    for field in fields(fresh):
+        setattr(faults, field.name, getattr(fresh, field.name))
--- a/packages/standin/src/boragetrestle_standin/platform_server.py
+++ b/packages/standin/src/boragetrestle_standin/platform_server.py
@@ -1,4 +1,7 @@
-"""Serve the platform's HTTP interface from embedded stores."""
+"""Serve the platform's HTTP interface from embedded stores.
+
+A request to ``/faults`` sets the faults of the stores from its JSON body.
+"""
 
 from http import HTTPStatus
 from typing import Any
@@ -17,6 +20,9 @@
 )
 from boragetrestle_platform.platform import Platform
 from boragetrestle_platform.table import Transaction
+from boragetrestle_standin.faults import StoreFaults, replace_faults
+
+FAULTS_PATH = b'/faults'
 
 _JSON = [(b'content-type', b'application/json')]
 
@@ -24,8 +30,13 @@
 class PlatformServer:
     """Answer requests for a table and an object store."""
 
-    def __init__(self, platform: Platform) -> None:
+    def __init__(
+        self,
+        platform: Platform,
+        faults: StoreFaults | None = None,
+    ) -> None:
         self.platform = platform
+        self.faults = faults or StoreFaults()
 
     async def handle(
         self,
@@ -34,6 +45,10 @@
     ) -> None:
         """Answer one request; a store fault closes the connection."""
         body = await request.read()
+        if request.target == FAULTS_PATH:
+            replace_faults(self.faults, body)
+            await connection.answer(HTTPStatus.OK.value, _JSON, b'{}')
+            return
         try:
             if request.target.startswith(OBJECT_PATH):
                 await self._object(request, connection, body)
--- a/packages/standin/src/boragetrestle_standin/target.py
+++ b/packages/standin/src/boragetrestle_standin/target.py
@@ -12,7 +12,9 @@
 from boragetrestle_kernel.http_fields import Fields
 from boragetrestle_kernel.http_server import HttpRequest, HttpServerConnection
 from boragetrestle_kernel.network import Network
-from boragetrestle_standin.faults import TargetFaults
+from boragetrestle_standin.faults import TargetFaults, replace_faults
+
+FAULTS_PATH = b'/faults'
 
 _PART_BYTES = 16_384
 
@@ -114,7 +116,11 @@
         request: HttpRequest,
         connection: HttpServerConnection,
     ) -> None:
-        await request.read()
+        body = await request.read()
+        if request.target == FAULTS_PATH:
+            replace_faults(self.faults, body)
+            await connection.answer(HTTPStatus.OK.value, [])
+            return
         path = request.target.decode()
         self.calls[path] += 1
         self.last_fields = request.fields
--- /dev/null
+++ b/packages/standin/src/boragetrestle_standin/target_main.py
@@ -0,0 +1,89 @@
+"""Run a stand-in target as a process.
+
+Start it with ``python -m boragetrestle_standin.target_main ADDRESS SERVICE
+--node-admin IP:PORT --node-calls IP:PORT``; its faults are set by a POST of
+JSON to ``/faults``.
+"""
+
+import signal
+
+import defopt
+import trio
+
+from boragetrestle_kernel.address import Address
+from boragetrestle_kernel.errors import DialError, HttpError
+from boragetrestle_kernel.network import TcpNetwork
+from boragetrestle_standin.target import Onward, StandinTarget
+
+_ANNOUNCE_SECONDS = 0.2
+_DRAIN_SECONDS = 2.0
+
+
+def run_target(
+    address: str,
+    service: str,
+    *,
+    node_admin: str,
+    node_calls: str,
+    slots: int = 50,
+    connections: int = 400,
+    work: float = 0.0,
+    body_bytes: int = 512,
+    onward: list[str] | None = None,
+) -> None:
+    """Serve calls until SIGTERM, which drains the target first.
+
+    :param address: where to listen, as IP:PORT
+    :param service: the service that the target announces
+    :param node_admin: admin address of the node beside it
+    :param node_calls: calls address of the node beside it
+    :param slots: calls that it declares to run at once
+    :param connections: connections that it declares to accept
+    :param work: seconds that each call takes
+    :param body_bytes: size of each answer
+    :param onward: paths that it calls with GET for each call
+    """
+    target = StandinTarget(
+        TcpNetwork(),
+        Address.parse(address),
+        service=service,
+        node_admin=Address.parse(node_admin),
+        node_calls=Address.parse(node_calls),
+        slots=slots,
+        connections=connections,
+        work=work,
+        body=b'x' * body_bytes,
+        onward=tuple(Onward('GET', path) for path in onward or ()),
+    )
+    trio.run(_serve, target)
+
+
+async def _serve(target: StandinTarget) -> None:
+    with trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
+        async with trio.open_nursery() as nursery:
+            await nursery.start(target.run)
+            await _announce(target, 'ready')
+            await anext(signals)
+            with trio.move_on_after(_DRAIN_SECONDS):
+                await _announce(target, 'draining')
+            await trio.sleep(_DRAIN_SECONDS)
+            while target.running:
+                await trio.sleep(_ANNOUNCE_SECONDS)
+            with trio.move_on_after(_DRAIN_SECONDS):
+                await _announce(target, 'gone')
+            nursery.cancel_scope.cancel()
+
+
+async def _announce(target: StandinTarget, state: str) -> None:
+    """Announce the state, again until the node takes it."""
+    while True:
+        try:
+            await target.announce(state)
+        except (DialError, HttpError):
+            await trio.sleep(_ANNOUNCE_SECONDS)
+        else:
+            return
+
+
+if __name__ == '__main__':
+    defopt.run(run_target)
