--- a/packages/standin/src/boragetrestle_standin/target.py
+++ b/packages/standin/src/boragetrestle_standin/target.py
@@ -11,11 +11,13 @@
 from boragetrestle_kernel.http_fields import Fields
 from boragetrestle_kernel.http_server import HttpRequest, HttpServerConnection
 from boragetrestle_kernel.network import Network
-from boragetrestle_standin.faults import TargetFaults
+from boragetrestle_standin.faults import TargetFaults, replace_faults
 from boragetrestle_standin.host_addresses import HostAddresses
 from boragetrestle_standin.host_plan import HostPlan, Onward
 from boragetrestle_standin.work_log import WorkLog
 
+FAULTS_PATH = b'/faults'
+
 _PART_BYTES = 16_384
 
 
@@ -106,7 +108,11 @@
         request: HttpRequest,
         connection: HttpServerConnection,
     ) -> None:
-        await request.read()
+        body = await request.read()
+        if request.target == FAULTS_PATH:
+            replace_faults(self.faults, body)
+            await connection.answer(HTTPStatus.OK.value, [])
+            return
         path = request.target.decode()
         self.calls[path] += 1
         self.last_fields = request.fields
