Send calls without a lease through the guard of their target

Cause: nothing kept the calls running at a target below its slots; the node beside a target must own them. Ruled out: the same purpose for all contexts (a target could use its context to pass the gates at the next node); wall time for the deadline of a hop (it depends on the clocks of two hosts, so the seconds left travel instead). Change: contexts carry a purpose; a guarded hop skips gates and dispatch and waits at the SlotGuard (limit `fixed`, queue `fifo` or `newest-first`, by `Policies`). Forwarder.forward returns Forwarded with Attempt.REFUSED and the Refusal of the guard, or of a target's 503 that says not-run; all other boragetrestle- fields of targets and callers are stripped. `slots` stays `unlimited` by default until leases exist; `guarded` asks the guard call by call.

--- a/packages/kernel/src/boragetrestle_kernel/context.py
+++ b/packages/kernel/src/boragetrestle_kernel/context.py
@@ -8,6 +8,7 @@
 import hashlib
 import hmac
 from collections.abc import Mapping
+from enum import Enum
 
 import msgspec
 
@@ -18,11 +19,25 @@
 _SIGNATURE_BYTES = 16
 
 
+class ContextPurpose(Enum):
+    """What a context entitles its bearer to.
+
+    ``ONWARD`` goes to a target, for its onward calls at the node beside it.
+    ``GUARDED_HOP`` goes from one node to the node beside a target and lets the
+    call pass without key, rate or gates; targets and callers never see one.
+    """
+
+    ONWARD = 'onward'
+    GUARDED_HOP = 'guarded-hop'
+
+
 class CallContext(msgspec.Struct, frozen=True, array_like=True):
     """What a node tells the next about a call.
 
     ``service`` is the service the call was sent to, so that a context replayed
     on another service is refused. ``deadline`` is wall time in seconds.
+    ``remaining`` is the seconds left when a guarded hop was sent, which does
+    not depend on the wall clocks of two hosts.
     """
 
     call_id: str
@@ -33,6 +48,8 @@
     deadline: float
     attempts_left: int
     depth: int = 0
+    purpose: ContextPurpose = ContextPurpose.ONWARD
+    remaining: float = 0
 
 
 class ContextSigner:
--- a/packages/kernel/src/boragetrestle_kernel/http_server.py
+++ b/packages/kernel/src/boragetrestle_kernel/http_server.py
@@ -54,6 +54,19 @@
         parts = [part async for part in self.chunks()]
         return b''.join(parts)
 
+    async def discard(self, *, max_bytes: int) -> None:
+        """Read and drop the rest of the body, up to a size in bytes.
+
+        The connection can be used again if the body ends within the size.
+        """
+        if self.connection.protocol.their_state is not h11.SEND_BODY:
+            return
+        dropped = 0
+        async for chunk in self.chunks():
+            dropped += len(chunk)
+            if dropped > max_bytes:
+                return
+
 
 RequestHandler = Callable[
     [HttpRequest, 'HttpServerConnection'],
--- a/packages/kernel/src/boragetrestle_kernel/refusal.py
+++ b/packages/kernel/src/boragetrestle_kernel/refusal.py
@@ -2,11 +2,17 @@
 
 from enum import Enum
 from http import HTTPStatus
-from typing import NamedTuple
+from typing import NamedTuple, Self
 
 import msgspec
 
+from boragetrestle_kernel.http_fields import Fields, find_field
+
 CONTENT_TYPE = b'application/problem+json'
+CODE_FIELD = b'boragetrestle-code'
+RUN_FIELD = b'boragetrestle-run'
+
+_RETRY_AFTER = b'retry-after'
 
 
 class RunState(Enum):
@@ -58,6 +64,12 @@
 }
 
 
+_CODES: dict[bytes, RefusalCode] = {
+    code.value.encode(): code for code in RefusalCode
+}
+_NOT_RUN = RunState.NOT_RUN.value.encode()
+
+
 class Refusal(NamedTuple):
     """A final answer that boragetrestle gives in place of a target.
 
@@ -78,14 +90,34 @@
         """Return the header fields of the answer."""
         fields = [
             (b'content-type', CONTENT_TYPE),
-            (b'boragetrestle-code', self.code.value.encode()),
-            (b'boragetrestle-run', self.run_state.value.encode()),
+            (CODE_FIELD, self.code.value.encode()),
+            (RUN_FIELD, self.run_state.value.encode()),
         ]
         if self.retry_after is not None:
             seconds = max(1, round(self.retry_after))
-            fields.append((b'retry-after', str(seconds).encode()))
+            fields.append((_RETRY_AFTER, str(seconds).encode()))
         return fields
 
+    @classmethod
+    def from_fields(cls, fields: Fields) -> Self | None:
+        """Return the refusal that header fields tell, if they tell one.
+
+        >>> sent = Refusal(RefusalCode.OVERLOADED, retry_after=2)
+        >>> Refusal.from_fields(sent.headers()) == sent
+        True
+        >>> Refusal.from_fields([(b'boragetrestle-code', b'other')]) is None
+        True
+        """
+        code = _CODES.get(find_field(fields, CODE_FIELD))
+        if code is None:
+            return None
+        is_not_run = find_field(fields, RUN_FIELD) == _NOT_RUN
+        return cls(
+            code,
+            RunState.NOT_RUN if is_not_run else RunState.UNKNOWN,
+            retry_after=read_retry_after(fields),
+        )
+
     def body(self, *, call_id: str = '') -> bytes:
         """Return the problem document.
 
@@ -103,6 +135,17 @@
         })
 
 
+def read_retry_after(fields: Fields) -> float | None:
+    """Return the seconds of a ``Retry-After`` field, ``None`` without one."""
+    seconds = find_field(fields, _RETRY_AFTER)
+    return float(seconds) if seconds.isdigit() else None
+
+
+def says_not_run(fields: Fields) -> bool:
+    """Return whether an answer states that the call was not run."""
+    return find_field(fields, RUN_FIELD) == _NOT_RUN
+
+
 class RefusedError(Exception):
     """Carry a refusal up to the connection that answers the caller."""
 
--- /dev/null
+++ b/packages/node/src/boragetrestle_node/arrival_queue.py
@@ -0,0 +1,61 @@
+"""Queue orders that look only at the time of arrival."""
+
+from boragetrestle_node.queue_order import WeightOf, queue_order
+from boragetrestle_node.waiter import Waiter
+
+
+class ArrivalQueue:
+    """Hold calls in their order of arrival."""
+
+    def __init__(self, _weight_of: WeightOf) -> None:
+        # A dict keeps the order of insertion and removes in constant time.
+        self.waiters: dict[Waiter, None] = {}
+
+    def __len__(self) -> int:
+        """Return how many calls wait."""
+        return len(self.waiters)
+
+    def push(self, waiter: Waiter) -> None:
+        """Add a call."""
+        self.waiters[waiter] = None
+
+    def remove(self, waiter: Waiter) -> None:
+        """Remove a call that no longer waits."""
+        self.waiters.pop(waiter, None)
+
+    def take_oldest(self) -> Waiter | None:
+        """Remove and return the call that waits longest."""
+        for waiter in self.waiters:
+            del self.waiters[waiter]
+            return waiter
+        return None
+
+    def take_newest(self) -> Waiter | None:
+        """Remove and return the call that came last."""
+        return self.waiters.popitem()[0] if self.waiters else None
+
+
+@queue_order('fifo')
+class FifoQueue(ArrivalQueue):
+    """Run the oldest call next; shed the newest when full."""
+
+    def pop(self, _now: float) -> Waiter | None:
+        """Remove and return the call that runs next."""
+        return self.take_oldest()
+
+    def shed(self) -> Waiter | None:
+        """Remove and return the call that is given up first."""
+        return self.take_newest()
+
+
+@queue_order('newest-first')
+class NewestFirstQueue(ArrivalQueue):
+    """Run the newest call next; shed the oldest when full."""
+
+    def pop(self, _now: float) -> Waiter | None:
+        """Remove and return the call that runs next."""
+        return self.take_newest()
+
+    def shed(self) -> Waiter | None:
+        """Remove and return the call that is given up first."""
+        return self.take_oldest()
--- /dev/null
+++ b/packages/node/src/boragetrestle_node/attempt.py
@@ -0,0 +1,43 @@
+"""How one attempt to forward a call ended."""
+
+from enum import Enum
+from typing import NamedTuple
+
+from boragetrestle_kernel.http_fields import Fields
+from boragetrestle_kernel.refusal import Refusal
+
+
+class Attempt(Enum):
+    """How one attempt to forward a call ended.
+
+    ``REFUSED`` is a refusal by the guard of a target, or by the target itself
+    as a shed call that was not run; nothing has gone to the caller then.
+    """
+
+    ANSWERED = 'answered'
+    NOT_SENT = 'not-sent'
+    NO_ANSWER = 'no-answer'
+    CUT = 'cut'
+    REFUSED = 'refused'
+
+
+class Forwarded(NamedTuple):
+    """The end of an attempt with what the other side told.
+
+    ``refusal`` is set if the attempt was refused. ``status`` and ``fields`` are
+    those received, before internal fields are stripped; ``fields`` can be
+    trusted only if the guard of a target sent them.
+    """
+
+    attempt: Attempt
+    refusal: Refusal | None = None
+    status: int = 0
+    fields: Fields | None = None
+
+    @property
+    def is_shed(self) -> bool:
+        """Whether the target shed the call."""
+        return self.status == _SHED_STATUS
+
+
+_SHED_STATUS = 503
--- a/packages/node/src/boragetrestle_node/call.py
+++ b/packages/node/src/boragetrestle_node/call.py
@@ -15,6 +15,8 @@
 
     ``deadline`` is on the clock of trio. ``attempts_left`` bounds the attempts
     of the whole chain below this call. ``depth`` is 0 at the entry of a chain.
+    ``is_guarded`` marks a call that another node has admitted and sent to the
+    guard of the target beside this node.
     """
 
     call_id: CallId
@@ -27,6 +29,7 @@
     attempts_left: int
     depth: int = 0
     idempotency_key: str = ''
+    is_guarded: bool = False
 
     @property
     def remaining(self) -> float:
--- a/packages/node/src/boragetrestle_node/dispatcher.py
+++ b/packages/node/src/boragetrestle_node/dispatcher.py
@@ -8,9 +8,10 @@
     RefusedError,
     RunState,
 )
+from boragetrestle_node.attempt import Attempt, Forwarded
 from boragetrestle_node.call import Call
 from boragetrestle_node.directory import Directory
-from boragetrestle_node.forwarder import Attempt, Forwarder
+from boragetrestle_node.forwarder import Forwarder
 from boragetrestle_node.identity import Identifier
 from boragetrestle_node.slot_source import SlotSource
 from boragetrestle_node.target_choice import TargetChoice
@@ -47,10 +48,10 @@
     ) -> None:
         """Answer a call from a target; raise ``RefusedError`` otherwise."""
         tried: set[TargetId] = set()
-        attempt = Attempt.NOT_SENT
-        while attempt is Attempt.NOT_SENT:
-            attempt = await self._attempt(call, request, connection, tried)
-        refusal = _REFUSALS.get(attempt)
+        forwarded = Forwarded(Attempt.NOT_SENT)
+        while forwarded.attempt is Attempt.NOT_SENT:
+            forwarded = await self._attempt(call, request, connection, tried)
+        refusal = forwarded.refusal or _REFUSALS.get(forwarded.attempt)
         if refusal is not None:
             raise RefusedError(refusal)
 
@@ -60,16 +61,23 @@
         request: HttpRequest,
         connection: HttpServerConnection,
         tried: set[TargetId],
-    ) -> Attempt:
+    ) -> Forwarded:
         target = self.choice.choose(self.directory.ready(call.service), tried)
         if target is None:
             raise RefusedError(Refusal(RefusalCode.NO_TARGET, retry_after=1))
         tried.add(target.target)
         async with self.slots.hold(call, target) as slot:
-            return await self.forwarder.forward(
+            make_context = (
+                self.identifier.hop_context_for
+                if slot.is_guarded
+                else self.identifier.context_for
+            )
+            slot.forwarded = await self.forwarder.forward(
                 slot.address,
                 request,
                 connection,
-                context=self.identifier.context_for(call),
+                context=make_context(call),
                 call_id=call.call_id,
+                is_guarded=slot.is_guarded,
             )
+            return slot.forwarded
--- a/packages/node/src/boragetrestle_node/entry.py
+++ b/packages/node/src/boragetrestle_node/entry.py
@@ -15,16 +15,19 @@
 from boragetrestle_node.call import Call
 from boragetrestle_node.dispatcher import Dispatcher
 from boragetrestle_node.gate import Gate
+from boragetrestle_node.guarded_calls import GuardedCalls
 from boragetrestle_node.identity import Identifier
 from boragetrestle_node.metrics import NodeMetrics
 
+_MAX_DISCARDED_BYTES = 262_144
 _CALL_ID = b'boragetrestle-call'
 
 
 class Entry:
     """Decide on each call and answer it.
 
-    A call passes the gates in order and is then dispatched.
+    A call passes the gates in order and is then dispatched. A guarded hop has
+    passed the gates of another node.
     """
 
     def __init__(
@@ -33,12 +36,14 @@
         identifier: Identifier,
         gates: Sequence[Gate],
         dispatcher: Dispatcher,
+        guarded: GuardedCalls,
         timeline: Timeline,
         metrics: NodeMetrics,
     ) -> None:
         self.identifier = identifier
         self.gates = gates
         self.dispatcher = dispatcher
+        self.guarded = guarded
         self.timeline = timeline
         self.metrics = metrics
 
@@ -57,6 +62,8 @@
             await self._run(call, request, connection)
         except RefusedError as error:
             await self._refuse(error.refusal, connection, call=call)
+            if call.is_guarded:
+                await request.discard(max_bytes=_MAX_DISCARDED_BYTES)
 
     async def _run(
         self,
@@ -64,10 +71,13 @@
         request: HttpRequest,
         connection: HttpServerConnection,
     ) -> None:
-        for gate in self.gates:
+        for gate in () if call.is_guarded else self.gates:
             gate.check(call)
+        serve = (
+            self.guarded.serve if call.is_guarded else self.dispatcher.dispatch
+        )
         with trio.move_on_at(call.deadline) as scope:
-            await self.dispatcher.dispatch(call, request, connection)
+            await serve(call, request, connection)
         if scope.cancelled_caught:
             raise RefusedError(Refusal(RefusalCode.DEADLINE, RunState.UNKNOWN))
         self.metrics.answered(call)
--- a/packages/node/src/boragetrestle_node/forwarder.py
+++ b/packages/node/src/boragetrestle_node/forwarder.py
@@ -1,6 +1,6 @@
 """Send a call on to a target and its answer back to the caller."""
 
-from enum import Enum
+from http import HTTPStatus
 
 import trio
 
@@ -10,21 +10,20 @@
 from boragetrestle_kernel.http_client import HttpClientConnection, HttpResponse
 from boragetrestle_kernel.http_fields import Fields, end_to_end
 from boragetrestle_kernel.http_server import HttpRequest, HttpServerConnection
+from boragetrestle_kernel.refusal import (
+    Refusal,
+    RefusalCode,
+    read_retry_after,
+    says_not_run,
+)
+from boragetrestle_node.attempt import Attempt, Forwarded
 from boragetrestle_node.connection_pool import ConnectionPool
 
-_STRIPPED = frozenset((b'authorization', b'host', HEADER))
+_STRIPPED = frozenset((b'authorization', b'host'))
+_INTERNAL_PREFIX = b'boragetrestle-'
 _CALL_ID = b'boragetrestle-call'
 
 
-class Attempt(Enum):
-    """How one attempt to forward a call ended."""
-
-    ANSWERED = 'answered'
-    NOT_SENT = 'not-sent'
-    NO_ANSWER = 'no-answer'
-    CUT = 'cut'
-
-
 class Forwarder:
     """Forward calls on kept connections."""
 
@@ -39,20 +38,26 @@
         *,
         context: bytes,
         call_id: str,
-    ) -> Attempt:
-        """Send a request to an address and its answer to the caller."""
+        is_guarded: bool = False,
+    ) -> Forwarded:
+        """Send a request to an address and its answer to the caller.
+
+        ``is_guarded`` tells that the address is the guard of a target, whose
+        refusals are believed; a target is believed only where it sheds a call.
+        """
         fields = request_fields(request, address, context)
         try:
             upstream, _ = await self.pool.acquire(address)
         except DialError:
-            return Attempt.NOT_SENT
+            return Forwarded(Attempt.NOT_SENT)
         try:
             return await self._exchange(
                 upstream,
                 request,
                 connection,
                 fields,
-                call_id,
+                call_id=call_id,
+                is_guarded=is_guarded,
             )
         finally:
             with trio.CancelScope(shield=True):
@@ -64,24 +69,28 @@
         request: HttpRequest,
         connection: HttpServerConnection,
         fields: Fields,
+        *,
         call_id: str,
-    ) -> Attempt:
+        is_guarded: bool,
+    ) -> Forwarded:
         try:
             response = await _send_request(upstream, request, fields)
         except HttpError:
-            return Attempt.NO_ANSWER
-        answer = [
-            *end_to_end(response.fields),
-            (_CALL_ID, call_id.encode()),
-        ]
-        await connection.send_head(response.status, answer)
+            return Forwarded(Attempt.NO_ANSWER)
+        refusal = _read_refusal(response, is_guarded=is_guarded)
+        status, received = response.status, response.fields
+        if refusal is not None:
+            await _read_rest(response)
+            return Forwarded(Attempt.REFUSED, refusal, status, received)
+        answer = [*without_internal(received), (_CALL_ID, call_id.encode())]
+        await connection.send_head(status, answer)
         try:
             await _copy_body(response, connection)
         except HttpError:
             await connection.aclose()
-            return Attempt.CUT
+            return Forwarded(Attempt.CUT, None, status, received)
         await connection.send_end()
-        return Attempt.ANSWERED
+        return Forwarded(Attempt.ANSWERED, None, status, received)
 
 
 def request_fields(
@@ -91,7 +100,9 @@
 ) -> Fields:
     """Return the fields for the target: no key, a signed context."""
     kept = [
-        pair for pair in end_to_end(request.fields) if pair[0] not in _STRIPPED
+        pair
+        for pair in without_internal(request.fields)
+        if pair[0] not in _STRIPPED
     ]
     return [
         (b'host', str(address).encode()),
@@ -100,6 +111,42 @@
     ]
 
 
+def without_internal(fields: Fields) -> Fields:
+    """Drop hop-by-hop fields and those that only nodes may set.
+
+    >>> without_internal([(b'boragetrestle-run', b'not-run'), (b'etag', b'1')])
+    [(b'etag', b'1')]
+    """
+    return [
+        pair
+        for pair in end_to_end(fields)
+        if not pair[0].startswith(_INTERNAL_PREFIX)
+    ]
+
+
+def _read_refusal(
+    response: HttpResponse,
+    *,
+    is_guarded: bool,
+) -> Refusal | None:
+    if is_guarded:
+        return Refusal.from_fields(response.fields)
+    is_shed = response.status == HTTPStatus.SERVICE_UNAVAILABLE
+    if is_shed and says_not_run(response.fields):
+        return Refusal(
+            RefusalCode.OVERLOADED,
+            retry_after=read_retry_after(response.fields),
+        )
+    return None
+
+
+async def _read_rest(response: HttpResponse) -> None:
+    try:
+        await response.read()
+    except HttpError:
+        return
+
+
 async def _send_request(
     upstream: HttpClientConnection,
     request: HttpRequest,
@@ -109,11 +156,25 @@
         fields = [*fields, (b'transfer-encoding', b'chunked')]
     await upstream.send_head(request.method, request.target, fields)
     async for chunk in request.chunks():
-        await upstream.send_data(chunk)
+        if not await _send_chunk(upstream, chunk):
+            return await upstream.receive_head()
     await upstream.send_end()
     return await upstream.receive_head()
 
 
+async def _send_chunk(upstream: HttpClientConnection, chunk: bytes) -> bool:
+    """Return whether the other side still takes the request body.
+
+    One that refuses a call early may close before the body has ended; its
+    answer can still be read.
+    """
+    try:
+        await upstream.send_data(chunk)
+    except HttpError:
+        return False
+    return True
+
+
 async def _copy_body(
     response: HttpResponse,
     connection: HttpServerConnection,
--- /dev/null
+++ b/packages/node/src/boragetrestle_node/guarded_calls.py
@@ -0,0 +1,59 @@
+"""Serve calls that other nodes send to the guard of this node's target."""
+
+from boragetrestle_kernel.http_server import HttpRequest, HttpServerConnection
+from boragetrestle_kernel.refusal import (
+    Refusal,
+    RefusalCode,
+    RefusedError,
+    RunState,
+)
+from boragetrestle_node.attempt import Attempt
+from boragetrestle_node.call import Call
+from boragetrestle_node.forwarder import Forwarder
+from boragetrestle_node.guards import Guards
+from boragetrestle_node.identity import Identifier
+
+_REFUSALS: dict[Attempt, Refusal] = {
+    Attempt.NOT_SENT: Refusal(RefusalCode.TARGET_FAILED),
+    Attempt.NO_ANSWER: Refusal(RefusalCode.TARGET_FAILED, RunState.UNKNOWN),
+}
+
+
+class GuardedCalls:
+    """Run a guarded hop: wait for a slot, then forward to the own target.
+
+    The node that sent the call has charged its rate and passed its gates, and
+    it alone retries.
+    """
+
+    def __init__(
+        self,
+        *,
+        guards: Guards,
+        identifier: Identifier,
+        forwarder: Forwarder,
+    ) -> None:
+        self.guards = guards
+        self.identifier = identifier
+        self.forwarder = forwarder
+
+    async def serve(
+        self,
+        call: Call,
+        request: HttpRequest,
+        connection: HttpServerConnection,
+    ) -> None:
+        """Answer a call from the own target; raise ``RefusedError`` else."""
+        guard = self.guards.of_service(call.service)
+        async with guard.hold(call) as slot:
+            forwarded = await self.forwarder.forward(
+                slot.address,
+                request,
+                connection,
+                context=self.identifier.context_for(call),
+                call_id=call.call_id,
+            )
+            slot.forwarded = forwarded
+        refusal = forwarded.refusal or _REFUSALS.get(forwarded.attempt)
+        if refusal is not None:
+            raise RefusedError(refusal)
--- /dev/null
+++ b/packages/node/src/boragetrestle_node/guarded_slots.py
@@ -0,0 +1,39 @@
+"""Slots that are asked of the guard call by call."""
+
+from collections.abc import AsyncGenerator
+from contextlib import asynccontextmanager
+
+from boragetrestle_kernel.address import Address
+from boragetrestle_kernel.target_record import TargetRecord
+from boragetrestle_node.call import Call
+from boragetrestle_node.slot_source import Slot, SlotParts, slot_source
+
+
+@slot_source('guarded')
+class GuardedSlots:
+    """Send every call through the guard of its target.
+
+    A target beside this node needs no hop.
+    """
+
+    def __init__(self, parts: SlotParts) -> None:
+        self.node = parts.node
+        self.in_flight = parts.in_flight
+        self.guards = parts.guards
+
+    @asynccontextmanager
+    async def hold(
+        self,
+        call: Call,
+        target: TargetRecord,
+    ) -> AsyncGenerator[Slot, None]:
+        """Hold a slot at a target for a call."""
+        self.in_flight[target.target] += 1
+        try:
+            if target.node == self.node:
+                async with self.guards.of_target(target).hold(call) as slot:
+                    yield slot
+            else:
+                yield Slot(Address.parse(target.node_calls), is_guarded=True)
+        finally:
+            self.in_flight[target.target] -= 1
--- a/packages/node/src/boragetrestle_node/identity.py
+++ b/packages/node/src/boragetrestle_node/identity.py
@@ -6,7 +6,12 @@
 
 from boragetrestle_kernel.call_class import CallClass
 from boragetrestle_kernel.clock import WallClock
-from boragetrestle_kernel.context import HEADER, CallContext, ContextSigner
+from boragetrestle_kernel.context import (
+    HEADER,
+    CallContext,
+    ContextPurpose,
+    ContextSigner,
+)
 from boragetrestle_kernel.digest import digest_key
 from boragetrestle_kernel.errors import ContextError
 from boragetrestle_kernel.fleet_state import FleetState
@@ -24,6 +29,7 @@
 OPEN_ORGANISATION = OrgId('')
 
 _BEARER = b'bearer '
+_CLOCK_SKEW_SECONDS = 5.0
 
 
 class Identifier:
@@ -66,6 +72,24 @@
             ),
         )
 
+    def hop_context_for(self, call: Call) -> bytes:
+        """Return the signed context that goes to the guard of a target."""
+        remaining = call.remaining
+        return self.signer().sign(
+            CallContext(
+                call_id=call.call_id,
+                organisation=call.organisation,
+                key_id=call.key_id,
+                service=call.service,
+                call_class=call.call_class,
+                deadline=self.clock.wall() + remaining + _CLOCK_SKEW_SECONDS,
+                attempts_left=call.attempts_left,
+                depth=call.depth,
+                purpose=ContextPurpose.GUARDED_HOP,
+                remaining=remaining,
+            ),
+        )
+
     def _match(self, request: HttpRequest) -> RouteMatch:
         path = request.target.partition(b'?')[0].decode('latin-1')
         match = self.state.routes.find(request.method.decode(), path)
@@ -108,7 +132,14 @@
             ) from error
         if context.service not in self.own_services:
             raise RefusedError(Refusal(RefusalCode.NOT_AUTHORISED))
-        left = context.deadline - self.clock.wall()
+        is_guarded = context.purpose is ContextPurpose.GUARDED_HOP
+        if is_guarded and context.service != match.service:
+            raise RefusedError(Refusal(RefusalCode.NOT_AUTHORISED))
+        left = (
+            context.remaining
+            if is_guarded
+            else context.deadline - self.clock.wall()
+        )
         return Call(
             call_id=CallId(context.call_id),
             organisation=OrgId(context.organisation),
@@ -119,4 +150,5 @@
             deadline=trio.current_time() + min(left, match.route.deadline),
             attempts_left=context.attempts_left,
             depth=context.depth,
+            is_guarded=is_guarded,
         )
--- a/packages/node/src/boragetrestle_node/node.py
+++ b/packages/node/src/boragetrestle_node/node.py
@@ -8,6 +8,7 @@
 from eliot import log_message
 
 import boragetrestle_node.even_split  # noqa: F401
+import boragetrestle_node.guarded_slots  # noqa: F401
 from boragetrestle_kernel.address import Address
 from boragetrestle_kernel.clock import SystemClock, WallClock
 from boragetrestle_kernel.errors import StoreError
@@ -29,6 +30,8 @@
 from boragetrestle_node.entry import Entry
 from boragetrestle_node.forwarder import Forwarder
 from boragetrestle_node.gate import RateGate
+from boragetrestle_node.guarded_calls import GuardedCalls
+from boragetrestle_node.guards import Guards
 from boragetrestle_node.identity import Identifier
 from boragetrestle_node.membership import Membership
 from boragetrestle_node.metrics import NodeMetrics
@@ -36,7 +39,7 @@
 from boragetrestle_node.peer_proof import PeerProver
 from boragetrestle_node.policies import Policies
 from boragetrestle_node.rate_policy import RATE_POLICIES
-from boragetrestle_node.slot_source import UnlimitedSlots
+from boragetrestle_node.slot_source import SLOT_SOURCES, SlotParts
 from boragetrestle_node.target_choice import TARGET_CHOICES
 from boragetrestle_platform.change_log import ChangeLog
 from boragetrestle_platform.platform import Platform
@@ -94,6 +97,22 @@
             clock=wall_clock,
             timeline=self.timeline,
         )
+        self.guards = Guards(
+            self.membership.own,
+            state=self.state,
+            policies=policies,
+            rng=self.rng,
+        )
+        build_slots = SLOT_SOURCES[policies.slots]
+        self.slots = build_slots(
+            SlotParts(
+                node=NodeId(settings.node),
+                in_flight=self.in_flight,
+                guards=self.guards,
+                links=self.links,
+            ),
+        )
+        self.forwarder = Forwarder(self.pool)
         build_choice = TARGET_CHOICES[policies.choice]
         build_rates = RATE_POLICIES[policies.rates]
         rates = build_rates(self.state, self.count_nodes)
@@ -101,13 +120,18 @@
             identifier=self.identifier,
             directory=self.directory,
             choice=build_choice(self.load_of, self.rng),
-            slots=UnlimitedSlots(self.in_flight),
-            forwarder=Forwarder(self.pool),
+            slots=self.slots,
+            forwarder=self.forwarder,
         )
         self.entry = Entry(
             identifier=self.identifier,
             gates=[RateGate(rates)],
             dispatcher=self.dispatcher,
+            guarded=GuardedCalls(
+                guards=self.guards,
+                identifier=self.identifier,
+                forwarder=self.forwarder,
+            ),
             timeline=self.timeline,
             metrics=self.metrics,
         )
--- a/packages/node/src/boragetrestle_node/policies.py
+++ b/packages/node/src/boragetrestle_node/policies.py
@@ -11,3 +11,6 @@
 
     rates: str = 'even-split'
     choice: str = 'two-random'
+    slots: str = 'unlimited'
+    limit: str = 'fixed'
+    queue: str = 'fifo'
--- /dev/null
+++ b/packages/node/src/boragetrestle_node/queue_order.py
@@ -0,0 +1,42 @@
+"""Orders in which calls that wait for a slot get one."""
+
+from collections.abc import Callable
+from typing import Protocol
+
+from boragetrestle_kernel.ids import OrgId
+from boragetrestle_node.waiter import Waiter
+
+WeightOf = Callable[[OrgId], float]
+
+
+class QueueOrder(Protocol):
+    """Hold waiting calls and choose which runs next and which is shed."""
+
+    def __len__(self) -> int:
+        """Return how many calls wait."""
+
+    def push(self, waiter: Waiter) -> None:
+        """Add a call."""
+
+    def pop(self, now: float) -> Waiter | None:
+        """Remove and return the call that runs next."""
+
+    def shed(self) -> Waiter | None:
+        """Remove and return the call that is given up first."""
+
+    def remove(self, waiter: Waiter) -> None:
+        """Remove a call that no longer waits."""
+
+
+QueueBuilder = Callable[[WeightOf], QueueOrder]
+QUEUE_ORDERS: dict[str, QueueBuilder] = {}
+
+
+def queue_order(name: str) -> Callable[[QueueBuilder], QueueBuilder]:
+    """Register a queue order under a name."""
+
+    def register(build: QueueBuilder) -> QueueBuilder:
+        QUEUE_ORDERS[name] = build
+        return build
+
+    return register
--- a/packages/node/src/boragetrestle_node/slot_source.py
+++ b/packages/node/src/boragetrestle_node/slot_source.py
@@ -1,25 +1,34 @@
 """Where a call gets its slot at a target from."""
 
 from collections import Counter
-from collections.abc import AsyncGenerator
+from collections.abc import AsyncGenerator, Callable
 from contextlib import AbstractAsyncContextManager, asynccontextmanager
-from typing import NamedTuple, Protocol
+from dataclasses import dataclass
+from typing import TYPE_CHECKING, NamedTuple, Protocol
 
 from boragetrestle_kernel.address import Address
-from boragetrestle_kernel.ids import TargetId
+from boragetrestle_kernel.ids import NodeId, TargetId
 from boragetrestle_kernel.target_record import TargetRecord
+from boragetrestle_node.attempt import Forwarded
 from boragetrestle_node.call import Call
+from boragetrestle_node.peer_links import PeerLinks
 
+if TYPE_CHECKING:
+    from boragetrestle_node.guards import Guards
 
-class Slot(NamedTuple):
+
+@dataclass(slots=True)
+class Slot:
     """The address that a call with a slot is sent to.
 
     ``is_guarded`` tells that this is the node beside the target, which queues
-    the call, and not the target itself.
+    the call, and not the target itself. Whoever holds the slot sets
+    ``forwarded`` to how the attempt ended.
     """
 
     address: Address
     is_guarded: bool = False
+    forwarded: Forwarded | None = None
 
 
 class SlotSource(Protocol):
@@ -33,11 +42,38 @@
         """Hold a slot at a target for a call."""
 
 
+class SlotParts(NamedTuple):
+    """The parts of a node that a slot source may use.
+
+    ``in_flight`` counts the calls of this node by target.
+    """
+
+    node: NodeId
+    in_flight: Counter[TargetId]
+    guards: 'Guards'
+    links: PeerLinks
+
+
+SlotBuilder = Callable[[SlotParts], SlotSource]
+SLOT_SOURCES: dict[str, SlotBuilder] = {}
+
+
+def slot_source(name: str) -> Callable[[SlotBuilder], SlotBuilder]:
+    """Register a slot source under a name."""
+
+    def register(build: SlotBuilder) -> SlotBuilder:
+        SLOT_SOURCES[name] = build
+        return build
+
+    return register
+
+
+@slot_source('unlimited')
 class UnlimitedSlots:
     """Send every call straight to its target and count it."""
 
-    def __init__(self, in_flight: Counter[TargetId]) -> None:
-        self.in_flight = in_flight
+    def __init__(self, parts: SlotParts) -> None:
+        self.in_flight = parts.in_flight
 
     @asynccontextmanager
     async def hold(
--- a/packages/standin/src/boragetrestle_standin/target.py
+++ b/packages/standin/src/boragetrestle_standin/target.py
@@ -39,6 +39,8 @@
 
     ``work`` is the time of a call in seconds. Calls that the target receives
     are counted by path, and the header fields of the last one are kept.
+    ``most_running`` is the most calls that ran at once. ``extra_fields`` go
+    with each answer.
     """
 
     def __init__(
@@ -68,6 +70,8 @@
         self.faults = TargetFaults()
         self.calls: Counter[str] = Counter()
         self.running = 0
+        self.most_running = 0
+        self.extra_fields: Fields = []
         self.last_fields: Fields = []
         self.cancel = trio.CancelScope()
 
@@ -121,6 +125,7 @@
         if self.faults.crash_path and path.startswith(self.faults.crash_path):
             self.cancel.cancel()
         self.running += 1
+        self.most_running = max(self.most_running, self.running)
         try:
             status = await self._work(request)
         finally:
@@ -158,7 +163,7 @@
         status: int,
     ) -> None:
         if self.faults.cut_after is None:
-            await connection.answer(status, [], self.body)
+            await connection.answer(status, self.extra_fields, self.body)
             return
         length = str(len(self.body)).encode()
         await connection.send_head(status, [(b'content-length', length)])
