--- a/tests/test_guarded_hop.py
+++ b/tests/test_guarded_hop.py
@@ -7,7 +7,7 @@
 from boragetrestle_kernel.context import HEADER, CallContext, ContextPurpose
 from boragetrestle_kernel.http_fields import find_field
 from boragetrestle_node.policies import Policies
-from boragetrestle_standin.fleet import HostPlan
+from boragetrestle_standin.host_plan import HostPlan
 
 _GUARDED = Policies(slots='guarded')
 _PATH = '/walks/items/7'
