Lease slots of a target to calling nodes ahead of their calls

Cause: a call through the guard passes two processes of ours; a target with room should cost one. Ruled out: giving slots back in messages without answer (a grant in flight could then cross the return, and holder and guard count different slots); booking what was granted only (a lost answer leaves the holder with more); counting the lease from the receipt of the grant. Change: SlotLease (holder), Lender and LeaseBook (guard), LeaseAsk, LeaseGrant and LeaseRecall over the links. One ask at a time for a target tells what the holder holds, uses and wants; the book keeps the greater of held and granted for 2 s, the holder uses it for 1.8 s from sending. Grants are max-min fair by wish, a tenth of the limit is never lent, nothing is lent while a call waits, and holders are told at once that one waits. A lease that nobody uses ends after two renewals. `slots` is now `leased` by default.

--- a/packages/node/src/boragetrestle_node/guarded_slots.py
+++ b/packages/node/src/boragetrestle_node/guarded_slots.py
@@ -3,6 +3,8 @@
 from collections.abc import AsyncGenerator
 from contextlib import asynccontextmanager
 
+import trio
+
 from boragetrestle_kernel.address import Address
 from boragetrestle_kernel.target_record import TargetRecord
 from boragetrestle_node.call import Call
@@ -21,6 +23,15 @@
         self.in_flight = parts.in_flight
         self.guards = parts.guards
 
+    async def run(
+        self,
+        *,
+        task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED,
+    ) -> None:
+        """Do nothing in the background."""
+        await trio.lowlevel.checkpoint()
+        task_status.started()
+
     @asynccontextmanager
     async def hold(
         self,
--- a/packages/node/src/boragetrestle_node/guards.py
+++ b/packages/node/src/boragetrestle_node/guards.py
@@ -3,18 +3,29 @@
 import random
 from collections.abc import Mapping
 
+import trio
+
 import boragetrestle_node.arrival_queue  # noqa: F401
 import boragetrestle_node.fixed_limit  # noqa: F401
+from boragetrestle_kernel.address import Address
 from boragetrestle_kernel.fleet_state import FleetState
-from boragetrestle_kernel.ids import OrgId, ServiceName, TargetId
+from boragetrestle_kernel.ids import NodeId, OrgId, ServiceName, TargetId
 from boragetrestle_kernel.refusal import Refusal, RefusalCode, RefusedError
 from boragetrestle_kernel.target_record import TargetRecord
+from boragetrestle_node.lease_message import (
+    LeaseAsk,
+    LeaseGrant,
+    LeaseRecall,
+)
 from boragetrestle_node.limit_policy import LIMIT_POLICIES
+from boragetrestle_node.peer_links import PeerLinks
 from boragetrestle_node.policies import Policies
 from boragetrestle_node.queue_order import QUEUE_ORDERS
 from boragetrestle_node.slot_guard import SlotGuard
 
 _DEFAULT_WEIGHT = 1.0
+_SWEEP_SECONDS = 0.05
+_UNKNOWN_TARGET = LeaseGrant(slots=0, seconds=0, pause=1)
 
 
 class Guards:
@@ -30,12 +41,40 @@
         state: FleetState,
         policies: Policies,
         rng: random.Random,
+        links: PeerLinks,
     ) -> None:
         self.own = own
         self.state = state
         self.policies = policies
         self.rng = rng
+        self.links = links
         self.by_target: dict[TargetId, SlotGuard] = {}
+        self.queued = trio.Event()
+        links.on(LeaseAsk, self.handle_ask)
+
+    async def run(
+        self,
+        *,
+        task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED,
+    ) -> None:
+        """Start queued calls in slots whose leases lapse."""
+        task_status.started()
+        while True:
+            await self.queued.wait()
+            await trio.sleep(_SWEEP_SECONDS)
+            guards = list(self.by_target.values())
+            for guard in guards:
+                guard.pump()
+            if not any(guard.queue for guard in guards):
+                self.queued = trio.Event()
+
+    async def handle_ask(self, node: NodeId, ask: LeaseAsk) -> LeaseGrant:
+        """Answer a node that asks for slots of an own target."""
+        await trio.lowlevel.checkpoint()
+        record = self.own.get(TargetId(ask.target))
+        if record is None:
+            return _UNKNOWN_TARGET
+        return self.of_target(record).lender.lend(node, ask)
 
     def of_service(self, service: ServiceName) -> SlotGuard:
         """Return the guard of the target that serves a service.
@@ -65,8 +104,15 @@
             limit=build_limit(_ceiling(record)),
             queue=build_queue(self._weight),
             rng=self.rng,
+            on_queued=self._recall,
         )
 
+    def _recall(self, guard: SlotGuard) -> None:
+        self.queued.set()
+        recall = LeaseRecall(guard.target.target)
+        for address in guard.lender.book.recall():
+            self.links.send(Address.parse(address), recall)
+
     def _weight(self, organisation: OrgId) -> float:
         known = self.state.organisations.get(organisation)
         return known.weight if known else _DEFAULT_WEIGHT
--- a/packages/node/src/boragetrestle_node/limit_policy.py
+++ b/packages/node/src/boragetrestle_node/limit_policy.py
@@ -15,11 +15,12 @@
 
 
 class LimitSample(NamedTuple):
-    """One ended call: its seconds at the target and the calls beside it."""
+    """Calls that ended alike: their mean seconds and the slots in use."""
 
     end: CallEnd
     seconds: float
     in_use: int
+    calls: int = 1
 
 
 class LimitPolicy(Protocol):
--- a/packages/node/src/boragetrestle_node/node.py
+++ b/packages/node/src/boragetrestle_node/node.py
@@ -9,6 +9,7 @@
 
 import boragetrestle_node.even_split  # noqa: F401
 import boragetrestle_node.guarded_slots  # noqa: F401
+import boragetrestle_node.leased_slots  # noqa: F401
 from boragetrestle_kernel.address import Address
 from boragetrestle_kernel.clock import SystemClock, WallClock
 from boragetrestle_kernel.errors import StoreError
@@ -102,6 +103,7 @@
             state=self.state,
             policies=policies,
             rng=self.rng,
+            links=self.links,
         )
         build_slots = SLOT_SOURCES[policies.slots]
         self.slots = build_slots(
@@ -110,6 +112,7 @@
                 in_flight=self.in_flight,
                 guards=self.guards,
                 links=self.links,
+                peers_address=settings.listen.peers,
             ),
         )
         self.forwarder = Forwarder(self.pool)
@@ -160,6 +163,8 @@
         async with trio.open_nursery() as nursery:
             await self._try_read(self.config.read)
             await self._try_read(self.membership.read)
+            await nursery.start(self.guards.run)
+            await nursery.start(self.slots.run)
             nursery.start_soon(self._keep_reading, self.config.read)
             nursery.start_soon(self._keep_reading, self.membership.read)
             await nursery.start(
--- a/packages/node/src/boragetrestle_node/policies.py
+++ b/packages/node/src/boragetrestle_node/policies.py
@@ -11,6 +11,6 @@
 
     rates: str = 'even-split'
     choice: str = 'two-random'
-    slots: str = 'unlimited'
+    slots: str = 'leased'
     limit: str = 'fixed'
     queue: str = 'fifo'
--- a/packages/node/src/boragetrestle_node/slot_guard.py
+++ b/packages/node/src/boragetrestle_node/slot_guard.py
@@ -1,7 +1,7 @@
 """The guard of one target: who may run there, and who waits."""
 
 import random
-from collections.abc import AsyncGenerator
+from collections.abc import AsyncGenerator, Callable
 from contextlib import asynccontextmanager
 
 import trio
@@ -12,6 +12,7 @@
 from boragetrestle_node.attempt import Attempt, Forwarded
 from boragetrestle_node.call import Call
 from boragetrestle_node.guard_signal import GuardSignal
+from boragetrestle_node.lender import Lender
 from boragetrestle_node.limit_policy import CallEnd, LimitPolicy, LimitSample
 from boragetrestle_node.load_window import DecayingCount
 from boragetrestle_node.queue_order import QueueOrder
@@ -32,7 +33,7 @@
     """Own the slots of the target beside this node.
 
     Calls run while there is room below the limit and wait in one bounded queue
-    otherwise.
+    otherwise. ``on_queued`` is told of each call that has to wait.
     """
 
     def __init__(
@@ -42,11 +43,14 @@
         limit: LimitPolicy,
         queue: QueueOrder,
         rng: random.Random,
+        on_queued: Callable[['SlotGuard'], None],
     ) -> None:
         self.target = target
         self.policy = limit
         self.queue = queue
         self.rng = rng
+        self.on_queued = on_queued
+        self.lender = Lender(self)
         self.running = 0
         self.ended = DecayingCount()
         self.offered = [DecayingCount() for _ in CallClass]
@@ -59,8 +63,8 @@
 
     @property
     def in_use(self) -> int:
-        """The slots that are taken."""
-        return self.running
+        """The slots that are lent or in which guarded calls run."""
+        return self.running + self.lender.book.count(trio.current_time())
 
     def signal(self) -> GuardSignal:
         """Return the load of the target."""
@@ -117,6 +121,7 @@
             give_up_at=call.deadline,
         )
         self.queue.push(waiter)
+        self.on_queued(self)
         while len(self.queue) > self._max_queued():
             excess = self.queue.shed()
             if excess is None:
--- a/packages/node/src/boragetrestle_node/slot_source.py
+++ b/packages/node/src/boragetrestle_node/slot_source.py
@@ -6,6 +6,8 @@
 from dataclasses import dataclass
 from typing import TYPE_CHECKING, NamedTuple, Protocol
 
+import trio
+
 from boragetrestle_kernel.address import Address
 from boragetrestle_kernel.ids import NodeId, TargetId
 from boragetrestle_kernel.target_record import TargetRecord
@@ -34,6 +36,13 @@
 class SlotSource(Protocol):
     """Hold slots while calls run; raise ``RefusedError`` if there is none."""
 
+    async def run(
+        self,
+        *,
+        task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED,
+    ) -> None:
+        """Do what has to be done in the background until cancelled."""
+
     def hold(
         self,
         call: Call,
@@ -45,13 +54,15 @@
 class SlotParts(NamedTuple):
     """The parts of a node that a slot source may use.
 
-    ``in_flight`` counts the calls of this node by target.
+    ``in_flight`` counts the calls of this node by target. ``peers_address``
+    takes messages for this node.
     """
 
     node: NodeId
     in_flight: Counter[TargetId]
     guards: 'Guards'
     links: PeerLinks
+    peers_address: str
 
 
 SlotBuilder = Callable[[SlotParts], SlotSource]
@@ -75,6 +86,15 @@
     def __init__(self, parts: SlotParts) -> None:
         self.in_flight = parts.in_flight
 
+    async def run(
+        self,
+        *,
+        task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED,
+    ) -> None:
+        """Do nothing in the background."""
+        await trio.lowlevel.checkpoint()
+        task_status.started()
+
     @asynccontextmanager
     async def hold(
         self,
