Claim calls with an idempotency key before they are sent on

Cause: a caller that repeats a charge or a batch could run it twice. Ruled out: deleting the row to release a claim (a late duplicate of that delete would pass its version check on the next claim, and a third call would run); a second write before sending that marks a call as sent (it doubles the writes and a paused holder could still send after a release). Change: AtMostOnce around the dispatcher, ClaimTable, OutcomeWriter, ClaimReplay, ClaimSweeper, KeyGate; WriteCombiner and guarded clients (budget, circuit breaker, timeout) in the platform package; Call.is_sent, so that a refusal says 'not run' only if no byte was sent (a few lines in entry.py, dispatcher.py, identity.py, node.py). Onward calls carry their own keys.

--- a/packages/node/src/boragetrestle_node/call.py
+++ b/packages/node/src/boragetrestle_node/call.py
@@ -15,6 +15,7 @@
 
     ``deadline`` is on the clock of trio. ``attempts_left`` bounds the attempts
     of the whole chain below this call. ``depth`` is 0 at the entry of a chain.
+    ``is_sent`` tells whether a byte of the call may have reached a target.
     """
 
     call_id: CallId
@@ -27,6 +28,7 @@
     attempts_left: int
     depth: int = 0
     idempotency_key: str = ''
+    is_sent: bool = False
 
     @property
     def remaining(self) -> float:
--- a/packages/node/src/boragetrestle_node/dispatcher.py
+++ b/packages/node/src/boragetrestle_node/dispatcher.py
@@ -66,10 +66,15 @@
             raise RefusedError(Refusal(RefusalCode.NO_TARGET, retry_after=1))
         tried.add(target.target)
         async with self.slots.hold(call, target) as slot:
-            return await self.forwarder.forward(
+            was_sent = call.is_sent
+            call.is_sent = True
+            attempt = await self.forwarder.forward(
                 slot.address,
                 request,
                 connection,
                 context=self.identifier.context_for(call),
                 call_id=call.call_id,
             )
+            if attempt is Attempt.NOT_SENT:
+                call.is_sent = was_sent
+            return attempt
--- a/packages/node/src/boragetrestle_node/entry.py
+++ b/packages/node/src/boragetrestle_node/entry.py
@@ -12,8 +12,8 @@
     RunState,
 )
 from boragetrestle_kernel.timeline import EventKind, Timeline
+from boragetrestle_node.at_most_once import AtMostOnce
 from boragetrestle_node.call import Call
-from boragetrestle_node.dispatcher import Dispatcher
 from boragetrestle_node.gate import Gate
 from boragetrestle_node.identity import Identifier
 from boragetrestle_node.metrics import NodeMetrics
@@ -24,7 +24,8 @@
 class Entry:
     """Decide on each call and answer it.
 
-    A call passes the gates in order and is then dispatched.
+    A call passes the gates in order and is then dispatched. A refusal says
+    "not run" only of a call of which no byte was sent.
     """
 
     def __init__(
@@ -32,7 +33,7 @@
         *,
         identifier: Identifier,
         gates: Sequence[Gate],
-        dispatcher: Dispatcher,
+        dispatcher: AtMostOnce,
         timeline: Timeline,
         metrics: NodeMetrics,
     ) -> None:
@@ -56,7 +57,10 @@
         try:
             await self._run(call, request, connection)
         except RefusedError as error:
-            await self._refuse(error.refusal, connection, call=call)
+            refusal = error.refusal
+            if call.is_sent:
+                refusal = refusal._replace(run_state=RunState.UNKNOWN)
+            await self._refuse(refusal, connection, call=call)
 
     async def _run(
         self,
@@ -69,7 +73,7 @@
         with trio.move_on_at(call.deadline) as scope:
             await self.dispatcher.dispatch(call, request, connection)
         if scope.cancelled_caught:
-            raise RefusedError(Refusal(RefusalCode.DEADLINE, RunState.UNKNOWN))
+            raise RefusedError(Refusal(RefusalCode.DEADLINE))
         self.metrics.answered(call)
 
     async def _refuse(
--- a/packages/node/src/boragetrestle_node/identity.py
+++ b/packages/node/src/boragetrestle_node/identity.py
@@ -44,7 +44,7 @@
         match = self._match(request)
         header = request.field(HEADER)
         if header:
-            return self._onward(match, header)
+            return self._onward(match, request, header)
         return self._entered(match, request)
 
     def signer(self) -> ContextSigner:
@@ -87,7 +87,7 @@
             call_class=CallClass.parse(route.call_class),
             deadline=trio.current_time() + route.deadline,
             attempts_left=CALL_ATTEMPTS,
-            idempotency_key=request.field(b'idempotency-key').decode('latin-1'),
+            idempotency_key=_idempotency_key(request),
         )
 
     def _organisation(self, request: HttpRequest) -> tuple[OrgId, KeyId]:
@@ -99,7 +99,12 @@
                 return record.organisation, record.key_id
         raise RefusedError(Refusal(RefusalCode.NOT_AUTHORISED))
 
-    def _onward(self, match: RouteMatch, header: bytes) -> Call:
+    def _onward(
+        self,
+        match: RouteMatch,
+        request: HttpRequest,
+        header: bytes,
+    ) -> Call:
         try:
             context = self.signer().verify(header, now=self.clock.wall())
         except ContextError as error:
@@ -119,4 +124,9 @@
             deadline=trio.current_time() + min(left, match.route.deadline),
             attempts_left=context.attempts_left,
             depth=context.depth,
+            idempotency_key=_idempotency_key(request),
         )
+
+
+def _idempotency_key(request: HttpRequest) -> str:
+    return request.field(b'idempotency-key').decode('latin-1')
--- a/packages/node/src/boragetrestle_node/node.py
+++ b/packages/node/src/boragetrestle_node/node.py
@@ -30,15 +30,18 @@
 from boragetrestle_node.forwarder import Forwarder
 from boragetrestle_node.gate import RateGate
 from boragetrestle_node.identity import Identifier
+from boragetrestle_node.key_gate import KeyGate
 from boragetrestle_node.membership import Membership
 from boragetrestle_node.metrics import NodeMetrics
 from boragetrestle_node.peer_links import PeerLinks
 from boragetrestle_node.peer_proof import PeerProver
 from boragetrestle_node.policies import Policies
 from boragetrestle_node.rate_policy import RATE_POLICIES
+from boragetrestle_node.repeats import Repeats
 from boragetrestle_node.slot_source import UnlimitedSlots
 from boragetrestle_node.target_choice import TARGET_CHOICES
 from boragetrestle_platform.change_log import ChangeLog
+from boragetrestle_platform.guarded_platform import guard_platform
 from boragetrestle_platform.platform import Platform
 
 DEFAULT_POLICIES = Policies()
@@ -74,14 +77,20 @@
         self.timeline = Timeline(HybridClock(wall_clock), node=settings.node)
         self.identifier = Identifier(self.state, wall_clock)
         self.pool = ConnectionPool(network)
+        store = guard_platform(
+            platform,
+            node_count=self.count_nodes,
+            timeout=settings.platform.timeout,
+            rng=random.Random(seed),
+        )
         self.membership = Membership(
             settings,
-            platform.table,
+            store.table,
             self.directory,
             first_incarnation=int(wall_clock.wall()),
         )
         self.config = ConfigReader(
-            ChangeLog(platform.table),
+            ChangeLog(store.table),
             self.state,
             self.timeline,
         )
@@ -104,10 +113,17 @@
             slots=UnlimitedSlots(self.in_flight),
             forwarder=Forwarder(self.pool),
         )
+        self.repeats = Repeats(
+            store,
+            dispatcher=self.dispatcher,
+            timeline=self.timeline,
+            node_count=self.count_nodes,
+            rng=random.Random(seed),
+        )
         self.entry = Entry(
             identifier=self.identifier,
-            gates=[RateGate(rates)],
-            dispatcher=self.dispatcher,
+            gates=[KeyGate(), RateGate(rates)],
+            dispatcher=self.repeats.stage,
             timeline=self.timeline,
             metrics=self.metrics,
         )
@@ -138,6 +154,7 @@
             await self._try_read(self.membership.read)
             nursery.start_soon(self._keep_reading, self.config.read)
             nursery.start_soon(self._keep_reading, self.membership.read)
+            await nursery.start(self.repeats.run)
             await nursery.start(
                 self._listen,
                 self.settings.listen.calls,
--- a/packages/platform/src/boragetrestle_platform/http_platform.py
+++ b/packages/platform/src/boragetrestle_platform/http_platform.py
@@ -53,16 +53,25 @@
         path: bytes,
         body: bytes = b'',
     ) -> tuple[int, bytes]:
-        """Return status and body; raise ``StoreError`` after the timeout."""
+        """Return status and body.
+
+        Raises ``StoreError`` if nothing was sent, ``OutcomeUnknownError`` for a
+        request without an answer within the timeout.
+        """
         with trio.move_on_after(self.timeout):
             try:
                 return await self._exchange(method, path, body)
-            except (DialError, HttpError) as error:
+            except DialError as error:
                 raise StoreError(
+                    f'the platform is away: {error}',
+                    remedy=_REMEDY,
+                ) from error
+            except HttpError as error:
+                raise OutcomeUnknownError(
                     f'the platform failed: {error}',
                     remedy=_REMEDY,
                 ) from error
-        raise StoreError(
+        raise OutcomeUnknownError(
             f'no answer from the platform for {self.timeout} s',
             remedy=_REMEDY,
         )
@@ -117,13 +126,7 @@
 
     async def commit(self, transaction: Transaction) -> Committed:
         """Apply a transaction."""
-        try:
-            return await self._post(COMMIT_PATH, transaction, Committed)
-        except StoreError as error:
-            raise OutcomeUnknownError(
-                error.message,
-                remedy='read the rows back to learn the outcome',
-            ) from error
+        return await self._post(COMMIT_PATH, transaction, Committed)
 
     async def _post(
         self,
@@ -134,11 +137,14 @@
         raw = msgspec.json.encode(body)
         status, content = await self.caller.call(b'POST', path, raw)
         if status != HTTPStatus.OK:
-            raise StoreError(f'the table answered {status}', remedy=_REMEDY)
+            raise OutcomeUnknownError(
+                f'the table answered {status}',
+                remedy=_REMEDY,
+            )
         try:
             return msgspec.json.decode(content, type=kind)
         except msgspec.DecodeError as error:
-            raise StoreError(
+            raise OutcomeUnknownError(
                 f'the table gave a wrong answer: {error}',
                 remedy=_REMEDY,
             ) from error
--- a/packages/standin/src/boragetrestle_standin/faults.py
+++ b/packages/standin/src/boragetrestle_standin/faults.py
@@ -11,13 +11,15 @@
     """Faults of the platform; ``delay`` is in seconds.
 
     ``lost_answers`` and ``lost_puts`` count the next commits and the next
-    writes of objects that are applied without an answer.
+    writes of objects that are applied without an answer, ``lost_reads`` the
+    next reads without one.
     """
 
     delay: float = 0.0
     is_down: bool = False
     lost_answers: int = 0
     lost_puts: int = 0
+    lost_reads: int = 0
 
 
 @dataclass(slots=True)
--- a/packages/standin/src/boragetrestle_standin/faulty_table.py
+++ b/packages/standin/src/boragetrestle_standin/faulty_table.py
@@ -21,6 +21,7 @@
     async def read(self, keys: Sequence[str]) -> Rows:
         """Return the rows that exist among some keys."""
         await self._suffer()
+        self._lose_read()
         return await self.table.read(keys)
 
     async def scan(
@@ -32,6 +33,7 @@
     ) -> Rows:
         """Return rows by prefix, in order of key, after a key."""
         await self._suffer()
+        self._lose_read()
         return await self.table.scan(prefix, after=after, limit=limit)
 
     async def commit(self, transaction: Transaction) -> Committed:
@@ -43,6 +45,11 @@
             raise OutcomeUnknownError('the answer was lost')
         return committed
 
+    def _lose_read(self) -> None:
+        if self.faults.lost_reads:
+            self.faults.lost_reads -= 1
+            raise StoreError('the answer was lost')
+
     async def _suffer(self) -> None:
         if self.faults.is_down:
             await trio.sleep(_TIMEOUT_SECONDS)
--- a/tests/builders.py
+++ b/tests/builders.py
@@ -23,10 +23,11 @@
 from boragetrestle_platform.platform import Platform
 from boragetrestle_standin.faults import StoreFaults
 from boragetrestle_standin.faulty_table import FaultyTable
-from boragetrestle_standin.fleet import Fleet
+from boragetrestle_standin.fleet import Answer, Fleet
 from boragetrestle_standin.host_plan import HostPlan
 
 SETTLE_SECONDS = 5.0
+IDEMPOTENCY_KEY = b'idempotency-key'
 
 READ = Route('GET', '/items/*', idempotent=True)
 OPEN = Route('GET', '/open', open=True, idempotent=True)
@@ -118,3 +119,23 @@
             nursery,
         )
         nursery.cancel_scope.cancel()
+
+
+async def call_keyed(
+    run: RunningFleet,
+    idempotency_key: str,
+    *,
+    place: int = 0,
+    path: str = '/walks/charges',
+    body: bytes = b'',
+) -> Answer:
+    """Make a charge at one node with an idempotency key."""
+    fields = [(IDEMPOTENCY_KEY, idempotency_key.encode())]
+    return await run.fleet.call(
+        run.fleet.hosts[place],
+        path,
+        key=run.key,
+        method='POST',
+        body=body,
+        fields=fields if idempotency_key else [],
+    )
