--- a/packages/node/src/boragetrestle_node/at_most_once.py
+++ b/packages/node/src/boragetrestle_node/at_most_once.py
@@ -9,7 +9,6 @@
     StoreError,
     WireError,
 )
-from boragetrestle_kernel.http_fields import find_field
 from boragetrestle_kernel.http_server import HttpRequest, HttpServerConnection
 from boragetrestle_kernel.refusal import (
     Refusal,
@@ -34,7 +33,6 @@
 
 RELEASE_SECONDS = 1.0
 
-_RUN_STATE = b'boragetrestle-run'
 _RETRY_SECONDS = (1.0, 4.0)
 
 
@@ -188,7 +186,7 @@
 
     def _finish(self, claim: Claim, recorder: RecordingConnection) -> None:
         """Record the answer if it is whole, otherwise an unknown outcome."""
-        if not recorder.is_whole or find_field(recorder.fields, _RUN_STATE):
+        if not recorder.is_whole:
             recorder.free()
             unknown = next_claim(claim, ClaimState.UNKNOWN)
             self.outcomes.put(Outcome(unknown))
--- a/packages/node/src/boragetrestle_node/entry.py
+++ b/packages/node/src/boragetrestle_node/entry.py
@@ -15,17 +15,20 @@
 from boragetrestle_node.at_most_once import AtMostOnce
 from boragetrestle_node.call import Call
 from boragetrestle_node.gate import Gate
+from boragetrestle_node.guarded_calls import GuardedCalls
 from boragetrestle_node.identity import Identifier
 from boragetrestle_node.metrics import NodeMetrics
 
+_MAX_DISCARDED_BYTES = 262_144
 _CALL_ID = b'boragetrestle-call'
 
 
 class Entry:
     """Decide on each call and answer it.
 
-    A call passes the gates in order and is then dispatched. A refusal says
-    "not run" only of a call of which no byte was sent.
+    A call passes the gates in order and is then dispatched. A guarded hop has
+    passed the gates of another node. A refusal says "not run" only of a call
+    of which no byte was sent to a target.
     """
 
     def __init__(
@@ -34,12 +37,14 @@
         identifier: Identifier,
         gates: Sequence[Gate],
         dispatcher: AtMostOnce,
+        guarded: GuardedCalls,
         timeline: Timeline,
         metrics: NodeMetrics,
     ) -> None:
         self.identifier = identifier
         self.gates = gates
         self.dispatcher = dispatcher
+        self.guarded = guarded
         self.timeline = timeline
         self.metrics = metrics
 
@@ -61,6 +66,8 @@
             if call.is_sent:
                 refusal = refusal._replace(run_state=RunState.UNKNOWN)
             await self._refuse(refusal, connection, call=call)
+            if call.is_guarded:
+                await request.discard(max_bytes=_MAX_DISCARDED_BYTES)
 
     async def _run(
         self,
@@ -68,10 +75,13 @@
         request: HttpRequest,
         connection: HttpServerConnection,
     ) -> None:
-        for gate in self.gates:
+        for gate in () if call.is_guarded else self.gates:
             gate.check(call)
+        serve = (
+            self.guarded.serve if call.is_guarded else self.dispatcher.dispatch
+        )
         with trio.move_on_at(call.deadline) as scope:
-            await self.dispatcher.dispatch(call, request, connection)
+            await serve(call, request, connection)
         if scope.cancelled_caught:
             raise RefusedError(Refusal(RefusalCode.DEADLINE))
         self.metrics.answered(call)
--- a/tests/builders.py
+++ b/tests/builders.py
@@ -22,6 +22,7 @@
 from boragetrestle_platform.memory_table import MemoryTable
 from boragetrestle_platform.platform import Platform
 from boragetrestle_standin.faults import StoreFaults
+from boragetrestle_standin.faulty_objects import FaultyObjects
 from boragetrestle_standin.faulty_table import FaultyTable
 from boragetrestle_standin.fleet import Answer, Fleet
 from boragetrestle_standin.host_plan import HostPlan
@@ -75,6 +76,7 @@
     network: MemoryNetwork
     store: StoreFaults
     table: MemoryTable
+    objects: MemoryObjects
     key: str
     key_id: str
     nursery: trio.Nursery
@@ -92,7 +94,11 @@
     network = MemoryNetwork()
     table = MemoryTable()
     faults = StoreFaults()
-    platform = Platform(FaultyTable(table, faults), MemoryObjects())
+    objects = MemoryObjects()
+    platform = Platform(
+        FaultyTable(table, faults),
+        FaultyObjects(objects, faults),
+    )
     operator = Operator(platform, name='tester')
     used = text or service_text()
     await operator.apply(used)
@@ -114,6 +120,7 @@
             network,
             faults,
             table,
+            objects,
             given.key,
             given.key_id,
             nursery,
--- a/tests/test_at_most_once.py
+++ b/tests/test_at_most_once.py
@@ -257,6 +257,6 @@
         await trio.sleep(100)
         await sweeper.sweep()
         left = [key for key in run.table.rows if key.startswith(CLAIM_PREFIX)]
-        objects = dict(sweeper.objects.objects.objects)
+        objects = dict(run.objects.objects)
     assert not left
     assert not objects
