Spread members, configuration and freshness over the overlay

Cause: every node polled head and all target rows once a second; 2,200 of them would take the platform's whole read rate, and an outage froze the lists. Ruled out: flooding the changes themselves (each node would get them about log n times; heartbeats name the version and the change is pulled once); acks kept at each node for all others (a question that runs along the overlay and back costs one message a link and only when asked); freshness by wall clocks (bounded by round trips on the monotonic clock instead). Operator.targets reads the new rows page by page. The test of a peer without secret closes the link that the overlay already holds, since a proof is shown only when a link is made; it is as strict as before.

--- a/packages/node/src/boragetrestle_node/admin.py
+++ b/packages/node/src/boragetrestle_node/admin.py
@@ -5,9 +5,11 @@
 
 import msgspec
 
+from boragetrestle_kernel.acks import ACKS_PATH, AcksQuestion
 from boragetrestle_kernel.fleet_state import FleetState
 from boragetrestle_kernel.http_server import HttpRequest, HttpServerConnection
 from boragetrestle_kernel.timeline import Timeline
+from boragetrestle_node.ack_wave import AckWave
 from boragetrestle_node.announcement import Announcement
 from boragetrestle_node.identity import Identifier
 from boragetrestle_node.membership import Membership
@@ -41,12 +43,14 @@
         state: FleetState,
         timeline: Timeline,
         metrics: NodeMetrics,
+        acks: AckWave,
     ) -> None:
         self.membership = membership
         self.identifier = identifier
         self.state = state
         self.timeline = timeline
         self.metrics = metrics
+        self.acks = acks
 
     async def handle(
         self,
@@ -104,6 +108,12 @@
     return msgspec.json.encode(list(admin.timeline.ring))
 
 
+@_serves(b'POST', ACKS_PATH.encode())
+async def _acks(admin: Admin, body: bytes) -> bytes:
+    question = msgspec.json.decode(body, type=AcksQuestion)
+    return msgspec.json.encode(await admin.acks.acks(question.version))
+
+
 @_serves(b'POST', b'/v1/drain')
 async def _drain(admin: Admin, _body: bytes) -> bytes:
     await admin.membership.drain()
--- a/packages/node/src/boragetrestle_node/members.py
+++ b/packages/node/src/boragetrestle_node/members.py
@@ -7,7 +7,11 @@
 import xxhash
 
 from boragetrestle_kernel.ids import NodeId
-from boragetrestle_kernel.member_record import MemberRecord, Verdict
+from boragetrestle_kernel.member_record import (
+    Liveness,
+    MemberRecord,
+    Verdict,
+)
 
 BUCKETS = 32
 
@@ -25,6 +29,7 @@
     def __init__(self) -> None:
         self.records: dict[NodeId, MemberRecord] = {}
         self.changed_at: dict[NodeId, float] = {}
+        self.troubled_nodes: set[NodeId] = set()
         self.digests = [0 for _ in range(BUCKETS)]
         self.present_count = 0
         self.watchers: list[MemberWatcher] = []
@@ -48,6 +53,10 @@
         known = self.records.get(record.node)
         self.records[record.node] = record
         self.changed_at[record.node] = trio.current_time()
+        if record.liveness is Liveness.ALIVE:
+            self.troubled_nodes.discard(record.node)
+        else:
+            self.troubled_nodes.add(record.node)
         self._count(known, -1)
         self._count(record, 1)
         for watcher in self.watchers:
@@ -65,6 +74,11 @@
         """Drop a node that is not present."""
         self.records.pop(node, None)
         self.changed_at.pop(node, None)
+        self.troubled_nodes.discard(node)
+
+    def age(self, node: NodeId) -> float:
+        """Return the seconds since the record of a node changed."""
+        return trio.current_time() - self.changed_at[node]
 
     def present(self) -> list[MemberRecord]:
         """Return the nodes that are alive or suspected."""
@@ -74,13 +88,9 @@
             if record.liveness.is_present
         ]
 
-    def absent(self) -> list[MemberRecord]:
-        """Return the nodes that are dead or have left."""
-        return [
-            record
-            for record in self.records.values()
-            if not record.liveness.is_present
-        ]
+    def troubled(self) -> list[MemberRecord]:
+        """Return the nodes that are not alive."""
+        return [self.records[node] for node in sorted(self.troubled_nodes)]
 
     @property
     def digest(self) -> int:
--- a/packages/node/src/boragetrestle_node/node.py
+++ b/packages/node/src/boragetrestle_node/node.py
@@ -2,7 +2,6 @@
 
 import random
 from collections import Counter
-from collections.abc import Awaitable, Callable
 
 import trio
 from eliot import log_message
@@ -10,7 +9,6 @@
 import boragetrestle_node.even_split  # noqa: F401
 from boragetrestle_kernel.address import Address
 from boragetrestle_kernel.clock import SystemClock, WallClock
-from boragetrestle_kernel.errors import StoreError
 from boragetrestle_kernel.fleet_state import FleetState
 from boragetrestle_kernel.http_server import (
     HttpServerConnection,
@@ -20,17 +18,17 @@
 from boragetrestle_kernel.ids import NodeId, TargetId
 from boragetrestle_kernel.network import Network
 from boragetrestle_kernel.settings import NodeSettings
-from boragetrestle_kernel.timeline import EventKind, Timeline
+from boragetrestle_kernel.timeline import Timeline
 from boragetrestle_node.admin import Admin
-from boragetrestle_node.config_reader import ConfigReader
 from boragetrestle_node.connection_pool import ConnectionPool
+from boragetrestle_node.control import Control
 from boragetrestle_node.directory import Directory
 from boragetrestle_node.dispatcher import Dispatcher
 from boragetrestle_node.entry import Entry
 from boragetrestle_node.forwarder import Forwarder
+from boragetrestle_node.freshness_gate import FreshnessGate
 from boragetrestle_node.gate import RateGate
 from boragetrestle_node.identity import Identifier
-from boragetrestle_node.membership import Membership
 from boragetrestle_node.metrics import NodeMetrics
 from boragetrestle_node.peer_links import PeerLinks
 from boragetrestle_node.peer_proof import PeerProver
@@ -38,14 +36,10 @@
 from boragetrestle_node.rate_policy import RATE_POLICIES
 from boragetrestle_node.slot_source import UnlimitedSlots
 from boragetrestle_node.target_choice import TARGET_CHOICES
-from boragetrestle_platform.change_log import ChangeLog
 from boragetrestle_platform.platform import Platform
 
 DEFAULT_POLICIES = Policies()
 
-_READ_SECONDS = 1.0
-_READ_JITTER = (0.8, 1.2)
-
 
 class Node:
     """The process beside a target.
@@ -74,17 +68,6 @@
         self.timeline = Timeline(HybridClock(wall_clock), node=settings.node)
         self.identifier = Identifier(self.state, wall_clock)
         self.pool = ConnectionPool(network)
-        self.membership = Membership(
-            settings,
-            platform.table,
-            self.directory,
-            first_incarnation=int(wall_clock.wall()),
-        )
-        self.config = ConfigReader(
-            ChangeLog(platform.table),
-            self.state,
-            self.timeline,
-        )
         self.links = PeerLinks(
             NodeId(settings.node),
             network=network,
@@ -94,6 +77,17 @@
             clock=wall_clock,
             timeline=self.timeline,
         )
+        self.control = Control(
+            settings,
+            platform,
+            state=self.state,
+            directory=self.directory,
+            links=self.links,
+            timeline=self.timeline,
+            first_incarnation=int(wall_clock.wall()),
+            rng=self.rng,
+        )
+        self.membership = self.control.membership
         build_choice = TARGET_CHOICES[policies.choice]
         build_rates = RATE_POLICIES[policies.rates]
         rates = build_rates(self.state, self.count_nodes)
@@ -106,7 +100,10 @@
         )
         self.entry = Entry(
             identifier=self.identifier,
-            gates=[RateGate(rates)],
+            gates=[
+                FreshnessGate(self.control.exchange),
+                RateGate(rates),
+            ],
             dispatcher=self.dispatcher,
             timeline=self.timeline,
             metrics=self.metrics,
@@ -117,11 +114,12 @@
             state=self.state,
             timeline=self.timeline,
             metrics=self.metrics,
+            acks=self.control.acks,
         )
 
     def count_nodes(self) -> int:
         """Return how many nodes the fleet has, as far as this one knows."""
-        return len({rec.node for rec in self.directory.records.values()})
+        return self.control.members.present_count
 
     def load_of(self, target: TargetId) -> float:
         """Return the calls of this node that run at a target."""
@@ -134,10 +132,11 @@
     ) -> None:
         """Serve until cancelled."""
         async with trio.open_nursery() as nursery:
-            await self._try_read(self.config.read)
-            await self._try_read(self.membership.read)
-            nursery.start_soon(self._keep_reading, self.config.read)
-            nursery.start_soon(self._keep_reading, self.membership.read)
+            await nursery.start(
+                self.links.run,
+                Address.parse(self.settings.listen.peers),
+            )
+            await nursery.start(self.control.run)
             await nursery.start(
                 self._listen,
                 self.settings.listen.calls,
@@ -148,10 +147,6 @@
                 self.settings.listen.admin,
                 self.admin.handle,
             )
-            await nursery.start(
-                self.links.run,
-                Address.parse(self.settings.listen.peers),
-            )
             log_message(message_type='node:started', node=self.settings.node)
             task_status.started()
 
@@ -168,14 +163,3 @@
         listener = await self.network.listen(Address.parse(address))
         task_status.started()
         await trio.serve_listeners(serve, [listener])
-
-    async def _keep_reading(self, read: Callable[[], Awaitable[None]]) -> None:
-        while True:
-            await trio.sleep(_READ_SECONDS * self.rng.uniform(*_READ_JITTER))
-            await self._try_read(read)
-
-    async def _try_read(self, read: Callable[[], Awaitable[None]]) -> None:
-        try:
-            await read()
-        except StoreError as error:
-            self.timeline.record(EventKind.STORE_LOST, reason=str(error))
--- a/packages/operate/src/boragetrestle/operator.py
+++ b/packages/operate/src/boragetrestle/operator.py
@@ -16,6 +16,7 @@
 from boragetrestle_kernel.errors import TextError
 from boragetrestle_kernel.fleet_state import FleetState
 from boragetrestle_kernel.ids import KeyId, OrgId, Version
+from boragetrestle_kernel.member_record import NODE_PREFIX, MemberRecord
 from boragetrestle_kernel.service_text import ServiceText
 from boragetrestle_kernel.target_record import TargetRecord
 from boragetrestle_platform.change_log import ChangeLog
@@ -23,7 +24,7 @@
 
 _SECRET_BYTES = 32
 _KEY_ID_BYTES = 4
-_TARGET_PREFIX = 'target/'
+_PAGE_ROWS = 1000
 
 
 class GivenKey(NamedTuple):
@@ -87,12 +88,30 @@
 
     async def targets(self) -> list[TargetRecord]:
         """Return the records of all targets in the table."""
-        found = await self.platform.table.scan(_TARGET_PREFIX)
         return [
-            msgspec.json.decode(row.content, type=TargetRecord)
-            for row in found.rows
+            target
+            for member in await self.members()
+            for target in member.targets
         ]
 
+    async def members(self) -> list[MemberRecord]:
+        """Return the records of all nodes in the table, page by page."""
+        members: list[MemberRecord] = []
+        after = ''
+        while True:
+            found = await self.platform.table.scan(
+                NODE_PREFIX,
+                after=after,
+                limit=_PAGE_ROWS,
+            )
+            members.extend(
+                msgspec.json.decode(row.content, type=MemberRecord)
+                for row in found.rows
+            )
+            if len(found.rows) < _PAGE_ROWS:
+                return members
+            after = found.rows[-1].key
+
     async def _append(
         self,
         change: KeyGiven | KeyWithdrawn | SecretAdded | TextApplied,
--- a/packages/platform/src/boragetrestle_platform/change_log.py
+++ b/packages/platform/src/boragetrestle_platform/change_log.py
@@ -1,21 +1,30 @@
 """The log of configuration changes in the table.
 
 The row ``head`` names the newest version; the row ``change/VERSION`` holds each
-change. Both are written by one transaction that expects the previous head.
+change. Both are written by one transaction that expects the previous head. Old
+change rows give way to a snapshot in the object store, see ``snapshots``.
 """
 
 from collections.abc import Sequence
+from typing import NamedTuple
 
 import msgspec
 
 from boragetrestle_kernel.change import AnyChange, Change
 from boragetrestle_kernel.errors import ConflictError, OutcomeUnknownError
 from boragetrestle_kernel.ids import Version
-from boragetrestle_platform.table import Check, Put, Table, Transaction
+from boragetrestle_platform.table import (
+    Check,
+    Put,
+    Rows,
+    Table,
+    Transaction,
+)
 
 HEAD_KEY = 'head'
-_CHANGE_PREFIX = 'change/'
+CHANGE_PREFIX = 'change/'
 _PAGE_ROWS = 500
+_POLLED_CHANGES = 4
 
 
 class Head(msgspec.Struct, frozen=True):
@@ -26,6 +35,13 @@
     store_time: float
 
 
+class Poll(NamedTuple):
+    """The head with the changes that one read brought along."""
+
+    head: Head
+    changes: tuple[Change, ...]
+
+
 class ChangeLog:
     """Append to and read from the log of changes."""
 
@@ -34,11 +50,23 @@
 
     async def head(self) -> Head:
         """Return the newest version; 0 in an empty log."""
-        found = await self.table.read([HEAD_KEY])
-        if not found.rows:
-            return Head(Version(0), 0, found.store_time)
-        row = found.rows[0]
-        return Head(Version(int(row.content)), row.version, found.store_time)
+        return _head(await self.table.read([HEAD_KEY]))
+
+    async def poll(self, version: Version) -> Poll:
+        """Return the head and the next few changes, in a single read."""
+        keys = [
+            change_key(Version(version + step + 1))
+            for step in range(_POLLED_CHANGES)
+        ]
+        found = await self.table.read([HEAD_KEY, *keys])
+        return Poll(
+            head=_head(found),
+            changes=tuple(
+                msgspec.json.decode(row.content, type=Change)
+                for row in found.rows
+                if row.key != HEAD_KEY
+            ),
+        )
 
     async def append(
         self,
@@ -74,7 +102,7 @@
     async def after(self, version: Version) -> Sequence[Change]:
         """Return the changes that follow a version, oldest first."""
         found = await self.table.scan(
-            _CHANGE_PREFIX,
+            CHANGE_PREFIX,
             after=change_key(version),
             limit=_PAGE_ROWS,
         )
@@ -87,13 +115,21 @@
         return any(candidate.content == row for candidate in found.rows)
 
 
+def _head(found: Rows) -> Head:
+    for row in found.rows:
+        if row.key == HEAD_KEY:
+            version = Version(int(row.content))
+            return Head(version, row.version, found.store_time)
+    return Head(Version(0), 0, found.store_time)
+
+
 def change_key(version: Version) -> str:
     """Return the row key of a change.
 
     >>> change_key(7)
     'change/000000000007'
     """
-    return f'{_CHANGE_PREFIX}{version:012d}'
+    return f'{CHANGE_PREFIX}{version:012d}'
 
 
 def _conflict(expected: Version, found: Version) -> ConflictError:
--- a/tests/test_peer_links.py
+++ b/tests/test_peer_links.py
@@ -44,6 +44,7 @@
         far.links.on(Echo, _echo)
         near.links.prover = PeerProver([b'another secret'])
         address = Address.parse(far.settings.listen.peers)
+        near.links.close(address)
         reply = await near.links.ask(address, Echo('text'), timeout=5)
     kinds = {event.kind for event in far.timeline.ring}
     assert reply is None
