--- a/packages/node/src/boragetrestle_node/membership.py
+++ b/packages/node/src/boragetrestle_node/membership.py
@@ -60,6 +60,7 @@
         self.rng = rng
         self.has_row = False
         self.row_due = trio.Event()
+        self.own: dict[TargetId, TargetRecord] = {}
         self.record = MemberRecord(
             node=NodeId(settings.node),
             domain=DomainName(settings.domain),
@@ -161,6 +162,8 @@
             targets=targets,
             liveness=liveness,
         )
+        self.own.clear()
+        self.own.update({target.target: target for target in targets})
         self.members.remember(self.record)
         self.row_due.set()
 
--- a/packages/node/src/boragetrestle_node/node.py
+++ b/packages/node/src/boragetrestle_node/node.py
@@ -7,6 +7,7 @@
 from eliot import log_message
 
 import boragetrestle_node.even_split  # noqa: F401
+import boragetrestle_node.guarded_slots  # noqa: F401
 from boragetrestle_kernel.address import Address
 from boragetrestle_kernel.clock import SystemClock, WallClock
 from boragetrestle_kernel.fleet_state import FleetState
@@ -28,13 +29,15 @@
 from boragetrestle_node.forwarder import Forwarder
 from boragetrestle_node.freshness_gate import FreshnessGate
 from boragetrestle_node.gate import RateGate
+from boragetrestle_node.guarded_calls import GuardedCalls
+from boragetrestle_node.guards import Guards
 from boragetrestle_node.identity import Identifier
 from boragetrestle_node.metrics import NodeMetrics
 from boragetrestle_node.peer_links import PeerLinks
 from boragetrestle_node.peer_proof import PeerProver
 from boragetrestle_node.policies import Policies
 from boragetrestle_node.rate_policy import RATE_POLICIES
-from boragetrestle_node.slot_source import UnlimitedSlots
+from boragetrestle_node.slot_source import SLOT_SOURCES, SlotParts
 from boragetrestle_node.target_choice import TARGET_CHOICES
 from boragetrestle_platform.platform import Platform
 
@@ -88,6 +91,22 @@
             rng=self.rng,
         )
         self.membership = self.control.membership
+        self.guards = Guards(
+            self.membership.own,
+            state=self.state,
+            policies=policies,
+            rng=self.rng,
+        )
+        build_slots = SLOT_SOURCES[policies.slots]
+        self.slots = build_slots(
+            SlotParts(
+                node=NodeId(settings.node),
+                in_flight=self.in_flight,
+                guards=self.guards,
+                links=self.links,
+            ),
+        )
+        self.forwarder = Forwarder(self.pool)
         build_choice = TARGET_CHOICES[policies.choice]
         build_rates = RATE_POLICIES[policies.rates]
         rates = build_rates(self.state, self.count_nodes)
@@ -95,8 +114,8 @@
             identifier=self.identifier,
             directory=self.directory,
             choice=build_choice(self.load_of, self.rng),
-            slots=UnlimitedSlots(self.in_flight),
-            forwarder=Forwarder(self.pool),
+            slots=self.slots,
+            forwarder=self.forwarder,
         )
         self.entry = Entry(
             identifier=self.identifier,
@@ -105,6 +124,11 @@
                 RateGate(rates),
             ],
             dispatcher=self.dispatcher,
+            guarded=GuardedCalls(
+                guards=self.guards,
+                identifier=self.identifier,
+                forwarder=self.forwarder,
+            ),
             timeline=self.timeline,
             metrics=self.metrics,
         )
