Add make bench with scenarios in the sizes of both users

Change: a registry of benchmarks on the virtual clock, a runner that writes JSON, a report that writes the page and fails on broken bounds.

--- a/Makefile
+++ b/Makefile
@@ -1,8 +1,10 @@
 VENV := .venv
 PY := $(VENV)/bin/python
+BENCH := $(PY) -m boragetrestle_bench
+JOBS ?= 4
 PACKAGES := kernel platform node standin bench operate
 
-.PHONY: setup test trial bench check format
+.PHONY: setup test trial bench bench-check check format
 
 $(VENV)/.ready: requirements.lock $(PACKAGES:%=packages/%/pyproject.toml)
 	python3 -m venv $(VENV)
@@ -18,8 +20,23 @@
 trial: setup
 	$(VENV)/bin/boragetrestle trial
 
+# Virtual-clock benchmarks of the current policies; part of CI.
+bench-check: setup
+	rm -rf build/bench
+	$(MAKE) -s -j$(JOBS) $$($(BENCH) names --virtual | sed 's,.*,build/bench/current.&.json,')
+	$(BENCH) report build/bench
+
+# All benchmarks beside the baseline and the earlier version.
 bench: setup
-	$(PY) -m boragetrestle_bench
+	rm -rf build/bench
+	$(MAKE) -s -j$(JOBS) \
+		$$($(BENCH) names --virtual | sed 's,.*,build/bench/current.&.json,') \
+		$$($(BENCH) names --policies | sed 's,.*,build/bench/baseline.&.json build/bench/earlier.&.json,')
+	$(MAKE) -s -j1 $$($(BENCH) names | sed 's,.*,build/bench/current.&.json,')
+	$(BENCH) report build/bench --page docs/BENCHMARKS.md
+
+build/bench/%.json:
+	$(BENCH) run $(subst $(firstword $(subst ., ,$*)).,,$*) --policies $(firstword $(subst ., ,$*)) --out $@
 
 format: setup
 	$(VENV)/bin/ruff check --fix -q packages tests
