--- a/packages/standin/src/boragetrestle_standin/target.py
+++ b/packages/standin/src/boragetrestle_standin/target.py
@@ -38,6 +38,8 @@
     time; further ones wait inside the target, first in first out. Calls that
     the target receives are counted by path, and the header fields of the last
     one are kept. ``work_log`` gets the slot time of each call.
+    ``most_running`` is the most calls that ran at once, waiting ones included.
+    ``extra_fields`` go with each answer.
     """
 
     def __init__(
@@ -60,6 +62,8 @@
         self.faults = TargetFaults()
         self.calls: Counter[str] = Counter()
         self.running = 0
+        self.most_running = 0
+        self.extra_fields: Fields = []
         self.limiter = trio.CapacityLimiter(plan.slots)
         self.work_log = work_log
         self.last_fields: Fields = []
@@ -119,6 +123,7 @@
         if self.faults.crash_path and path.startswith(self.faults.crash_path):
             self.cancel.cancel()
         self.running += 1
+        self.most_running = max(self.most_running, self.running)
         try:
             status = await self._work(request)
         finally:
@@ -175,7 +180,7 @@
         status: int,
     ) -> None:
         if self.faults.cut_after is None:
-            await connection.answer(status, [], self.body)
+            await connection.answer(status, self.extra_fields, self.body)
             return
         length = str(len(self.body)).encode()
         await connection.send_head(status, [(b'content-length', length)])
