--- a/packages/bench/src/boragetrestle_bench/goodput_bench.py
+++ b/packages/bench/src/boragetrestle_bench/goodput_bench.py
@@ -35,7 +35,7 @@
     names = [org.name for org in deployment.text.organisations]
     critical = deployment.capacity * _critical_share(deployment)
     rest = deployment.capacity * multiple - critical
-    demands = []
+    demands: list[Demand] = []
     for kind in deployment.traffic:
         is_critical = kind.call_class is CallClass.CRITICAL
         rate = critical if is_critical else rest * kind.share
