Let operators wait until a version is in force everywhere

Cause: apply and key withdraw may say accepted only once it is so, and have to name who has not acknowledged. Ruled out: asking every node from the operator's side (2,200 connections). Change: InForce.await_in_force asks any one node at /v1/acks until all live nodes have reached the version or the timeout ends, and returns Acks.

--- /dev/null
+++ b/packages/operate/src/boragetrestle/in_force.py
@@ -0,0 +1,90 @@
+"""Learn from the fleet whether a version is in force everywhere."""
+
+import random
+from typing import NamedTuple
+
+import msgspec
+import trio
+
+from boragetrestle.operator import Operator
+from boragetrestle_kernel.acks import ACKS_PATH, Acks, AcksQuestion
+from boragetrestle_kernel.address import Address
+from boragetrestle_kernel.errors import DialError, HttpError
+from boragetrestle_kernel.http_client import HttpClientConnection
+from boragetrestle_kernel.ids import Version
+from boragetrestle_kernel.member_record import MemberRecord
+from boragetrestle_kernel.network import Network
+
+IN_FORCE_SECONDS = 10.0
+
+_POLL_SECONDS = 0.3
+_ASK_SECONDS = 4.0
+
+
+class InForce(NamedTuple):
+    """A way to ask the nodes of a fleet about a version.
+
+    Any node answers for the whole fleet, so one that answers is enough.
+    """
+
+    operator: Operator
+    network: Network
+
+    async def await_in_force(
+        self,
+        version: Version,
+        *,
+        timeout: float = IN_FORCE_SECONDS,
+    ) -> Acks:
+        """Wait until a version is in force on every live node.
+
+        Returns what the fleet said last, complete or not, once the timeout in
+        seconds has passed. Where no node answers, all nodes of the table count
+        as unheard. Raises ``StoreError`` if the table gives no nodes.
+        """
+        members = await self.operator.members()
+        acks = Acks(
+            version=version,
+            reached=0,
+            unheard=tuple(sorted(member.node for member in members)),
+        )
+        with trio.move_on_after(timeout):
+            while not acks.is_complete:
+                acks = await self.ask_any(members, version) or acks
+                if not acks.is_complete:
+                    await trio.sleep(_POLL_SECONDS)
+        return acks
+
+    async def ask_any(
+        self,
+        members: list[MemberRecord],
+        version: Version,
+    ) -> Acks | None:
+        """Return the answer of the first node that gives one."""
+        for member in random.sample(members, k=len(members)):
+            for target in member.targets[:1]:
+                address = Address.parse(target.node_admin)
+                acks = await self.ask(address, version)
+                if acks is not None:
+                    return acks
+        return None
+
+    async def ask(self, address: Address, version: Version) -> Acks | None:
+        """Ask the node with an admin address; ``None`` without an answer."""
+        with trio.move_on_after(_ASK_SECONDS):
+            try:
+                return await self._ask(address, version)
+            except (DialError, HttpError, msgspec.DecodeError):
+                return None
+        return None
+
+    async def _ask(self, address: Address, version: Version) -> Acks:
+        stream = await self.network.dial(address)
+        async with HttpClientConnection(stream) as connection:
+            response = await connection.request(
+                b'POST',
+                ACKS_PATH.encode(),
+                [(b'host', str(address).encode())],
+                msgspec.json.encode(AcksQuestion(version)),
+            )
+            return msgspec.json.decode(await response.read(), type=Acks)
