Retry under one budget for the whole chain, choose targets near the node

Cause: a call was attempted again only where no connection opened, and the target was chosen without regard to domain, latency or failures. A retry at each step would multiply along a chain. Ruled out: a share of the budget held back at each step (nothing is left where the failure is nearest); a budget kept at the entry and asked for by message (a message and a link per retry while there is trouble). Change: retry policies none, local and chain-budget; the budget travels in the signed context and what was handed down counts as spent; a bucket per service; bodies up to 64 KiB are kept; Retry-After is jittered; a dial is bounded by 0.5 s; a body cut by the caller no longer counts as a fault of the target.

--- a/packages/node/src/boragetrestle_node/attempt.py
+++ b/packages/node/src/boragetrestle_node/attempt.py
@@ -12,6 +12,7 @@
 
     ``REFUSED`` is a refusal by the guard of a target, or by the target itself
     as a shed call that was not run; nothing has gone to the caller then.
+    ``TAKEN_BACK`` is an answer that was kept from the caller for a retry.
     """
 
     ANSWERED = 'answered'
@@ -19,6 +20,7 @@
     NO_ANSWER = 'no-answer'
     CUT = 'cut'
     REFUSED = 'refused'
+    TAKEN_BACK = 'taken-back'
 
 
 class Forwarded(NamedTuple):
--- a/packages/node/src/boragetrestle_node/connection_pool.py
+++ b/packages/node/src/boragetrestle_node/connection_pool.py
@@ -2,10 +2,15 @@
 
 from collections import defaultdict
 
+import trio
+
 from boragetrestle_kernel.address import Address
+from boragetrestle_kernel.errors import DialError
 from boragetrestle_kernel.http_client import HttpClientConnection
 from boragetrestle_kernel.network import Network
 
+DIAL_SECONDS = 0.5
+
 _MAX_IDLE = 64
 
 
@@ -29,8 +34,15 @@
         kept = self.idle[address]
         if kept:
             return kept.pop(), True
-        stream = await self.network.dial(address)
-        return HttpClientConnection(stream), False
+        return await self._dial(address), False
+
+    def count_idle(self, address: Address) -> int:
+        """Return how many idle connections to an address are kept."""
+        return len(self.idle[address])
+
+    async def open(self, address: Address) -> None:
+        """Open one more idle connection; raise ``DialError`` if it fails."""
+        self.idle[address].insert(0, await self._dial(address))
 
     async def release(
         self,
@@ -45,6 +57,16 @@
         else:
             await connection.aclose()
 
+    async def _dial(self, address: Address) -> HttpClientConnection:
+        try:
+            with trio.fail_after(DIAL_SECONDS):
+                return HttpClientConnection(await self.network.dial(address))
+        except trio.TooSlowError as error:
+            raise DialError(
+                f'no connection to {address} in {DIAL_SECONDS} s',
+                remedy='check that the host is up',
+            ) from error
+
     async def aclose(self) -> None:
         """Close all idle connections."""
         for kept in self.idle.values():
--- a/packages/node/src/boragetrestle_node/dispatcher.py
+++ b/packages/node/src/boragetrestle_node/dispatcher.py
@@ -1,44 +1,45 @@
 """Choose a target, get a slot and send a call on, more than once if allowed."""
 
+from collections.abc import Callable
+from typing import NamedTuple
+
+import trio
+
 from boragetrestle_kernel.http_server import HttpRequest, HttpServerConnection
-from boragetrestle_kernel.ids import TargetId
-from boragetrestle_kernel.refusal import (
-    Refusal,
-    RefusalCode,
-    RefusedError,
-    RunState,
-)
+from boragetrestle_kernel.refusal import RefusedError
+from boragetrestle_kernel.target_record import TargetRecord
+from boragetrestle_kernel.timeline import EventKind, Timeline
 from boragetrestle_node.attempt import Attempt, Forwarded
 from boragetrestle_node.call import Call
+from boragetrestle_node.call_run import CallRun
 from boragetrestle_node.directory import Directory
 from boragetrestle_node.forwarder import Forwarder
 from boragetrestle_node.identity import Identifier
-from boragetrestle_node.slot_source import SlotSource
+from boragetrestle_node.replayable_body import ReplayableBody
+from boragetrestle_node.retry_policy import Failure, RetryPolicy
+from boragetrestle_node.slot_source import Slot, SlotSource
 from boragetrestle_node.target_choice import TargetChoice
+from boragetrestle_node.target_watch import TargetWatch
+
 
-_REFUSALS: dict[Attempt, Refusal] = {
-    Attempt.NO_ANSWER: Refusal(RefusalCode.TARGET_FAILED, RunState.UNKNOWN),
-    Attempt.CUT: Refusal(RefusalCode.ANSWER_LOST, RunState.UNKNOWN),
-}
+class Dispatching(NamedTuple):
+    """The parts that a dispatcher decides with."""
+
+    identifier: Identifier
+    directory: Directory
+    choice: TargetChoice
+    watch: TargetWatch
+    slots: SlotSource
+    forwarder: Forwarder
+    retries: RetryPolicy
+    timeline: Timeline
 
 
 class Dispatcher:
     """Send calls on to targets."""
 
-    def __init__(
-        self,
-        *,
-        identifier: Identifier,
-        directory: Directory,
-        choice: TargetChoice,
-        slots: SlotSource,
-        forwarder: Forwarder,
-    ) -> None:
-        self.identifier = identifier
-        self.directory = directory
-        self.choice = choice
-        self.slots = slots
-        self.forwarder = forwarder
+    def __init__(self, parts: Dispatching) -> None:
+        self.parts = parts
 
     async def dispatch(
         self,
@@ -47,37 +48,113 @@
         connection: HttpServerConnection,
     ) -> None:
         """Answer a call from a target; raise ``RefusedError`` otherwise."""
-        tried: set[TargetId] = set()
+        run = CallRun(call, request, connection, ReplayableBody(request))
+        self.parts.retries.enter(call)
         forwarded = Forwarded(Attempt.NOT_SENT)
-        while forwarded.attempt is Attempt.NOT_SENT:
-            forwarded = await self._attempt(call, request, connection, tried)
-        refusal = forwarded.refusal or _REFUSALS.get(forwarded.attempt)
-        if refusal is not None:
-            raise RefusedError(refusal)
+        while True:
+            target = self._choose(run)
+            if target is None:
+                raise RefusedError(run.refusal(forwarded))
+            forwarded = await self._attempt(run, target)
+            if forwarded.attempt is Attempt.ANSWERED:
+                return
+            delay = self._next_delay(run, forwarded)
+            if delay is None:
+                raise RefusedError(run.refusal(forwarded))
+            self._record_retry(call, target, forwarded)
+            await trio.sleep(delay)
+
+    def _choose(self, run: CallRun) -> TargetRecord | None:
+        ready = self.parts.directory.ready(run.call.service)
+        target = self.parts.choice.choose(run.call, ready, run.tried)
+        if target is not None:
+            run.tried.add(target.target)
+        return target
 
     async def _attempt(
         self,
-        call: Call,
-        request: HttpRequest,
-        connection: HttpServerConnection,
-        tried: set[TargetId],
+        run: CallRun,
+        target: TargetRecord,
     ) -> Forwarded:
-        target = self.choice.choose(self.directory.ready(call.service), tried)
-        if target is None:
-            raise RefusedError(Refusal(RefusalCode.NO_TARGET, retry_after=1))
-        tried.add(target.target)
-        async with self.slots.hold(call, target) as slot:
-            make_context = (
-                self.identifier.hop_context_for
-                if slot.is_guarded
-                else self.identifier.context_for
-            )
-            slot.forwarded = await self.forwarder.forward(
-                slot.address,
-                request,
-                connection,
-                context=make_context(call),
-                call_id=call.call_id,
-                is_guarded=slot.is_guarded,
-            )
-            return slot.forwarded
+        run.delay = None
+        with self.parts.watch.attempt(run.call, target) as attempt:
+            try:
+                async with self.parts.slots.hold(run.call, target) as slot:
+                    slot.forwarded = await self._forward(
+                        run,
+                        slot,
+                        on_head=attempt.head,
+                    )
+                    attempt.forwarded = slot.forwarded
+            except RefusedError as error:
+                attempt.forwarded = Forwarded(Attempt.REFUSED, error.refusal)
+        return attempt.forwarded
+
+    async def _forward(
+        self,
+        run: CallRun,
+        slot: Slot,
+        *,
+        on_head: Callable[[], None],
+    ) -> Forwarded:
+        def take_back(status: int) -> bool:
+            on_head()
+            return self._takes_back(run, status)
+
+        make_context = (
+            self.parts.identifier.hop_context_for
+            if slot.is_guarded
+            else self.parts.identifier.context_for
+        )
+        return await self.parts.forwarder.forward(
+            slot.address,
+            run.request,
+            run.connection,
+            body=run.body,
+            context=make_context(run.call),
+            call_id=run.call.call_id,
+            is_guarded=slot.is_guarded,
+            take_back=take_back,
+        )
+
+    def _takes_back(self, run: CallRun, status: int) -> bool:
+        """Plan a retry in place of an answer, if another target is left."""
+        ready = self.parts.directory.ready(run.call.service)
+        has_other = any(rec.target not in run.tried for rec in ready)
+        if not has_other or not run.body.is_replayable:
+            return False
+        failure = Failure(
+            was_sent=True,
+            may_have_run=True,
+            tries=len(run.tried),
+            status=status,
+        )
+        run.delay = self.parts.retries.next_delay(run.call, failure)
+        return run.delay is not None
+
+    def _next_delay(
+        self,
+        run: CallRun,
+        forwarded: Forwarded,
+    ) -> float | None:
+        failure = run.failure(forwarded)
+        if run.delay is not None:
+            return run.delay
+        if not run.can_repeat(forwarded):
+            return None
+        return self.parts.retries.next_delay(run.call, failure)
+
+    def _record_retry(
+        self,
+        call: Call,
+        target: TargetRecord,
+        forwarded: Forwarded,
+    ) -> None:
+        self.parts.timeline.record(
+            EventKind.CALL_RETRIED,
+            reason=forwarded.attempt.value,
+            call=call.call_id,
+            organisation=call.organisation,
+            service=call.service,
+            subject=target.target,
+        )
--- a/packages/node/src/boragetrestle_node/entry.py
+++ b/packages/node/src/boragetrestle_node/entry.py
@@ -1,5 +1,6 @@
 """Take calls from callers and from the target beside the node."""
 
+import random
 from collections.abc import Sequence
 
 import trio
@@ -18,6 +19,7 @@
 from boragetrestle_node.guarded_calls import GuardedCalls
 from boragetrestle_node.identity import Identifier
 from boragetrestle_node.metrics import NodeMetrics
+from boragetrestle_node.retry_after import spread_retry
 
 _MAX_DISCARDED_BYTES = 262_144
 _CALL_ID = b'boragetrestle-call'
@@ -39,6 +41,7 @@
         guarded: GuardedCalls,
         timeline: Timeline,
         metrics: NodeMetrics,
+        rng: random.Random,
     ) -> None:
         self.identifier = identifier
         self.gates = gates
@@ -46,6 +49,7 @@
         self.guarded = guarded
         self.timeline = timeline
         self.metrics = metrics
+        self.rng = rng
 
     async def handle(
         self,
@@ -89,6 +93,8 @@
         *,
         call: Call | None = None,
     ) -> None:
+        if call is None or not call.is_guarded:
+            refusal = spread_retry(refusal, self.rng)
         self.metrics.refused(refusal, call)
         call_id = call.call_id if call else ''
         self.timeline.record(
--- a/packages/node/src/boragetrestle_node/forwarder.py
+++ b/packages/node/src/boragetrestle_node/forwarder.py
@@ -1,5 +1,6 @@
 """Send a call on to a target and its answer back to the caller."""
 
+from collections.abc import Callable
 from http import HTTPStatus
 
 import trio
@@ -18,11 +19,18 @@
 )
 from boragetrestle_node.attempt import Attempt, Forwarded
 from boragetrestle_node.connection_pool import ConnectionPool
+from boragetrestle_node.replayable_body import ReplayableBody
 
 _STRIPPED = frozenset((b'authorization', b'host'))
 _INTERNAL_PREFIX = b'boragetrestle-'
 _CALL_ID = b'boragetrestle-call'
 
+TakeBack = Callable[[int], bool]
+
+
+def _pass_on(_status: int) -> bool:
+    return False
+
 
 class Forwarder:
     """Forward calls on kept connections."""
@@ -38,10 +46,15 @@
         *,
         context: bytes,
         call_id: str,
+        body: ReplayableBody,
         is_guarded: bool = False,
+        take_back: TakeBack = _pass_on,
     ) -> Forwarded:
         """Send a request to an address and its answer to the caller.
 
+        ``take_back`` gets the status of an answer before any of it goes on
+        and tells whether to keep it from the caller.
+
         ``is_guarded`` tells that the address is the guard of a target, whose
         refusals are believed; a target is believed only where it sheds a call.
         """
@@ -57,7 +70,9 @@
                 connection,
                 fields,
                 call_id=call_id,
+                body=body,
                 is_guarded=is_guarded,
+                take_back=take_back,
             )
         finally:
             with trio.CancelScope(shield=True):
@@ -71,17 +86,24 @@
         fields: Fields,
         *,
         call_id: str,
+        body: ReplayableBody,
         is_guarded: bool,
+        take_back: TakeBack,
     ) -> Forwarded:
         try:
-            response = await _send_request(upstream, request, fields)
+            response = await _send_request(upstream, request, fields, body)
         except HttpError:
+            if body.is_broken:
+                raise
             return Forwarded(Attempt.NO_ANSWER)
         refusal = _read_refusal(response, is_guarded=is_guarded)
         status, received = response.status, response.fields
         if refusal is not None:
             await _read_rest(response)
             return Forwarded(Attempt.REFUSED, refusal, status, received)
+        if take_back(status):
+            await _read_rest(response)
+            return Forwarded(Attempt.TAKEN_BACK, None, status, received)
         answer = [*without_internal(received), (_CALL_ID, call_id.encode())]
         await connection.send_head(status, answer)
         try:
@@ -151,11 +173,12 @@
     upstream: HttpClientConnection,
     request: HttpRequest,
     fields: Fields,
+    body: ReplayableBody,
 ) -> HttpResponse:
     if request.field(b'transfer-encoding'):
         fields = [*fields, (b'transfer-encoding', b'chunked')]
     await upstream.send_head(request.method, request.target, fields)
-    async for chunk in request.chunks():
+    async for chunk in body.chunks():
         if not await _send_chunk(upstream, chunk):
             return await upstream.receive_head()
     await upstream.send_end()
--- a/packages/node/src/boragetrestle_node/guarded_calls.py
+++ b/packages/node/src/boragetrestle_node/guarded_calls.py
@@ -12,6 +12,7 @@
 from boragetrestle_node.forwarder import Forwarder
 from boragetrestle_node.guards import Guards
 from boragetrestle_node.identity import Identifier
+from boragetrestle_node.replayable_body import ReplayableBody
 
 _REFUSALS: dict[Attempt, Refusal] = {
     Attempt.NOT_SENT: Refusal(RefusalCode.TARGET_FAILED),
@@ -52,6 +53,7 @@
                 connection,
                 context=self.identifier.context_for(call),
                 call_id=call.call_id,
+                body=ReplayableBody(request),
             )
             slot.forwarded = forwarded
         refusal = forwarded.refusal or _REFUSALS.get(forwarded.attempt)
--- a/packages/node/src/boragetrestle_node/node.py
+++ b/packages/node/src/boragetrestle_node/node.py
@@ -7,8 +7,10 @@
 import trio
 from eliot import log_message
 
+import boragetrestle_node.chain_budget  # noqa: F401
 import boragetrestle_node.even_split  # noqa: F401
 import boragetrestle_node.guarded_slots  # noqa: F401
+import boragetrestle_node.near_choice  # noqa: F401
 from boragetrestle_kernel.address import Address
 from boragetrestle_kernel.clock import SystemClock, WallClock
 from boragetrestle_kernel.errors import StoreError
@@ -25,8 +27,10 @@
 from boragetrestle_node.admin import Admin
 from boragetrestle_node.config_reader import ConfigReader
 from boragetrestle_node.connection_pool import ConnectionPool
+from boragetrestle_node.connection_warmer import ConnectionWarmer
 from boragetrestle_node.directory import Directory
-from boragetrestle_node.dispatcher import Dispatcher
+from boragetrestle_node.dispatcher import Dispatcher, Dispatching
+from boragetrestle_node.ejector import Ejector
 from boragetrestle_node.entry import Entry
 from boragetrestle_node.forwarder import Forwarder
 from boragetrestle_node.gate import RateGate
@@ -39,8 +43,12 @@
 from boragetrestle_node.peer_proof import PeerProver
 from boragetrestle_node.policies import Policies
 from boragetrestle_node.rate_policy import RATE_POLICIES
+from boragetrestle_node.retry_policy import RETRY_POLICIES
 from boragetrestle_node.slot_source import SLOT_SOURCES, SlotParts
-from boragetrestle_node.target_choice import TARGET_CHOICES
+from boragetrestle_node.target_book import TargetBook
+from boragetrestle_node.target_choice import TARGET_CHOICES, ChoiceInputs
+from boragetrestle_node.target_subset import TargetSubsets
+from boragetrestle_node.target_watch import TargetWatch
 from boragetrestle_platform.change_log import ChangeLog
 from boragetrestle_platform.platform import Platform
 
@@ -113,16 +121,38 @@
             ),
         )
         self.forwarder = Forwarder(self.pool)
-        build_choice = TARGET_CHOICES[policies.choice]
         build_rates = RATE_POLICIES[policies.rates]
         rates = build_rates(self.state, self.count_nodes)
-        self.dispatcher = Dispatcher(
+        self.book = TargetBook()
+        self.watch = TargetWatch(
+            self.book,
+            Ejector(self.book, self.timeline, self.rng),
+            self.directory,
+        )
+        self.warmer = ConnectionWarmer(
+            self.pool,
+            self.book,
+            self.directory,
+            count_nodes=self.count_nodes,
+        )
+        dispatching = Dispatching(
             identifier=self.identifier,
             directory=self.directory,
-            choice=build_choice(self.load_of, self.rng),
+            choice=TARGET_CHOICES[policies.choice](
+                ChoiceInputs(
+                    book=self.book,
+                    ejector=self.watch.ejector,
+                    subsets=TargetSubsets(settings.node, settings.domain),
+                    rng=self.rng,
+                ),
+            ),
+            watch=self.watch,
             slots=self.slots,
             forwarder=self.forwarder,
+            retries=RETRY_POLICIES[policies.retries](self.state, self.rng),
+            timeline=self.timeline,
         )
+        self.dispatcher = Dispatcher(dispatching)
         self.entry = Entry(
             identifier=self.identifier,
             gates=[RateGate(rates)],
@@ -134,6 +164,7 @@
             ),
             timeline=self.timeline,
             metrics=self.metrics,
+            rng=self.rng,
         )
         self.admin = Admin(
             membership=self.membership,
@@ -147,10 +178,6 @@
         """Return how many nodes the fleet has, as far as this one knows."""
         return len({rec.node for rec in self.directory.records.values()})
 
-    def load_of(self, target: TargetId) -> float:
-        """Return the calls of this node that run at a target."""
-        return self.in_flight[target]
-
     async def run(
         self,
         *,
@@ -160,6 +187,8 @@
         async with trio.open_nursery() as nursery:
             await self._try_read(self.config.read)
             await self._try_read(self.membership.read)
+            self.book.warm.update(self.directory.records)
+            nursery.start_soon(self.warmer.run)
             nursery.start_soon(self._keep_reading, self.config.read)
             nursery.start_soon(self._keep_reading, self.membership.read)
             await nursery.start(
--- a/packages/node/src/boragetrestle_node/policies.py
+++ b/packages/node/src/boragetrestle_node/policies.py
@@ -10,7 +10,8 @@
     """
 
     rates: str = 'even-split'
-    choice: str = 'two-random'
+    choice: str = 'near-two-random'
+    retries: str = 'chain-budget'
     slots: str = 'unlimited'
     limit: str = 'fixed'
     queue: str = 'fifo'
--- a/packages/node/src/boragetrestle_node/target_choice.py
+++ b/packages/node/src/boragetrestle_node/target_choice.py
@@ -2,12 +2,23 @@
 
 import random
 from collections.abc import Callable, Collection, Sequence
-from typing import Protocol
+from typing import NamedTuple, Protocol
 
 from boragetrestle_kernel.ids import TargetId
 from boragetrestle_kernel.target_record import TargetRecord
+from boragetrestle_node.call import Call
+from boragetrestle_node.ejector import Ejector
+from boragetrestle_node.target_book import TargetBook
+from boragetrestle_node.target_subset import TargetSubsets
 
-LoadOf = Callable[[TargetId], float]
+
+class ChoiceInputs(NamedTuple):
+    """What a choice may go by."""
+
+    book: TargetBook
+    ejector: Ejector
+    subsets: TargetSubsets
+    rng: random.Random
 
 
 class TargetChoice(Protocol):
@@ -15,13 +26,14 @@
 
     def choose(
         self,
+        call: Call,
         targets: Sequence[TargetRecord],
         tried: Collection[TargetId],
     ) -> TargetRecord | None:
         """Return a target that was not tried, or ``None``."""
 
 
-ChoiceBuilder = Callable[[LoadOf, random.Random], TargetChoice]
+ChoiceBuilder = Callable[[ChoiceInputs], TargetChoice]
 TARGET_CHOICES: dict[str, ChoiceBuilder] = {}
 
 
@@ -35,21 +47,48 @@
     return register
 
 
+def untried(
+    targets: Sequence[TargetRecord],
+    tried: Collection[TargetId],
+) -> list[TargetRecord]:
+    """Return the targets that were not tried."""
+    return [record for record in targets if record.target not in tried]
+
+
+@target_choice('random')
+class RandomTarget:
+    """Take any target."""
+
+    def __init__(self, inputs: ChoiceInputs) -> None:
+        self.rng = inputs.rng
+
+    def choose(
+        self,
+        _call: Call,
+        targets: Sequence[TargetRecord],
+        tried: Collection[TargetId],
+    ) -> TargetRecord | None:
+        """Return a target that was not tried, or ``None``."""
+        left = untried(targets, tried)
+        return self.rng.choice(left) if left else None
+
+
 @target_choice('two-random')
 class TwoRandom:
     """Take the less loaded of two random targets."""
 
-    def __init__(self, load_of: LoadOf, rng: random.Random) -> None:
-        self.load_of = load_of
-        self.rng = rng
+    def __init__(self, inputs: ChoiceInputs) -> None:
+        self.load_of = inputs.book.load_of
+        self.rng = inputs.rng
 
     def choose(
         self,
+        _call: Call,
         targets: Sequence[TargetRecord],
         tried: Collection[TargetId],
     ) -> TargetRecord | None:
         """Return a target that was not tried, or ``None``."""
-        left = [record for record in targets if record.target not in tried]
+        left = untried(targets, tried)
         if not left:
             return None
         pair = self.rng.sample(left, k=min(2, len(left)))
--- a/tests/builders.py
+++ b/tests/builders.py
@@ -2,12 +2,14 @@
 
 from collections.abc import AsyncGenerator, Sequence
 from contextlib import asynccontextmanager
-from typing import NamedTuple
+from typing import Any, NamedTuple
 
 import trio
 
 from boragetrestle.operator import Operator
+from boragetrestle_kernel.call_class import CallClass
 from boragetrestle_kernel.clock import VirtualWallClock
+from boragetrestle_kernel.ids import CallId, KeyId, OrgId, ServiceName
 from boragetrestle_kernel.memory_network import MemoryNetwork
 from boragetrestle_kernel.service_text import (
     Dependency,
@@ -16,6 +18,7 @@
     Service,
     ServiceText,
 )
+from boragetrestle_node.call import Call
 from boragetrestle_node.node import DEFAULT_POLICIES
 from boragetrestle_node.policies import Policies
 from boragetrestle_platform.memory_objects import MemoryObjects
@@ -66,6 +69,21 @@
     )
 
 
+def call(*, seconds: float = 10, **changes: Any) -> Call:
+    """Build a call of an idempotent route with a deadline in seconds."""
+    values: dict[str, Any] = {
+        'call_id': CallId('call'),
+        'organisation': OrgId('acacia'),
+        'key_id': KeyId('key'),
+        'service': ServiceName('walks'),
+        'route': READ,
+        'call_class': CallClass.INTERACTIVE,
+        'deadline': trio.current_time() + seconds,
+        'attempts_left': 3,
+    }
+    return Call(**(values | changes))
+
+
 class RunningFleet(NamedTuple):
     """A fleet in memory with its operator, its faults and one key."""
 
