--- a/packages/node/src/boragetrestle_node/attempt.py
+++ b/packages/node/src/boragetrestle_node/attempt.py
@@ -4,7 +4,7 @@
 from typing import NamedTuple
 
 from boragetrestle_kernel.http_fields import Fields
-from boragetrestle_kernel.refusal import Refusal
+from boragetrestle_kernel.refusal import Refusal, RunState
 
 
 class Attempt(Enum):
@@ -36,6 +36,13 @@
     status: int = 0
     fields: Fields | None = None
 
+    @property
+    def may_have_run(self) -> bool:
+        """Whether a target may have run the call in this attempt."""
+        if self.refusal is not None:
+            return self.refusal.run_state is not RunState.NOT_RUN
+        return self.attempt is not Attempt.NOT_SENT
+
     @property
     def is_shed(self) -> bool:
         """Whether the target shed the call."""
--- a/packages/node/src/boragetrestle_node/call_run.py
+++ b/packages/node/src/boragetrestle_node/call_run.py
@@ -38,17 +38,13 @@
     connection: HttpServerConnection
     body: ReplayableBody
     tried: set[TargetId] = field(default_factory=set)
-    may_have_run: bool = False
     delay: float | None = None
 
     def failure(self, forwarded: Forwarded) -> Failure:
-        """Return how an attempt failed, and remember if it may have run."""
-        refusal = forwarded.refusal or _REFUSALS[forwarded.attempt]
-        may_have_run = refusal.run_state is RunState.UNKNOWN
-        self.may_have_run = self.may_have_run or may_have_run
+        """Return how an attempt failed."""
         return Failure(
             was_sent=forwarded.attempt is not Attempt.NOT_SENT,
-            may_have_run=may_have_run,
+            may_have_run=forwarded.may_have_run,
             tries=len(self.tried),
             status=forwarded.status,
         )
@@ -60,9 +56,10 @@
         refusal = forwarded.refusal
         return refusal is None or refusal.code in _ELSEWHERE
 
-    def refusal(self, forwarded: Forwarded) -> Refusal:
-        """Return the refusal for the caller, true about all attempts."""
-        refusal = forwarded.refusal or _REFUSALS[forwarded.attempt]
-        if self.may_have_run:
-            return refusal._replace(run_state=RunState.UNKNOWN)
-        return refusal
+
+def refusal_of(call: Call, forwarded: Forwarded) -> Refusal:
+    """Return the refusal of a failed call, true about all its attempts."""
+    refusal = forwarded.refusal or _REFUSALS[forwarded.attempt]
+    if call.is_sent:
+        return refusal._replace(run_state=RunState.UNKNOWN)
+    return refusal
--- a/packages/node/src/boragetrestle_node/dispatcher.py
+++ b/packages/node/src/boragetrestle_node/dispatcher.py
@@ -11,7 +11,7 @@
 from boragetrestle_kernel.timeline import EventKind, Timeline
 from boragetrestle_node.attempt import Attempt, Forwarded
 from boragetrestle_node.call import Call
-from boragetrestle_node.call_run import CallRun
+from boragetrestle_node.call_run import CallRun, refusal_of
 from boragetrestle_node.directory import Directory
 from boragetrestle_node.forwarder import Forwarder
 from boragetrestle_node.identity import Identifier
@@ -54,13 +54,13 @@
         while True:
             target = self._choose(run)
             if target is None:
-                raise RefusedError(run.refusal(forwarded))
+                raise RefusedError(refusal_of(call, forwarded))
             forwarded = await self._attempt(run, target)
             if forwarded.attempt is Attempt.ANSWERED:
                 return
             delay = self._next_delay(run, forwarded)
             if delay is None:
-                raise RefusedError(run.refusal(forwarded))
+                raise RefusedError(refusal_of(call, forwarded))
             self._record_retry(call, target, forwarded)
             await trio.sleep(delay)
 
@@ -77,9 +77,11 @@
         target: TargetRecord,
     ) -> Forwarded:
         run.delay = None
+        was_sent = run.call.is_sent
         with self.parts.watch.attempt(run.call, target) as attempt:
             try:
                 async with self.parts.slots.hold(run.call, target) as slot:
+                    run.call.is_sent = True
                     slot.forwarded = await self._forward(
                         run,
                         slot,
@@ -88,6 +90,8 @@
                     attempt.forwarded = slot.forwarded
             except RefusedError as error:
                 attempt.forwarded = Forwarded(Attempt.REFUSED, error.refusal)
+        if not attempt.forwarded.may_have_run:
+            run.call.is_sent = was_sent
         return attempt.forwarded
 
     async def _forward(
--- a/packages/node/src/boragetrestle_node/entry.py
+++ b/packages/node/src/boragetrestle_node/entry.py
@@ -13,8 +13,8 @@
     RunState,
 )
 from boragetrestle_kernel.timeline import EventKind, Timeline
+from boragetrestle_node.at_most_once import AtMostOnce
 from boragetrestle_node.call import Call
-from boragetrestle_node.dispatcher import Dispatcher
 from boragetrestle_node.gate import Gate
 from boragetrestle_node.guarded_calls import GuardedCalls
 from boragetrestle_node.identity import Identifier
@@ -29,7 +29,8 @@
     """Decide on each call and answer it.
 
     A call passes the gates in order and is then dispatched. A guarded hop has
-    passed the gates of another node.
+    passed the gates of another node. A refusal says "not run" only of a call
+    of which no byte was sent to a target.
     """
 
     def __init__(
@@ -37,7 +38,7 @@
         *,
         identifier: Identifier,
         gates: Sequence[Gate],
-        dispatcher: Dispatcher,
+        dispatcher: AtMostOnce,
         guarded: GuardedCalls,
         timeline: Timeline,
         metrics: NodeMetrics,
@@ -65,7 +66,10 @@
         try:
             await self._run(call, request, connection)
         except RefusedError as error:
-            await self._refuse(error.refusal, connection, call=call)
+            refusal = error.refusal
+            if call.is_sent:
+                refusal = refusal._replace(run_state=RunState.UNKNOWN)
+            await self._refuse(refusal, connection, call=call)
             if call.is_guarded:
                 await request.discard(max_bytes=_MAX_DISCARDED_BYTES)
 
@@ -83,7 +87,7 @@
         with trio.move_on_at(call.deadline) as scope:
             await serve(call, request, connection)
         if scope.cancelled_caught:
-            raise RefusedError(Refusal(RefusalCode.DEADLINE, RunState.UNKNOWN))
+            raise RefusedError(Refusal(RefusalCode.DEADLINE))
         self.metrics.answered(call)
 
     async def _refuse(
--- a/packages/node/src/boragetrestle_node/guarded_calls.py
+++ b/packages/node/src/boragetrestle_node/guarded_calls.py
@@ -47,6 +47,7 @@
         """Answer a call from the own target; raise ``RefusedError`` else."""
         guard = self.guards.of_service(call.service)
         async with guard.hold(call) as slot:
+            call.is_sent = True
             forwarded = await self.forwarder.forward(
                 slot.address,
                 request,
@@ -55,6 +56,7 @@
                 call_id=call.call_id,
                 body=ReplayableBody(request),
             )
+            call.is_sent = forwarded.may_have_run
             slot.forwarded = forwarded
         refusal = forwarded.refusal or _REFUSALS.get(forwarded.attempt)
         if refusal is not None:
--- a/tests/builders.py
+++ b/tests/builders.py
@@ -25,11 +25,13 @@
 from boragetrestle_platform.memory_table import MemoryTable
 from boragetrestle_platform.platform import Platform
 from boragetrestle_standin.faults import StoreFaults
+from boragetrestle_standin.faulty_objects import FaultyObjects
 from boragetrestle_standin.faulty_table import FaultyTable
-from boragetrestle_standin.fleet import Fleet
+from boragetrestle_standin.fleet import Answer, Fleet
 from boragetrestle_standin.host_plan import HostPlan
 
 SETTLE_SECONDS = 5.0
+IDEMPOTENCY_KEY = b'idempotency-key'
 
 READ = Route('GET', '/items/*', idempotent=True)
 OPEN = Route('GET', '/open', open=True, idempotent=True)
@@ -92,6 +94,7 @@
     network: MemoryNetwork
     store: StoreFaults
     table: MemoryTable
+    objects: MemoryObjects
     key: str
     key_id: str
     nursery: trio.Nursery
@@ -109,7 +112,11 @@
     network = MemoryNetwork()
     table = MemoryTable()
     faults = StoreFaults()
-    platform = Platform(FaultyTable(table, faults), MemoryObjects())
+    objects = MemoryObjects()
+    platform = Platform(
+        FaultyTable(table, faults),
+        FaultyObjects(objects, faults),
+    )
     operator = Operator(platform, name='tester')
     used = text or service_text()
     await operator.apply(used)
@@ -131,8 +138,29 @@
             network,
             faults,
             table,
+            objects,
             given.key,
             given.key_id,
             nursery,
         )
         nursery.cancel_scope.cancel()
+
+
+async def call_keyed(
+    run: RunningFleet,
+    idempotency_key: str,
+    *,
+    place: int = 0,
+    path: str = '/walks/charges',
+    body: bytes = b'',
+) -> Answer:
+    """Make a charge at one node with an idempotency key."""
+    fields = [(IDEMPOTENCY_KEY, idempotency_key.encode())]
+    return await run.fleet.call(
+        run.fleet.hosts[place],
+        path,
+        key=run.key,
+        method='POST',
+        body=body,
+        fields=fields if idempotency_key else [],
+    )
--- a/tests/test_retries.py
+++ b/tests/test_retries.py
@@ -1,7 +1,6 @@
 """Retries under one budget for the whole chain of a call."""
 
 import random
-from typing import Any
 
 import builders
 import pytest
@@ -11,8 +10,6 @@
 from boragetrestle_kernel.fleet_state import FleetState
 from boragetrestle_kernel.http_fields import find_field
 from boragetrestle_kernel.refusal import Refusal, RefusalCode, RunState
-from boragetrestle_node.attempt import Attempt, Forwarded
-from boragetrestle_node.call_run import CallRun
 from boragetrestle_node.chain_budget import ChainBudget
 from boragetrestle_node.identity import CALL_ATTEMPTS
 from boragetrestle_node.node import DEFAULT_POLICIES
@@ -163,12 +160,15 @@
     assert lasted < 4
 
 
-def test_refusal_is_unknown_if_any_attempt_may_have_run():
-    unused: Any = None
-    run = CallRun(unused, unused, unused, unused)
-    run.failure(Forwarded(Attempt.NO_ANSWER))
-    refusal = run.refusal(Forwarded(Attempt.NOT_SENT))
-    assert refusal.run_state is RunState.UNKNOWN
+@pytest.mark.parametrize('seed', range(4))
+async def test_refusal_after_a_lost_attempt_is_unknown(autojump_clock, seed):
+    async with running_fleet([HostPlan('walks')] * 2, seed=seed) as run:
+        dying, dead = run.fleet.hosts
+        dying.target.faults.crash_path = '/walks'
+        dead.target.cancel.cancel()
+        answer = await run.fleet.call(dead, '/walks/items/1', key=run.key)
+    assert answer.code in {'target-failed', 'no-target'}
+    assert answer.run_state == 'unknown'
 
 
 def _failure(**changes):
