--- a/packages/node/src/boragetrestle_node/node.py
+++ b/packages/node/src/boragetrestle_node/node.py
@@ -6,8 +6,10 @@
 import trio
 from eliot import log_message
 
+import boragetrestle_node.chain_budget  # noqa: F401
 import boragetrestle_node.even_split  # noqa: F401
 import boragetrestle_node.guarded_slots  # noqa: F401
+import boragetrestle_node.near_choice  # noqa: F401
 from boragetrestle_kernel.address import Address
 from boragetrestle_kernel.clock import SystemClock, WallClock
 from boragetrestle_kernel.fleet_state import FleetState
@@ -22,9 +24,11 @@
 from boragetrestle_kernel.timeline import Timeline
 from boragetrestle_node.admin import Admin
 from boragetrestle_node.connection_pool import ConnectionPool
+from boragetrestle_node.connection_warmer import ConnectionWarmer
 from boragetrestle_node.control import Control
 from boragetrestle_node.directory import Directory
-from boragetrestle_node.dispatcher import Dispatcher
+from boragetrestle_node.dispatcher import Dispatcher, Dispatching
+from boragetrestle_node.ejector import Ejector
 from boragetrestle_node.entry import Entry
 from boragetrestle_node.forwarder import Forwarder
 from boragetrestle_node.freshness_gate import FreshnessGate
@@ -39,8 +43,12 @@
 from boragetrestle_node.policies import Policies
 from boragetrestle_node.rate_policy import RATE_POLICIES
 from boragetrestle_node.repeats import Repeats
+from boragetrestle_node.retry_policy import RETRY_POLICIES
 from boragetrestle_node.slot_source import SLOT_SOURCES, SlotParts
-from boragetrestle_node.target_choice import TARGET_CHOICES
+from boragetrestle_node.target_book import TargetBook
+from boragetrestle_node.target_choice import TARGET_CHOICES, ChoiceInputs
+from boragetrestle_node.target_subset import TargetSubsets
+from boragetrestle_node.target_watch import TargetWatch
 from boragetrestle_platform.guarded_platform import guard_platform
 from boragetrestle_platform.platform import Platform
 
@@ -116,16 +124,38 @@
             ),
         )
         self.forwarder = Forwarder(self.pool)
-        build_choice = TARGET_CHOICES[policies.choice]
         build_rates = RATE_POLICIES[policies.rates]
         rates = build_rates(self.state, self.count_nodes)
-        self.dispatcher = Dispatcher(
+        self.book = TargetBook()
+        self.watch = TargetWatch(
+            self.book,
+            Ejector(self.book, self.timeline, self.rng),
+            self.directory,
+        )
+        self.warmer = ConnectionWarmer(
+            self.pool,
+            self.book,
+            self.directory,
+            count_nodes=self.count_nodes,
+        )
+        dispatching = Dispatching(
             identifier=self.identifier,
             directory=self.directory,
-            choice=build_choice(self.load_of, self.rng),
+            choice=TARGET_CHOICES[policies.choice](
+                ChoiceInputs(
+                    book=self.book,
+                    ejector=self.watch.ejector,
+                    subsets=TargetSubsets(settings.node, settings.domain),
+                    rng=self.rng,
+                ),
+            ),
+            watch=self.watch,
             slots=self.slots,
             forwarder=self.forwarder,
+            retries=RETRY_POLICIES[policies.retries](self.state, self.rng),
+            timeline=self.timeline,
         )
+        self.dispatcher = Dispatcher(dispatching)
         self.repeats = Repeats(
             store,
             dispatcher=self.dispatcher,
@@ -148,6 +178,7 @@
             ),
             timeline=self.timeline,
             metrics=self.metrics,
+            rng=self.rng,
         )
         self.admin = Admin(
             membership=self.membership,
@@ -162,10 +193,6 @@
         """Return how many nodes the fleet has, as far as this one knows."""
         return self.control.members.present_count
 
-    def load_of(self, target: TargetId) -> float:
-        """Return the calls of this node that run at a target."""
-        return self.in_flight[target]
-
     async def run(
         self,
         *,
@@ -178,6 +205,8 @@
                 Address.parse(self.settings.listen.peers),
             )
             await nursery.start(self.control.run)
+            self.book.warm.update(self.directory.records)
+            nursery.start_soon(self.warmer.run)
             await nursery.start(self.repeats.run)
             await nursery.start(
                 self._listen,
