--- a/packages/node/src/boragetrestle_node/attempt.py
+++ b/packages/node/src/boragetrestle_node/attempt.py
@@ -4,7 +4,7 @@
 from typing import NamedTuple
 
 from boragetrestle_kernel.http_fields import Fields
-from boragetrestle_kernel.refusal import Refusal
+from boragetrestle_kernel.refusal import Refusal, RunState
 
 
 class Attempt(Enum):
@@ -12,6 +12,7 @@
 
     ``REFUSED`` is a refusal by the guard of a target, or by the target itself
     as a shed call that was not run; nothing has gone to the caller then.
+    ``TAKEN_BACK`` is an answer that was kept from the caller for a retry.
     """
 
     ANSWERED = 'answered'
@@ -19,6 +20,7 @@
     NO_ANSWER = 'no-answer'
     CUT = 'cut'
     REFUSED = 'refused'
+    TAKEN_BACK = 'taken-back'
 
 
 class Forwarded(NamedTuple):
@@ -34,6 +36,13 @@
     status: int = 0
     fields: Fields | None = None
 
+    @property
+    def may_have_run(self) -> bool:
+        """Whether a target may have run the call in this attempt."""
+        if self.refusal is not None:
+            return self.refusal.run_state is not RunState.NOT_RUN
+        return self.attempt is not Attempt.NOT_SENT
+
     @property
     def is_shed(self) -> bool:
         """Whether the target shed the call."""
--- a/packages/node/src/boragetrestle_node/entry.py
+++ b/packages/node/src/boragetrestle_node/entry.py
@@ -1,5 +1,6 @@
 """Take calls from callers and from the target beside the node."""
 
+import random
 from collections.abc import Sequence
 
 import trio
@@ -12,12 +13,13 @@
     RunState,
 )
 from boragetrestle_kernel.timeline import EventKind, Timeline
+from boragetrestle_node.at_most_once import AtMostOnce
 from boragetrestle_node.call import Call
-from boragetrestle_node.dispatcher import Dispatcher
 from boragetrestle_node.gate import Gate
 from boragetrestle_node.guarded_calls import GuardedCalls
 from boragetrestle_node.identity import Identifier
 from boragetrestle_node.metrics import NodeMetrics
+from boragetrestle_node.retry_after import spread_retry
 
 _MAX_DISCARDED_BYTES = 262_144
 _CALL_ID = b'boragetrestle-call'
@@ -27,7 +29,8 @@
     """Decide on each call and answer it.
 
     A call passes the gates in order and is then dispatched. A guarded hop has
-    passed the gates of another node.
+    passed the gates of another node. A refusal says "not run" only of a call
+    of which no byte was sent to a target.
     """
 
     def __init__(
@@ -35,10 +38,11 @@
         *,
         identifier: Identifier,
         gates: Sequence[Gate],
-        dispatcher: Dispatcher,
+        dispatcher: AtMostOnce,
         guarded: GuardedCalls,
         timeline: Timeline,
         metrics: NodeMetrics,
+        rng: random.Random,
     ) -> None:
         self.identifier = identifier
         self.gates = gates
@@ -46,6 +50,7 @@
         self.guarded = guarded
         self.timeline = timeline
         self.metrics = metrics
+        self.rng = rng
 
     async def handle(
         self,
@@ -61,7 +66,10 @@
         try:
             await self._run(call, request, connection)
         except RefusedError as error:
-            await self._refuse(error.refusal, connection, call=call)
+            refusal = error.refusal
+            if call.is_sent:
+                refusal = refusal._replace(run_state=RunState.UNKNOWN)
+            await self._refuse(refusal, connection, call=call)
             if call.is_guarded:
                 await request.discard(max_bytes=_MAX_DISCARDED_BYTES)
 
@@ -79,7 +87,7 @@
         with trio.move_on_at(call.deadline) as scope:
             await serve(call, request, connection)
         if scope.cancelled_caught:
-            raise RefusedError(Refusal(RefusalCode.DEADLINE, RunState.UNKNOWN))
+            raise RefusedError(Refusal(RefusalCode.DEADLINE))
         self.metrics.answered(call)
 
     async def _refuse(
@@ -89,6 +97,8 @@
         *,
         call: Call | None = None,
     ) -> None:
+        if call is None or not call.is_guarded:
+            refusal = spread_retry(refusal, self.rng)
         self.metrics.refused(refusal, call)
         call_id = call.call_id if call else ''
         self.timeline.record(
--- a/packages/node/src/boragetrestle_node/guarded_calls.py
+++ b/packages/node/src/boragetrestle_node/guarded_calls.py
@@ -12,6 +12,7 @@
 from boragetrestle_node.forwarder import Forwarder
 from boragetrestle_node.guards import Guards
 from boragetrestle_node.identity import Identifier
+from boragetrestle_node.replayable_body import ReplayableBody
 
 _REFUSALS: dict[Attempt, Refusal] = {
     Attempt.NOT_SENT: Refusal(RefusalCode.TARGET_FAILED),
@@ -46,13 +47,16 @@
         """Answer a call from the own target; raise ``RefusedError`` else."""
         guard = self.guards.of_service(call.service)
         async with guard.hold(call) as slot:
+            call.is_sent = True
             forwarded = await self.forwarder.forward(
                 slot.address,
                 request,
                 connection,
                 context=self.identifier.context_for(call),
                 call_id=call.call_id,
+                body=ReplayableBody(request),
             )
+            call.is_sent = forwarded.may_have_run
             slot.forwarded = forwarded
         refusal = forwarded.refusal or _REFUSALS.get(forwarded.attempt)
         if refusal is not None:
--- a/tests/builders.py
+++ b/tests/builders.py
@@ -2,12 +2,14 @@
 
 from collections.abc import AsyncGenerator, Sequence
 from contextlib import asynccontextmanager
-from typing import NamedTuple
+from typing import Any, NamedTuple
 
 import trio
 
 from boragetrestle.operator import Operator
+from boragetrestle_kernel.call_class import CallClass
 from boragetrestle_kernel.clock import VirtualWallClock
+from boragetrestle_kernel.ids import CallId, KeyId, OrgId, ServiceName
 from boragetrestle_kernel.memory_network import MemoryNetwork
 from boragetrestle_kernel.service_text import (
     Dependency,
@@ -16,17 +18,20 @@
     Service,
     ServiceText,
 )
+from boragetrestle_node.call import Call
 from boragetrestle_node.node import DEFAULT_POLICIES
 from boragetrestle_node.policies import Policies
 from boragetrestle_platform.memory_objects import MemoryObjects
 from boragetrestle_platform.memory_table import MemoryTable
 from boragetrestle_platform.platform import Platform
 from boragetrestle_standin.faults import StoreFaults
+from boragetrestle_standin.faulty_objects import FaultyObjects
 from boragetrestle_standin.faulty_table import FaultyTable
-from boragetrestle_standin.fleet import Fleet
+from boragetrestle_standin.fleet import Answer, Fleet
 from boragetrestle_standin.host_plan import HostPlan
 
 SETTLE_SECONDS = 5.0
+IDEMPOTENCY_KEY = b'idempotency-key'
 
 READ = Route('GET', '/items/*', idempotent=True)
 OPEN = Route('GET', '/open', open=True, idempotent=True)
@@ -66,6 +71,21 @@
     )
 
 
+def call(*, seconds: float = 10, **changes: Any) -> Call:
+    """Build a call of an idempotent route with a deadline in seconds."""
+    values: dict[str, Any] = {
+        'call_id': CallId('call'),
+        'organisation': OrgId('acacia'),
+        'key_id': KeyId('key'),
+        'service': ServiceName('walks'),
+        'route': READ,
+        'call_class': CallClass.INTERACTIVE,
+        'deadline': trio.current_time() + seconds,
+        'attempts_left': 3,
+    }
+    return Call(**(values | changes))
+
+
 class RunningFleet(NamedTuple):
     """A fleet in memory with its operator, its faults and one key."""
 
@@ -74,6 +94,7 @@
     network: MemoryNetwork
     store: StoreFaults
     table: MemoryTable
+    objects: MemoryObjects
     key: str
     key_id: str
     nursery: trio.Nursery
@@ -91,7 +112,11 @@
     network = MemoryNetwork()
     table = MemoryTable()
     faults = StoreFaults()
-    platform = Platform(FaultyTable(table, faults), MemoryObjects())
+    objects = MemoryObjects()
+    platform = Platform(
+        FaultyTable(table, faults),
+        FaultyObjects(objects, faults),
+    )
     operator = Operator(platform, name='tester')
     used = text or service_text()
     await operator.apply(used)
@@ -113,8 +138,29 @@
             network,
             faults,
             table,
+            objects,
             given.key,
             given.key_id,
             nursery,
         )
         nursery.cancel_scope.cancel()
+
+
+async def call_keyed(
+    run: RunningFleet,
+    idempotency_key: str,
+    *,
+    place: int = 0,
+    path: str = '/walks/charges',
+    body: bytes = b'',
+) -> Answer:
+    """Make a charge at one node with an idempotency key."""
+    fields = [(IDEMPOTENCY_KEY, idempotency_key.encode())]
+    return await run.fleet.call(
+        run.fleet.hosts[place],
+        path,
+        key=run.key,
+        method='POST',
+        body=body,
+        fields=fields if idempotency_key else [],
+    )
