--- a/tests/builders.py
+++ b/tests/builders.py
@@ -26,6 +26,7 @@
 from boragetrestle_standin.faulty_table import FaultyTable
 from boragetrestle_standin.fleet import Answer, Fleet
 from boragetrestle_standin.host_plan import HostPlan
+from boragetrestle_standin.work_log import WorkLog
 
 SETTLE_SECONDS = 5.0
 IDEMPOTENCY_KEY = b'idempotency-key'
@@ -77,6 +78,7 @@
     store: StoreFaults
     table: MemoryTable
     objects: MemoryObjects
+    work: WorkLog
     key: str
     key_id: str
     nursery: trio.Nursery
@@ -103,6 +105,7 @@
     used = text or service_text()
     await operator.apply(used)
     given = await operator.give_key(used.organisations[0].name)
+    work = WorkLog()
     fleet = Fleet(
         plans,
         network=network,
@@ -110,6 +113,7 @@
         clock=VirtualWallClock(),
         seed=seed,
         policies=policies,
+        work_log=work,
     )
     async with trio.open_nursery() as nursery:
         await fleet.start(nursery)
@@ -121,6 +125,7 @@
             faults,
             table,
             objects,
+            work,
             given.key,
             given.key_id,
             nursery,
