--- a/tests/test_at_most_once_schedules.py
+++ b/tests/test_at_most_once_schedules.py
@@ -9,6 +9,7 @@
 
 from boragetrestle_kernel.errors import DialError, HttpError
 from boragetrestle_kernel.service_text import Route
+from boragetrestle_standin.fleet import Answer
 from boragetrestle_standin.host_addresses import host_ip
 from boragetrestle_standin.host_plan import HostPlan
 
@@ -111,7 +112,7 @@
     rng = random.Random(f'{pair} {seed}')
     text = service_text(service('walks', routes=(_ROUTE,)))
     plans = [HostPlan('walks', domain=name, work=0.05) for name in 'abc']
-    answers = []
+    answers: list[tuple[str, Answer]] = []
     async with running_fleet(plans, text=text, seed=seed) as run:
         async with trio.open_nursery() as nursery:
             nursery.start_soon(_keep_calling, run, rng, answers, nursery)
--- a/tests/test_write_combiner.py
+++ b/tests/test_write_combiner.py
@@ -95,7 +95,7 @@
 
 async def test_late_duplicate_of_release_frees_no_later_claim(autojump_clock):
     table = MemoryTable()
-    sent = []
+    sent: list[Transaction] = []
 
     class RecordingTable(FaultyTable):
         async def commit(self, transaction):
