Check that the claim is found before it is compared

Cause: mypy refused an attribute of a claim that may be absent. Ruled out: an ignore, which would hide a missing row as an AttributeError. Change: one assertion more.

--- a/tests/test_write_combiner.py
+++ b/tests/test_write_combiner.py
@@ -117,4 +117,6 @@
         assert await claims.write(again)
         assert not table.commit_now(release_sent).is_committed
         nursery.cancel_scope.cancel()
-    assert (await claims.find('claim/k')).claim.record == other.record
+    found = await claims.find('claim/k')
+    assert found is not None
+    assert found.claim.record == other.record
