Refuse with one code where a target takes no connection

Ruled out: easing the test; both refusals are not-run, but callers should see one code. Change: the guard refuses with no-target and Retry-After when its target takes no connection. Seen besides: test_in_force.py::test_silent_node_is_named fails in 6 of 24 runs with slots=unlimited as well, so it is not of this change; reported.

--- a/packages/node/src/boragetrestle_node/guarded_calls.py
+++ b/packages/node/src/boragetrestle_node/guarded_calls.py
@@ -15,7 +15,7 @@
 from boragetrestle_node.replayable_body import ReplayableBody
 
 _REFUSALS: dict[Attempt, Refusal] = {
-    Attempt.NOT_SENT: Refusal(RefusalCode.TARGET_FAILED),
+    Attempt.NOT_SENT: Refusal(RefusalCode.NO_TARGET, retry_after=1),
     Attempt.NO_ANSWER: Refusal(RefusalCode.TARGET_FAILED, RunState.UNKNOWN),
 }
 
