Probe a failing target beside it; prove choice, ejection and warming

Cause: a target whose process died stayed ready in the directory for as long as its node lived, and each caller had to find out alone. Ruled out: reading health endpoints (they mislead); probing all the time (6 ms each). A higher cost for cold targets was tried: the cold target got 1 of 200 calls (test_probe_brings_a_restarted_target_back); it is now drawn with a growing probability, and the same test passes. Change: callers tell the node beside a target of failed connections; that node opens one twice a second until three succeed, and marks the target suspected after two failures. Measured: 60 calls past a dead target of 3, all answered; no probe while calls get through; a target answering errors at once is ejected with at most 5 errors among the last 100 calls; at most 5 trials in 10 s. 17 tests, run 8 times without a failure; 16 guards taken out one by one, each seen by a test. One test (ejected share) was flaky in the fleet, since trio orders tasks at random; it now drives the ejector itself and is as strict. Conclusion: passive evidence leads, probes only settle it.

--- a/packages/node/src/boragetrestle_node/ejector.py
+++ b/packages/node/src/boragetrestle_node/ejector.py
@@ -5,9 +5,12 @@
 
 import trio
 
+from boragetrestle_kernel.address import Address
 from boragetrestle_kernel.target_record import TargetRecord
 from boragetrestle_kernel.timeline import EventKind, Timeline
+from boragetrestle_node.peer_links import PeerLinks
 from boragetrestle_node.target_book import TargetBook
+from boragetrestle_node.target_probe import TargetFailed
 from boragetrestle_node.target_view import TargetView
 
 MAX_EJECTED_SHARE = 0.5
@@ -36,10 +39,12 @@
         self,
         book: TargetBook,
         timeline: Timeline,
+        links: PeerLinks,
         rng: random.Random,
     ) -> None:
         self.book = book
         self.timeline = timeline
+        self.links = links
         self.rng = rng
 
     def failed(
@@ -52,8 +57,10 @@
         view.failures_in_row += 1
         if view.is_ejected:
             self._eject(record, view, 'trial failed')
+            self._tell(record)
         elif view.failures_in_row >= _FAILURES_IN_ROW:
             self._eject_within_share(record, peers, 'connections failed')
+            self._tell(record)
 
     def answered(
         self,
@@ -151,6 +158,11 @@
         view.ramp_from = trio.current_time()
         self._record(EventKind.TARGET_RETURNED, record, 'trial answered')
 
+    def _tell(self, record: TargetRecord) -> None:
+        """Let the node beside the target probe it."""
+        address = Address.parse(record.node_peers)
+        self.links.send(address, TargetFailed(record.target))
+
     def _record(
         self,
         kind: EventKind,
--- a/packages/node/src/boragetrestle_node/membership.py
+++ b/packages/node/src/boragetrestle_node/membership.py
@@ -114,6 +114,22 @@
             subject=self.record.node,
         )
 
+    def mark(self, target: TargetId, state: TargetState) -> None:
+        """Change the state of one target."""
+        incarnation = self._next_incarnation()
+        self._publish(
+            targets=tuple(
+                msgspec.structs.replace(
+                    known,
+                    state=state,
+                    incarnation=incarnation,
+                )
+                if known.target == target
+                else known
+                for known in self.record.targets
+            ),
+        )
+
     async def leave(self) -> None:
         """Leave the fleet and remove the row, as far as the store allows."""
         self._publish(targets=(), liveness=Liveness.LEFT)
--- a/packages/node/src/boragetrestle_node/near_choice.py
+++ b/packages/node/src/boragetrestle_node/near_choice.py
@@ -25,7 +25,8 @@
 
     The cost of a target is its recent latency times the share of its slots
     that this node uses. A call spills to another failure domain if the cost
-    there is less than half. Ejected targets get trial calls only; if nothing
+    there is less than half. A cold target is drawn more and more often over
+    its first seconds. Ejected targets get trial calls only; if nothing
     else is left, any target that was not tried is taken.
     """
 
@@ -67,9 +68,15 @@
         usable = [rec for rec in targets if self.ejector.is_usable(rec)]
         if not usable:
             return None
-        pair = self.rng.sample(usable, k=min(2, len(usable)))
+        ramped = [rec for rec in usable if self._takes_part(rec)] or usable
+        pair = self.rng.sample(ramped, k=min(2, len(ramped)))
         return min(pair, key=lambda record: self._cost(record, idle=0))
 
+    def _takes_part(self, record: TargetRecord) -> bool:
+        """Draw a cold target only as often as its ramp allows."""
+        ramp = self.book.view(record.target).ramp(trio.current_time())
+        return ramp >= 1 or self.rng.random() < ramp
+
     def _spill(
         self,
         near: TargetRecord | None,
@@ -86,7 +93,7 @@
         used = (view.in_flight + 1) / record.slots
         now = trio.current_time()
         latency = max(view.latency_at(now), _LEAST_LATENCY_SECONDS)
-        return latency * (used + idle) / view.ramp(now)
+        return latency * (used + idle)
 
     def _any(self, targets: Sequence[TargetRecord]) -> TargetRecord | None:
         return self.rng.choice(targets) if targets else None
--- a/packages/node/src/boragetrestle_node/node.py
+++ b/packages/node/src/boragetrestle_node/node.py
@@ -47,6 +47,7 @@
 from boragetrestle_node.slot_source import SLOT_SOURCES, SlotParts
 from boragetrestle_node.target_book import TargetBook
 from boragetrestle_node.target_choice import TARGET_CHOICES, ChoiceInputs
+from boragetrestle_node.target_probe import TargetProbe
 from boragetrestle_node.target_subset import TargetSubsets
 from boragetrestle_node.target_watch import TargetWatch
 from boragetrestle_platform.guarded_platform import guard_platform
@@ -129,9 +130,15 @@
         self.book = TargetBook()
         self.watch = TargetWatch(
             self.book,
-            Ejector(self.book, self.timeline, self.rng),
+            Ejector(self.book, self.timeline, self.links, self.rng),
             self.directory,
         )
+        self.probe = TargetProbe(
+            self.membership,
+            self.links,
+            self.timeline,
+            network=network,
+        )
         self.warmer = ConnectionWarmer(
             self.pool,
             self.book,
@@ -207,6 +214,7 @@
             await nursery.start(self.control.run)
             self.book.warm.update(self.directory.records)
             nursery.start_soon(self.warmer.run)
+            nursery.start_soon(self.probe.run)
             await nursery.start(self.repeats.run)
             await nursery.start(
                 self._listen,
--- a/tests/builders.py
+++ b/tests/builders.py
@@ -1,5 +1,6 @@
 """Builders of test data."""
 
+import random
 from collections.abc import AsyncGenerator, Sequence
 from contextlib import asynccontextmanager
 from typing import Any, NamedTuple
@@ -7,9 +8,19 @@
 import trio
 
 from boragetrestle.operator import Operator
+from boragetrestle_kernel.address import Address
 from boragetrestle_kernel.call_class import CallClass
 from boragetrestle_kernel.clock import VirtualWallClock
-from boragetrestle_kernel.ids import CallId, KeyId, OrgId, ServiceName
+from boragetrestle_kernel.hybrid_clock import HybridClock
+from boragetrestle_kernel.ids import (
+    CallId,
+    DomainName,
+    KeyId,
+    NodeId,
+    OrgId,
+    ServiceName,
+    TargetId,
+)
 from boragetrestle_kernel.memory_network import MemoryNetwork
 from boragetrestle_kernel.service_text import (
     Dependency,
@@ -18,9 +29,14 @@
     Service,
     ServiceText,
 )
+from boragetrestle_kernel.target_record import TargetRecord
+from boragetrestle_kernel.timeline import Timeline
 from boragetrestle_node.call import Call
+from boragetrestle_node.ejector import Ejector
 from boragetrestle_node.node import DEFAULT_POLICIES
+from boragetrestle_node.peer_links import PeerLinks
 from boragetrestle_node.policies import Policies
+from boragetrestle_node.target_book import TargetBook
 from boragetrestle_platform.memory_objects import MemoryObjects
 from boragetrestle_platform.memory_table import MemoryTable
 from boragetrestle_platform.platform import Platform
@@ -86,6 +102,44 @@
     return Call(**(values | changes))
 
 
+def target_record(
+    number: int,
+    *,
+    service: str = 'walks',
+    domain: str = 'a',
+) -> TargetRecord:
+    """Build the record of a ready target on a host of its own."""
+    return TargetRecord(
+        target=TargetId(f'node-{number}:{service}'),
+        service=ServiceName(service),
+        node=NodeId(f'node-{number}'),
+        domain=DomainName(domain),
+        address=f'127.3.0.{number}:1',
+        node_calls=f'127.3.0.{number}:2',
+        node_peers=f'127.3.0.{number}:3',
+        node_admin=f'127.3.0.{number}:4',
+        slots=50,
+        connections=400,
+    )
+
+
+class _NoLinks(PeerLinks):
+    """Links that reach nobody."""
+
+    def __init__(self) -> None:
+        """Keep nothing."""
+
+    def send(self, _address: Address, _message: Any) -> bool:
+        """Send nothing."""
+        return False
+
+
+def lone_ejector(book: TargetBook) -> Ejector:
+    """Build an ejector that tells no other node."""
+    timeline = Timeline(HybridClock(VirtualWallClock()), node='node-1')
+    return Ejector(book, timeline, _NoLinks(), random.Random(1))
+
+
 class RunningFleet(NamedTuple):
     """A fleet in memory with its operator, its faults and one key."""
 
