Ask peers at the start only where the store gave no answer

Cause: each starting node dialed up to three more neighbours than needed, and one pull that hung kept all others back for a second. Ruled out: more than two questions at once (the payload would come twice). Change: peers are asked for configuration and the store's time only without a store; two pulls may run at once.

--- a/packages/node/src/boragetrestle_node/config_spread.py
+++ b/packages/node/src/boragetrestle_node/config_spread.py
@@ -16,6 +16,7 @@
 
 _KEPT_CHANGES = 128
 _ASK_SECONDS = 1.0
+_MAX_PULLS = 2
 
 
 class ConfigSpread:
@@ -36,7 +37,7 @@
         self.links = links
         self.timeline = timeline
         self.kept: deque[Change] = deque(maxlen=_KEPT_CHANGES)
-        self.is_pulling = False
+        self.pulling: set[Address] = set()
         self.watchers: list[Callable[[], None]] = []
         links.on(ChangesAsk, self.answer)
 
@@ -56,9 +57,9 @@
 
     async def pull(self, address: Address) -> None:
         """Ask a node for the changes that this one lacks."""
-        if self.is_pulling:
+        if address in self.pulling or not self.may_pull:
             return
-        self.is_pulling = True
+        self.pulling.add(address)
         try:
             reply = await self.links.ask(
                 address,
@@ -66,10 +67,15 @@
                 timeout=_ASK_SECONDS,
             )
         finally:
-            self.is_pulling = False
+            self.pulling.discard(address)
         if isinstance(reply, ChangesReply):
             self._take_reply(reply)
 
+    @property
+    def may_pull(self) -> bool:
+        """Whether another question may run; a second covers a lost one."""
+        return len(self.pulling) < _MAX_PULLS
+
     async def answer(self, _sender: NodeId, ask: ChangesAsk) -> ChangesReply:
         """Answer with changes, after a snapshot for a node far behind."""
         await trio.lowlevel.checkpoint()
--- a/packages/node/src/boragetrestle_node/control.py
+++ b/packages/node/src/boragetrestle_node/control.py
@@ -4,6 +4,7 @@
 
 import trio
 
+from boragetrestle_kernel.address import Address
 from boragetrestle_kernel.fleet_state import FleetState
 from boragetrestle_kernel.ids import DomainName, NodeId
 from boragetrestle_kernel.settings import NodeSettings
@@ -28,6 +29,8 @@
 from boragetrestle_platform.platform import Platform
 from boragetrestle_platform.snapshots import Snapshots
 
+_ASKED_PEERS = 3
+
 
 class Control:
     """Compose the parts that keep this node in agreement with the fleet."""
@@ -184,13 +187,12 @@
         async with trio.open_nursery() as nursery:
             nursery.start_soon(self.discovery.join)
             nursery.start_soon(self.reader.read)
-        for address in self.neighbours.addresses():
-            await self.config.pull(address)
-            if self.state.version:
-                break
-        await self._learn_clock()
-
-    async def _learn_clock(self) -> None:
+        if self.has_store():
+            return
         async with trio.open_nursery() as nursery:
-            for address in self.neighbours.addresses()[:3]:
-                nursery.start_soon(self.exchange.ask, address)
+            for address in self.neighbours.addresses()[:_ASKED_PEERS]:
+                nursery.start_soon(self._learn_from, address)
+
+    async def _learn_from(self, address: Address) -> None:
+        await self.config.pull(address)
+        await self.exchange.ask(address)
