--- a/packages/kernel/src/boragetrestle_kernel/http_fields.py
+++ b/packages/kernel/src/boragetrestle_kernel/http_fields.py
@@ -16,12 +16,10 @@
     b'upgrade',
 ))
 
+INTERNAL = b'boragetrestle-'
+
 _NO_TRAILERS = HOP_BY_HOP | {
     b'authorization',
-    b'boragetrestle-call',
-    b'boragetrestle-code',
-    b'boragetrestle-context',
-    b'boragetrestle-run',
     b'content-encoding',
     b'content-length',
     b'content-type',
@@ -59,4 +57,8 @@
     >>> passable_trailers([(b'content-length', b'9'), (b'digest', b'1')])
     [(b'digest', b'1')]
     """
-    return [pair for pair in fields if pair[0] not in _NO_TRAILERS]
+    return [
+        pair
+        for pair in fields
+        if pair[0] not in _NO_TRAILERS and not pair[0].startswith(INTERNAL)
+    ]
--- a/packages/kernel/src/boragetrestle_kernel/http_request.py
+++ b/packages/kernel/src/boragetrestle_kernel/http_request.py
@@ -31,6 +31,7 @@
         self.fields: Fields = list(head.headers)
         self.trailers: Fields = []
         self.kept = b''
+        self.is_kept_taken = False
         self.body_bytes = 0
         self.is_whole = not self.has_body
         self.pace = BodyPace(connection.limits)
@@ -67,16 +68,39 @@
         self.kept = b''.join(parts)
 
     async def chunks(self) -> AsyncIterator[bytes]:
-        """Yield the body, its kept part first.
-
-        Raises ``CallerError`` if the body is cut, late or too large.
+        """Yield the body; see ``next_chunk``."""
+        while True:
+            chunk = await self.next_chunk()
+            if not chunk:
+                return
+            yield chunk
+
+    async def next_chunk(self) -> bytes:
+        """Return the next part of the body, ``b''`` at its end.
+
+        The kept part comes first. Nothing is lost if this is cancelled. Raises
+        ``CallerError`` if the body is cut, late or too large.
         """
-        if self.kept:
-            yield self.kept
+        if self.kept and not self.is_kept_taken:
+            self.is_kept_taken = True
+            return self.kept
         while not self.is_whole:
             part = await self._next_part()
             if part:
-                yield part
+                return part
+        return b''
+
+    async def discard(self, *, max_bytes: int) -> None:
+        """Read and drop the rest of the body, up to a size in bytes.
+
+        The connection can be used again if the body ends within the size.
+        """
+        dropped = 0
+        while dropped <= max_bytes:
+            chunk = await self.next_chunk()
+            if not chunk:
+                return
+            dropped += len(chunk)
 
     async def read(self) -> bytes:
         """Return the whole body."""
--- a/packages/kernel/src/boragetrestle_kernel/http_server.py
+++ b/packages/kernel/src/boragetrestle_kernel/http_server.py
@@ -50,6 +50,7 @@
         self.stream = stream
         self.limits = limits
         self.is_hung_up = False
+        self.outlives_caller = False
         self.is_last_exchange = False
         self.is_idle = True
         self.is_chunked = False
@@ -72,9 +73,13 @@
         return self.is_chunked and version > b'1.0'
 
     def hang_up(self) -> None:
-        """Cancel what runs for the caller, since it has gone."""
+        """Cancel what runs for the caller, since it has gone.
+
+        A handler that sets ``outlives_caller`` runs on to its end.
+        """
         self.is_hung_up = True
-        self.scope.cancel()
+        if not self.outlives_caller:
+            self.scope.cancel()
 
     def finish(self) -> None:
         """Close after the present exchange, or at once while idle."""
@@ -183,6 +188,7 @@
 
     async def _serve_one(self, handler: RequestHandler) -> bool:
         self.is_idle = True
+        self.outlives_caller = False
         head = await self._receive_head()
         if head is None:
             return False
@@ -252,9 +258,8 @@
 
     async def _discard(self, request: HttpRequest) -> None:
         """Read the rest of a small body, so that the connection is kept."""
-        request.kept = b''
         with trio.move_on_after(self.limits.linger_seconds):
-            await request.keep()
+            await request.discard(max_bytes=self.limits.kept_body_bytes)
         if not request.is_whole:
             await self._linger()
 
--- a/packages/node/src/boragetrestle_node/connection_pool.py
+++ b/packages/node/src/boragetrestle_node/connection_pool.py
@@ -6,9 +6,12 @@
 import trio
 
 from boragetrestle_kernel.address import Address
+from boragetrestle_kernel.errors import DialError
 from boragetrestle_kernel.http_client import HttpClientConnection
 from boragetrestle_kernel.network import Network, WatchHandle
 
+DIAL_SECONDS = 0.5
+
 _MAX_IDLE = 64
 _IDLE_SECONDS = 60.0
 
@@ -38,13 +41,17 @@
             if not connection.is_stale():
                 return connection
             await self.discard(connection)
-        stream = await self.network.dial(address)
-        connection = HttpClientConnection(stream)
-        self.watches[connection] = self.network.watch(
-            stream,
-            connection.mark_gone,
-        )
-        return connection
+        return await self._dial(address)
+
+    def count_idle(self, address: Address) -> int:
+        """Return how many idle connections to an address are kept."""
+        return len(self.idle[address])
+
+    async def open(self, address: Address) -> None:
+        """Open one more idle connection; raise ``DialError`` if it fails."""
+        connection = await self._dial(address)
+        opened = _Idle(connection, trio.current_time())
+        self.idle[address].appendleft(opened)
 
     def keep(self, address: Address, connection: HttpClientConnection) -> bool:
         """Keep a connection whose exchange ended whole.
@@ -74,6 +81,22 @@
             if not kept:
                 self.idle.pop(address, None)
 
+    async def _dial(self, address: Address) -> HttpClientConnection:
+        try:
+            with trio.fail_after(DIAL_SECONDS):
+                stream = await self.network.dial(address)
+        except trio.TooSlowError as error:
+            raise DialError(
+                f'no connection to {address} in {DIAL_SECONDS} s',
+                remedy='check that the host is up',
+            ) from error
+        connection = HttpClientConnection(stream)
+        self.watches[connection] = self.network.watch(
+            stream,
+            connection.mark_gone,
+        )
+        return connection
+
     async def aclose(self) -> None:
         """Close all idle connections."""
         await self.close_idle(older_than=0)
--- a/packages/node/src/boragetrestle_node/entry.py
+++ b/packages/node/src/boragetrestle_node/entry.py
@@ -1,5 +1,6 @@
 """Take calls from callers and from the target beside the node."""
 
+import random
 from collections.abc import Sequence
 
 import trio
@@ -13,12 +14,15 @@
     RunState,
 )
 from boragetrestle_kernel.timeline import EventKind, Timeline
+from boragetrestle_node.at_most_once import AtMostOnce
 from boragetrestle_node.call import Call
-from boragetrestle_node.dispatcher import Dispatcher
 from boragetrestle_node.gate import Gate
+from boragetrestle_node.guarded_calls import GuardedCalls
 from boragetrestle_node.identity import Identifier
 from boragetrestle_node.metrics import NodeMetrics
+from boragetrestle_node.retry_after import spread_retry
 
+_MAX_DISCARDED_BYTES = 262_144
 _CALL_ID = b'boragetrestle-call'
 _HUNG_UP = 'caller-gone'
 
@@ -26,7 +30,9 @@
 class Entry:
     """Decide on each call and answer it.
 
-    A call passes the gates in order and is then dispatched.
+    A call passes the gates in order and is then dispatched. A guarded hop has
+    passed the gates of another node. A refusal says "not run" only of a call
+    of which no byte was sent to a target.
     """
 
     def __init__(
@@ -34,15 +40,19 @@
         *,
         identifier: Identifier,
         gates: Sequence[Gate],
-        dispatcher: Dispatcher,
+        dispatcher: AtMostOnce,
+        guarded: GuardedCalls,
         timeline: Timeline,
         metrics: NodeMetrics,
+        rng: random.Random,
     ) -> None:
         self.identifier = identifier
         self.gates = gates
         self.dispatcher = dispatcher
+        self.guarded = guarded
         self.timeline = timeline
         self.metrics = metrics
+        self.rng = rng
 
     async def handle(
         self,
@@ -58,7 +68,12 @@
         try:
             await self._run(call, request, connection)
         except RefusedError as error:
-            await self._refuse(error.refusal, connection, call=call)
+            refusal = error.refusal
+            if call.is_sent:
+                refusal = refusal._replace(run_state=RunState.UNKNOWN)
+            await self._refuse(refusal, connection, call=call)
+            if call.is_guarded:
+                await request.discard(max_bytes=_MAX_DISCARDED_BYTES)
         except CallerError as error:
             self._abandon(call, error.code)
             raise
@@ -73,14 +88,17 @@
         request: HttpRequest,
         connection: HttpServerConnection,
     ) -> None:
-        for gate in self.gates:
+        for gate in () if call.is_guarded else self.gates:
             gate.check(call)
+        serve = (
+            self.guarded.serve if call.is_guarded else self.dispatcher.dispatch
+        )
         if not request.is_whole:
             await self._keep_body(call, request)
         with trio.move_on_at(call.deadline) as scope:
-            await self.dispatcher.dispatch(call, request, connection)
+            await serve(call, request, connection)
         if scope.cancelled_caught:
-            raise RefusedError(Refusal(RefusalCode.DEADLINE, RunState.UNKNOWN))
+            raise RefusedError(Refusal(RefusalCode.DEADLINE))
         self.metrics.answered(call)
 
     async def _keep_body(self, call: Call, request: HttpRequest) -> None:
@@ -115,6 +133,8 @@
         *,
         call: Call | None = None,
     ) -> None:
+        if call is None or not call.is_guarded:
+            refusal = spread_retry(refusal, self.rng)
         self.metrics.refused(refusal, call)
         call_id = call.call_id if call else ''
         self.timeline.record(
--- a/packages/node/src/boragetrestle_node/node.py
+++ b/packages/node/src/boragetrestle_node/node.py
@@ -2,15 +2,17 @@
 
 import random
 from collections import Counter
-from collections.abc import Awaitable, Callable
 
 import trio
 from eliot import log_message
 
+import boragetrestle_node.chain_budget  # noqa: F401
 import boragetrestle_node.even_split  # noqa: F401
+import boragetrestle_node.guarded_slots  # noqa: F401
+import boragetrestle_node.leased_slots  # noqa: F401
+import boragetrestle_node.near_choice  # noqa: F401
 from boragetrestle_kernel.address import Address
 from boragetrestle_kernel.clock import SystemClock, WallClock
-from boragetrestle_kernel.errors import StoreError
 from boragetrestle_kernel.fleet_state import FleetState
 from boragetrestle_kernel.http_server import (
     HttpServerConnection,
@@ -20,32 +22,40 @@
 from boragetrestle_kernel.ids import NodeId, TargetId
 from boragetrestle_kernel.network import Network
 from boragetrestle_kernel.settings import NodeSettings
-from boragetrestle_kernel.timeline import EventKind, Timeline
+from boragetrestle_kernel.timeline import Timeline
 from boragetrestle_node.admin import Admin
-from boragetrestle_node.config_reader import ConfigReader
 from boragetrestle_node.connection_pool import ConnectionPool
+from boragetrestle_node.connection_warmer import ConnectionWarmer
+from boragetrestle_node.control import Control
 from boragetrestle_node.directory import Directory
-from boragetrestle_node.dispatcher import Dispatcher
+from boragetrestle_node.dispatcher import Dispatcher, Dispatching
+from boragetrestle_node.ejector import Ejector
 from boragetrestle_node.entry import Entry
 from boragetrestle_node.forwarder import Forwarder
+from boragetrestle_node.freshness_gate import FreshnessGate
 from boragetrestle_node.gate import RateGate
+from boragetrestle_node.guarded_calls import GuardedCalls
+from boragetrestle_node.guards import Guards
 from boragetrestle_node.identity import Identifier
-from boragetrestle_node.membership import Membership
+from boragetrestle_node.key_gate import KeyGate
 from boragetrestle_node.metrics import NodeMetrics
 from boragetrestle_node.peer_links import PeerLinks
 from boragetrestle_node.peer_proof import PeerProver
 from boragetrestle_node.policies import Policies
 from boragetrestle_node.rate_policy import RATE_POLICIES
-from boragetrestle_node.slot_source import UnlimitedSlots
-from boragetrestle_node.target_choice import TARGET_CHOICES
-from boragetrestle_platform.change_log import ChangeLog
+from boragetrestle_node.repeats import Repeats
+from boragetrestle_node.retry_policy import RETRY_POLICIES
+from boragetrestle_node.slot_source import SLOT_SOURCES, SlotParts
+from boragetrestle_node.target_book import TargetBook
+from boragetrestle_node.target_choice import TARGET_CHOICES, ChoiceInputs
+from boragetrestle_node.target_probe import TargetProbe
+from boragetrestle_node.target_subset import TargetSubsets
+from boragetrestle_node.target_watch import TargetWatch
+from boragetrestle_platform.guarded_platform import guard_platform
 from boragetrestle_platform.platform import Platform
 
 DEFAULT_POLICIES = Policies()
 
-_READ_SECONDS = 1.0
-_READ_JITTER = (0.8, 1.2)
-
 
 class Node:
     """The process beside a target.
@@ -74,16 +84,11 @@
         self.timeline = Timeline(HybridClock(wall_clock), node=settings.node)
         self.identifier = Identifier(self.state, wall_clock)
         self.pool = ConnectionPool(network)
-        self.membership = Membership(
-            settings,
-            platform.table,
-            self.directory,
-            first_incarnation=int(wall_clock.wall()),
-        )
-        self.config = ConfigReader(
-            ChangeLog(platform.table),
-            self.state,
-            self.timeline,
+        store = guard_platform(
+            platform,
+            node_count=self.count_nodes,
+            timeout=settings.platform.timeout,
+            rng=random.Random(seed),
         )
         self.links = PeerLinks(
             NodeId(settings.node),
@@ -94,22 +99,96 @@
             clock=wall_clock,
             timeline=self.timeline,
         )
-        build_choice = TARGET_CHOICES[policies.choice]
+        self.control = Control(
+            settings,
+            Platform(store.table, store.objects),
+            state=self.state,
+            directory=self.directory,
+            links=self.links,
+            timeline=self.timeline,
+            first_incarnation=int(wall_clock.wall()),
+            rng=self.rng,
+        )
+        self.membership = self.control.membership
+        self.guards = Guards(
+            self.membership.own,
+            state=self.state,
+            policies=policies,
+            rng=self.rng,
+            links=self.links,
+        )
+        build_slots = SLOT_SOURCES[policies.slots]
+        self.slots = build_slots(
+            SlotParts(
+                node=NodeId(settings.node),
+                in_flight=self.in_flight,
+                guards=self.guards,
+                links=self.links,
+                peers_address=settings.listen.peers,
+            ),
+        )
+        self.forwarder = Forwarder(self.pool)
         build_rates = RATE_POLICIES[policies.rates]
         rates = build_rates(self.state, self.count_nodes)
-        self.dispatcher = Dispatcher(
+        self.book = TargetBook()
+        self.watch = TargetWatch(
+            self.book,
+            Ejector(self.book, self.timeline, self.links, self.rng),
+            self.directory,
+        )
+        self.probe = TargetProbe(
+            self.membership,
+            self.links,
+            self.timeline,
+            network=network,
+        )
+        self.warmer = ConnectionWarmer(
+            self.pool,
+            self.book,
+            self.directory,
+            count_nodes=self.count_nodes,
+        )
+        dispatching = Dispatching(
             identifier=self.identifier,
             directory=self.directory,
-            choice=build_choice(self.load_of, self.rng),
-            slots=UnlimitedSlots(self.in_flight),
-            forwarder=Forwarder(self.pool),
+            choice=TARGET_CHOICES[policies.choice](
+                ChoiceInputs(
+                    book=self.book,
+                    ejector=self.watch.ejector,
+                    subsets=TargetSubsets(settings.node, settings.domain),
+                    rng=self.rng,
+                ),
+            ),
+            watch=self.watch,
+            slots=self.slots,
+            forwarder=self.forwarder,
+            retries=RETRY_POLICIES[policies.retries](self.state, self.rng),
+            timeline=self.timeline,
+        )
+        self.dispatcher = Dispatcher(dispatching)
+        self.repeats = Repeats(
+            store,
+            dispatcher=self.dispatcher,
+            timeline=self.timeline,
+            node_count=self.count_nodes,
+            rng=random.Random(seed),
         )
         self.entry = Entry(
             identifier=self.identifier,
-            gates=[RateGate(rates)],
-            dispatcher=self.dispatcher,
+            gates=[
+                FreshnessGate(self.control.exchange),
+                KeyGate(),
+                RateGate(rates),
+            ],
+            dispatcher=self.repeats.stage,
+            guarded=GuardedCalls(
+                guards=self.guards,
+                identifier=self.identifier,
+                forwarder=self.forwarder,
+            ),
             timeline=self.timeline,
             metrics=self.metrics,
+            rng=self.rng,
         )
         self.admin = Admin(
             membership=self.membership,
@@ -117,15 +196,12 @@
             state=self.state,
             timeline=self.timeline,
             metrics=self.metrics,
+            acks=self.control.acks,
         )
 
     def count_nodes(self) -> int:
         """Return how many nodes the fleet has, as far as this one knows."""
-        return len({rec.node for rec in self.directory.records.values()})
-
-    def load_of(self, target: TargetId) -> float:
-        """Return the calls of this node that run at a target."""
-        return self.in_flight[target]
+        return self.control.members.present_count
 
     async def run(
         self,
@@ -134,10 +210,17 @@
     ) -> None:
         """Serve until cancelled."""
         async with trio.open_nursery() as nursery:
-            await self._try_read(self.config.read)
-            await self._try_read(self.membership.read)
-            nursery.start_soon(self._keep_reading, self.config.read)
-            nursery.start_soon(self._keep_reading, self.membership.read)
+            await nursery.start(
+                self.links.run,
+                Address.parse(self.settings.listen.peers),
+            )
+            await nursery.start(self.guards.run)
+            await nursery.start(self.slots.run)
+            await nursery.start(self.control.run)
+            self.book.warm.update(self.directory.records)
+            nursery.start_soon(self.warmer.run)
+            nursery.start_soon(self.probe.run)
+            await nursery.start(self.repeats.run)
             await nursery.start(
                 self._listen,
                 self.settings.listen.calls,
@@ -148,10 +231,6 @@
                 self.settings.listen.admin,
                 self.admin.handle,
             )
-            await nursery.start(
-                self.links.run,
-                Address.parse(self.settings.listen.peers),
-            )
             log_message(message_type='node:started', node=self.settings.node)
             task_status.started()
 
@@ -173,14 +252,3 @@
         listener = await self.network.listen(Address.parse(address))
         task_status.started()
         await trio.serve_listeners(serve, [listener])
-
-    async def _keep_reading(self, read: Callable[[], Awaitable[None]]) -> None:
-        while True:
-            await trio.sleep(_READ_SECONDS * self.rng.uniform(*_READ_JITTER))
-            await self._try_read(read)
-
-    async def _try_read(self, read: Callable[[], Awaitable[None]]) -> None:
-        try:
-            await read()
-        except StoreError as error:
-            self.timeline.record(EventKind.STORE_LOST, reason=str(error))
