Bound the wait for a hang-up in its test

Cause: without the guard the test hung instead of failing. Ruled out: nothing else. Change: fail_after of 5 virtual seconds. Figures: pytest tests/test_http_server.py passes.

--- a/tests/test_http_server.py
+++ b/tests/test_http_server.py
@@ -142,7 +142,8 @@
         await trio.sleep(1)
         started = trio.current_time()
         await stream.aclose()
-        await cancelled.wait()
+        with trio.fail_after(5):
+            await cancelled.wait()
         assert trio.current_time() == started
 
 
