--- a/packages/standin/src/boragetrestle_standin/target.py
+++ b/packages/standin/src/boragetrestle_standin/target.py
@@ -1,6 +1,7 @@
 """A small target that answers calls and makes onward calls."""
 
 from collections import Counter
+from collections.abc import Callable
 from http import HTTPStatus
 
 import msgspec
@@ -17,8 +18,7 @@
 from boragetrestle_standin.work_log import WorkLog
 
 FAULTS_PATH = b'/faults'
-
-_PART_BYTES = 16_384
+PATH_FIELD = b'x-path'
 
 
 class Announcement(msgspec.Struct, frozen=True):
@@ -31,6 +31,10 @@
     state: str = 'ready'
 
 
+def _ignore_run(_path: str) -> None:
+    """Do nothing."""
+
+
 class StandinTarget:
     """Answer each call with a body of fixed size after a fixed time.
 
@@ -39,7 +43,8 @@
     the target receives are counted by path, and the header fields of the last
     one are kept. ``work_log`` gets the slot time of each call.
     ``most_running`` is the most calls that ran at once, waiting ones included.
-    ``extra_fields`` go with each answer.
+    ``extra_fields`` go with each answer, and so does the path, in ``x-path``.
+    ``on_run`` is told the path of each call before it runs.
     """
 
     def __init__(
@@ -64,6 +69,7 @@
         self.running = 0
         self.most_running = 0
         self.extra_fields: Fields = []
+        self.on_run: Callable[[str], None] = _ignore_run
         self.limiter = trio.CapacityLimiter(plan.slots)
         self.work_log = work_log
         self.last_fields: Fields = []
@@ -119,6 +125,7 @@
             return
         path = request.target.decode()
         self.calls[path] += 1
+        self.on_run(path)
         self.last_fields = request.fields
         if self.faults.crash_path and path.startswith(self.faults.crash_path):
             self.cancel.cancel()
@@ -128,7 +135,7 @@
             status = await self._work(request)
         finally:
             self.running -= 1
-        await self._send(connection, status)
+        await self._send(connection, status, request.target)
 
     async def _work(self, request: HttpRequest) -> int:
         if self.faults.is_shedding:
@@ -178,9 +185,11 @@
         self,
         connection: HttpServerConnection,
         status: int,
+        path: bytes,
     ) -> None:
         if self.faults.cut_after is None:
-            await connection.answer(status, self.extra_fields, self.body)
+            fields = [*self.extra_fields, (PATH_FIELD, path)]
+            await connection.answer(status, fields, self.body)
             return
         length = str(len(self.body)).encode()
         await connection.send_head(status, [(b'content-length', length)])
--- a/packages/standin/src/boragetrestle_standin/target_main.py
+++ b/packages/standin/src/boragetrestle_standin/target_main.py
@@ -1,19 +1,24 @@
 """Run a stand-in target as a process.
 
 Start it with ``python -m boragetrestle_standin.target_main IP SERVICE``; its
-faults are set by a POST of JSON to ``/faults``. The ports are those that
+faults are set by a POST of JSON to ``/faults``. Each call that it runs is told
+on standard output before its work starts. The ports are those that
 ``host_addresses`` names.
 """
 
 import signal
+import sys
+import time
 
 import defopt
+import msgspec
 import trio
 
 from boragetrestle_kernel.errors import DialError, HttpError
 from boragetrestle_kernel.network import TcpNetwork
 from boragetrestle_standin.host_addresses import HostAddresses
 from boragetrestle_standin.host_plan import HostPlan, Onward
+from boragetrestle_standin.run_line import RUN_MARK, RunLine
 from boragetrestle_standin.target import StandinTarget
 
 _ANNOUNCE_SECONDS = 0.2
@@ -49,9 +54,16 @@
         onward=tuple(Onward('GET', path) for path in onward or ()),
     )
     target = StandinTarget(TcpNetwork(), HostAddresses.of_host(ip), plan)
+    target.on_run = _print_run
     trio.run(_serve, target)
 
 
+def _print_run(path: str) -> None:
+    line = RunLine(path=path, at=time.time())
+    sys.stdout.write(f'{RUN_MARK}{msgspec.json.encode(line).decode()}\n')
+    sys.stdout.flush()
+
+
 async def _serve(target: StandinTarget) -> None:
     with trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
         async with trio.open_nursery() as nursery:
