Stop nodes without cutting calls, and believe contexts from the own target only

Cause: a stopping node did not wait for its running calls (two known red tests); a verified context was believed from any address; a forged one refused calls that showed a good key; nothing bounded callers' connections; anybody could announce a target or drain a node; dot segments could reach another route of a target.

Ruled out: refusing new calls at once when a stop begins (for 2 s other callers do not know yet, so calls are served with Connection: close); closing the listener first (the own target still makes onward calls); refusing a call for a caller's own copy of the context header (it is dropped, and the call enters with its key).

Change: GracefulStop (tell, serve and close after answers for 2 s, then refuse as node-draining, wait for a second of quiet, close, leave; bounded by drain_timeout; a second signal stops at once); CallerConnections with settings 'connections'; Identifier believes an onward context only from own_hosts; paths with dot segments or hidden separators get 400; admin paths carry an access: target (own host) or operator (credential from the settings, else own host). Fleet.call can name the address that it calls from; test_guarded_hop makes its onward call from the target's address, where real targets make theirs.

--- a/packages/kernel/src/boragetrestle_kernel/http_server.py
+++ b/packages/kernel/src/boragetrestle_kernel/http_server.py
@@ -46,8 +46,11 @@
         stream: trio.abc.Stream,
         *,
         limits: HttpLimits = DEFAULT_LIMITS,
+        peer_host: str = '',
     ) -> None:
         self.stream = stream
+        self.peer_host = peer_host
+        self.owner = ''
         self.limits = limits
         self.is_hung_up = False
         self.outlives_caller = False
@@ -82,8 +85,11 @@
             self.scope.cancel()
 
     def finish(self) -> None:
-        """Close after the present exchange, or at once while idle."""
+        """Close after the present or the next exchange."""
         self.is_last_exchange = True
+
+    def close_if_idle(self) -> None:
+        """Close unless a request is arriving or runs."""
         if self.is_idle:
             self.scope.cancel()
 
--- a/packages/kernel/src/boragetrestle_kernel/settings.py
+++ b/packages/kernel/src/boragetrestle_kernel/settings.py
@@ -10,6 +10,7 @@
 from boragetrestle_kernel.address import Address
 from boragetrestle_kernel.errors import SettingsError
 
+_LOOPBACK = ('127.0.0.1', '::1')
 _Seconds = Annotated[float, msgspec.Meta(gt=0, le=3600)]
 
 
@@ -51,11 +52,27 @@
     timeout: _Seconds = 2.0
 
 
+class ConnectionLimits(
+    msgspec.Struct,
+    frozen=True,
+    forbid_unknown_fields=True,
+):
+    """How many connections callers may hold open at a node."""
+
+    total: Annotated[int, msgspec.Meta(ge=1, le=100_000)] = 2000
+    per_organisation: Annotated[int, msgspec.Meta(ge=1, le=100_000)] = 1000
+
+
 class NodeSettings(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
     """Settings of one node.
 
     The first of ``fleet_secrets`` proves this node to its peers; any of them is
     accepted from a peer, so that secrets rotate without a lost link.
+
+    ``operator_credential`` opens the operators' paths of the admin address;
+    without it they are open to the node's own host only. ``target_hosts`` are
+    further IP addresses of the target beside this node, which alone may
+    announce itself and make onward calls.
     """
 
     node: Annotated[str, msgspec.Meta(pattern='^[A-Za-z0-9._-]{1,64}$')]
@@ -69,6 +86,16 @@
     region: str = ''
     peers: tuple[str, ...] = ()
     drain_timeout: _Seconds = 30.0
+    connections: ConnectionLimits = ConnectionLimits()
+    operator_credential: Credential | None = None
+    target_hosts: tuple[str, ...] = ()
+
+    @property
+    def own_hosts(self) -> frozenset[str]:
+        """The IP addresses of this host and of the target on it."""
+        listening = (self.listen.calls, self.listen.admin)
+        own = {Address.parse(address).host for address in listening}
+        return frozenset((*own, *_LOOPBACK, *self.target_hosts))
 
 
 def parse_settings(raw: bytes) -> NodeSettings:
--- a/packages/node/src/boragetrestle_node/admin.py
+++ b/packages/node/src/boragetrestle_node/admin.py
@@ -1,7 +1,10 @@
 """Serve the node's own target and its operators."""
 
+import hmac
 from collections.abc import Awaitable, Callable
+from enum import Enum
 from http import HTTPStatus
+from typing import NamedTuple
 
 import msgspec
 
@@ -11,6 +14,8 @@
 from boragetrestle_kernel.timeline import Timeline
 from boragetrestle_node.ack_wave import AckWave
 from boragetrestle_node.announcement import Announcement
+from boragetrestle_node.caller_connections import CallerConnections
+from boragetrestle_node.entry import Entry
 from boragetrestle_node.identity import Identifier
 from boragetrestle_node.membership import Membership
 from boragetrestle_node.metrics import NodeMetrics
@@ -18,20 +23,48 @@
 _JSON = [(b'content-type', b'application/json')]
 
 AdminHandler = Callable[['Admin', bytes], Awaitable[bytes]]
-_PATHS: dict[tuple[bytes, bytes], AdminHandler] = {}
+AccessCheck = Callable[['Admin', HttpRequest], bool]
+
+
+class Access(Enum):
+    """Who may use a path of the admin address."""
+
+    ALL = 'all'
+    TARGET = 'target'
+    OPERATOR = 'operator'
+
+
+class ServedPath(NamedTuple):
+    """The handler of a path and who may use it."""
+
+    access: Access
+    handler: AdminHandler
+
+
+_PATHS: dict[tuple[bytes, bytes], ServedPath] = {}
+_GUARDS: dict[Access, AccessCheck] = {}
 
 
 def _serves(
     method: bytes,
     path: bytes,
+    access: Access = Access.ALL,
 ) -> Callable[[AdminHandler], AdminHandler]:
     def register(handler: AdminHandler) -> AdminHandler:
-        _PATHS[(method, path)] = handler
+        _PATHS[(method, path)] = ServedPath(access, handler)
         return handler
 
     return register
 
 
+def _guards(access: Access) -> Callable[[AccessCheck], AccessCheck]:
+    def register(check: AccessCheck) -> AccessCheck:
+        _GUARDS[access] = check
+        return check
+
+    return register
+
+
 class Admin:
     """Answer announcements, health, metrics, status and the time line."""
 
@@ -44,7 +77,15 @@
         timeline: Timeline,
         metrics: NodeMetrics,
         acks: AckWave,
+        entry: Entry,
+        connections: CallerConnections,
     ) -> None:
+        settings = membership.settings
+        credential = settings.operator_credential
+        self.own_hosts = settings.own_hosts
+        self.credential = credential.resolve() if credential else b''
+        self.entry = entry
+        self.connections = connections
         self.membership = membership
         self.identifier = identifier
         self.state = state
@@ -59,12 +100,15 @@
     ) -> None:
         """Answer one request."""
         body = await request.read()
-        handler = _PATHS.get((request.method, request.target))
-        if handler is None:
+        served = _PATHS.get((request.method, request.target))
+        if served is None:
             await connection.answer(HTTPStatus.NOT_FOUND.value, [])
             return
+        if not _GUARDS[served.access](self, request):
+            await connection.answer(HTTPStatus.FORBIDDEN.value, [])
+            return
         try:
-            answer = await handler(self, body)
+            answer = await served.handler(self, body)
         except msgspec.DecodeError as error:
             reason = msgspec.json.encode({'error': str(error)})
             await connection.answer(
@@ -76,7 +120,25 @@
         await connection.answer(HTTPStatus.OK.value, _JSON, answer)
 
 
-@_serves(b'POST', b'/v1/target')
+@_guards(Access.ALL)
+def _allow_all(_admin: Admin, _request: HttpRequest) -> bool:
+    return True
+
+
+@_guards(Access.TARGET)
+def _allow_own_host(admin: Admin, request: HttpRequest) -> bool:
+    return request.connection.peer_host in admin.own_hosts
+
+
+@_guards(Access.OPERATOR)
+def _allow_operator(admin: Admin, request: HttpRequest) -> bool:
+    if not admin.credential:
+        return _allow_own_host(admin, request)
+    shown = request.field(b'authorization').removeprefix(b'Bearer ')
+    return hmac.compare_digest(shown, admin.credential)
+
+
+@_serves(b'POST', b'/v1/target', Access.TARGET)
 async def _announce(admin: Admin, body: bytes) -> bytes:
     announcement = msgspec.json.decode(body, type=Announcement)
     admin.identifier.own_services.add(announcement.service)
@@ -85,8 +147,9 @@
 
 
 @_serves(b'GET', b'/health')
-async def _health(_admin: Admin, _body: bytes) -> bytes:
-    return b'{"status":"ok"}'
+async def _health(admin: Admin, _body: bytes) -> bytes:
+    status = 'draining' if admin.entry.is_draining else 'ok'
+    return msgspec.json.encode({'status': status})
 
 
 @_serves(b'GET', b'/metrics')
@@ -94,7 +157,7 @@
     return admin.metrics.export().encode()
 
 
-@_serves(b'GET', b'/v1/status')
+@_serves(b'GET', b'/v1/status', Access.OPERATOR)
 async def _status(admin: Admin, _body: bytes) -> bytes:
     return msgspec.json.encode({
         'node': admin.membership.settings.node,
@@ -103,7 +166,7 @@
     })
 
 
-@_serves(b'GET', b'/v1/timeline')
+@_serves(b'GET', b'/v1/timeline', Access.OPERATOR)
 async def _timeline(admin: Admin, _body: bytes) -> bytes:
     return msgspec.json.encode(list(admin.timeline.ring))
 
@@ -114,7 +177,7 @@
     return msgspec.json.encode(await admin.acks.acks(question.version))
 
 
-@_serves(b'POST', b'/v1/drain')
+@_serves(b'POST', b'/v1/drain', Access.OPERATOR)
 async def _drain(admin: Admin, _body: bytes) -> bytes:
     await admin.membership.drain()
     return b'{}'
--- a/packages/node/src/boragetrestle_node/entry.py
+++ b/packages/node/src/boragetrestle_node/entry.py
@@ -16,6 +16,7 @@
 from boragetrestle_kernel.timeline import EventKind, Timeline
 from boragetrestle_node.at_most_once import AtMostOnce
 from boragetrestle_node.call import Call
+from boragetrestle_node.caller_connections import CallerConnections
 from boragetrestle_node.gate import Gate
 from boragetrestle_node.guarded_calls import GuardedCalls
 from boragetrestle_node.identity import Identifier
@@ -45,6 +46,7 @@
         timeline: Timeline,
         metrics: NodeMetrics,
         rng: random.Random,
+        connections: CallerConnections,
     ) -> None:
         self.identifier = identifier
         self.gates = gates
@@ -53,6 +55,9 @@
         self.timeline = timeline
         self.metrics = metrics
         self.rng = rng
+        self.connections = connections
+        self.running = 0
+        self.is_draining = False
 
     async def handle(
         self,
@@ -60,12 +65,24 @@
         connection: HttpServerConnection,
     ) -> None:
         """Answer one request."""
+        self.running += 1
+        try:
+            await self._handle(request, connection)
+        finally:
+            self.running -= 1
+
+    async def _handle(
+        self,
+        request: HttpRequest,
+        connection: HttpServerConnection,
+    ) -> None:
         try:
             call = self.identifier.identify(request)
         except RefusedError as error:
             await self._refuse(error.refusal, connection)
             return
         try:
+            self._admit(call, connection)
             await self._run(call, request, connection)
         except RefusedError as error:
             refusal = error.refusal
@@ -101,6 +118,17 @@
             raise RefusedError(Refusal(RefusalCode.DEADLINE))
         self.metrics.answered(call)
 
+    def _admit(self, call: Call, connection: HttpServerConnection) -> None:
+        """Refuse calls that enter while the node drains or is full."""
+        if call.depth or call.is_guarded:
+            return
+        if self.is_draining:
+            raise RefusedError(
+                Refusal(RefusalCode.NODE_DRAINING, retry_after=1),
+            )
+        if call.organisation:
+            self.connections.claim(connection, call.organisation)
+
     async def _keep_body(self, call: Call, request: HttpRequest) -> None:
         """Read the first part of a body before the call holds a slot."""
         try:
--- a/packages/node/src/boragetrestle_node/identity.py
+++ b/packages/node/src/boragetrestle_node/identity.py
@@ -1,5 +1,6 @@
 """Find out who makes a call and what it may do."""
 
+import re
 import uuid
 
 import trio
@@ -29,6 +30,11 @@
 OPEN_ORGANISATION = OrgId('')
 
 _BEARER = b'bearer '
+_UNSAFE_PATH = re.compile(
+    r'[#\\]|%2f|%5c|%00|/(?:\.|%2e){1,2}(?:/|$)',
+    re.IGNORECASE,
+)
+_UNSAFE_DETAIL = 'the path has dot segments or hidden separators'
 _CLOCK_SKEW_SECONDS = 5.0
 
 
@@ -37,25 +43,41 @@
 
     A call enters with a key, or comes from the target beside this node with
     the context that this target was given. ``own_services`` holds the services
-    of that target.
+    of that target and ``own_hosts`` the IP addresses that it calls from.
+
+    Only such a call, or the guarded hop of another node, has its context
+    believed. Any other copy of the header is dropped, and the call enters with
+    its key.
     """
 
-    def __init__(self, state: FleetState, clock: WallClock) -> None:
+    def __init__(
+        self,
+        state: FleetState,
+        clock: WallClock,
+        *,
+        own_hosts: frozenset[str],
+    ) -> None:
         self.state = state
         self.clock = clock
+        self.own_hosts = own_hosts
+        self.cached_signer = ContextSigner({})
+        self.signer_version = -1
         self.own_services: set[str] = set()
 
     def identify(self, request: HttpRequest) -> Call:
         """Return the call; raise ``RefusedError`` if it has no right."""
         match = self._match(request)
-        header = request.field(HEADER)
-        if header:
-            return self._onward(match, request, header)
+        context = self._trusted_context(match, request)
+        if context is not None:
+            return self._onward(match, request, context)
         return self._entered(match, request)
 
     def signer(self) -> ContextSigner:
         """Return a signer with the secrets in force."""
-        return ContextSigner(self.state.secrets)
+        if self.signer_version != self.state.version:
+            self.cached_signer = ContextSigner(self.state.secrets)
+            self.signer_version = self.state.version
+        return self.cached_signer
 
     def context_for(self, call: Call) -> bytes:
         """Return the signed context that goes to the target of a call."""
@@ -92,6 +114,10 @@
 
     def _match(self, request: HttpRequest) -> RouteMatch:
         path = request.target.partition(b'?')[0].decode('latin-1')
+        if _UNSAFE_PATH.search(path):
+            raise RefusedError(
+                Refusal(RefusalCode.BAD_REQUEST, detail=_UNSAFE_DETAIL),
+            )
         match = self.state.routes.find(request.method.decode(), path)
         if match is None:
             raise RefusedError(Refusal(RefusalCode.NO_ROUTE))
@@ -123,23 +149,33 @@
                 return record.organisation, record.key_id
         raise RefusedError(Refusal(RefusalCode.NOT_AUTHORISED))
 
-    def _onward(
+    def _trusted_context(
         self,
         match: RouteMatch,
         request: HttpRequest,
-        header: bytes,
-    ) -> Call:
+    ) -> CallContext | None:
+        """Return the context of an onward call or a guarded hop."""
+        header = request.field(HEADER)
+        if not header:
+            return None
         try:
             context = self.signer().verify(header, now=self.clock.wall())
-        except ContextError as error:
-            raise RefusedError(
-                Refusal(RefusalCode.NOT_AUTHORISED),
-            ) from error
+        except ContextError:
+            return None
         if context.service not in self.own_services:
-            raise RefusedError(Refusal(RefusalCode.NOT_AUTHORISED))
+            return None
+        if context.purpose is ContextPurpose.GUARDED_HOP:
+            return context if context.service == match.service else None
+        is_own = request.connection.peer_host in self.own_hosts
+        return context if is_own else None
+
+    def _onward(
+        self,
+        match: RouteMatch,
+        request: HttpRequest,
+        context: CallContext,
+    ) -> Call:
         is_guarded = context.purpose is ContextPurpose.GUARDED_HOP
-        if is_guarded and context.service != match.service:
-            raise RefusedError(Refusal(RefusalCode.NOT_AUTHORISED))
         left = (
             context.remaining
             if is_guarded
--- a/packages/node/src/boragetrestle_node/main.py
+++ b/packages/node/src/boragetrestle_node/main.py
@@ -2,6 +2,7 @@
 
 import signal
 import sys
+from collections.abc import AsyncIterator
 from pathlib import Path
 
 import defopt
@@ -34,11 +35,23 @@
         async with trio.open_nursery() as nursery:
             await nursery.start(node.run)
             await anext(signals)
-            await node.membership.drain()
-            await node.membership.leave()
+            await _stop(node, signals)
             nursery.cancel_scope.cancel()
 
 
+async def _stop(node: Node, signals: AsyncIterator[int]) -> None:
+    """Stop gracefully, or at once on a second signal."""
+    async with trio.open_nursery() as nursery:
+
+        async def watch_signals() -> None:
+            await anext(signals)
+            nursery.cancel_scope.cancel()
+
+        nursery.start_soon(watch_signals)
+        await node.stop()
+        nursery.cancel_scope.cancel()
+
+
 def main() -> None:
     """Run the command line; exit with 2 for wrong settings."""
     try:
--- a/packages/node/src/boragetrestle_node/node.py
+++ b/packages/node/src/boragetrestle_node/node.py
@@ -14,16 +14,14 @@
 from boragetrestle_kernel.address import Address
 from boragetrestle_kernel.clock import SystemClock, WallClock
 from boragetrestle_kernel.fleet_state import FleetState
-from boragetrestle_kernel.http_server import (
-    HttpServerConnection,
-    RequestHandler,
-)
+from boragetrestle_kernel.http_limits import HttpLimits
 from boragetrestle_kernel.hybrid_clock import HybridClock
 from boragetrestle_kernel.ids import NodeId, TargetId
 from boragetrestle_kernel.network import Network
-from boragetrestle_kernel.settings import NodeSettings
+from boragetrestle_kernel.settings import ConnectionLimits, NodeSettings
 from boragetrestle_kernel.timeline import Timeline
 from boragetrestle_node.admin import Admin
+from boragetrestle_node.caller_connections import CallerConnections
 from boragetrestle_node.connection_pool import ConnectionPool
 from boragetrestle_node.connection_warmer import ConnectionWarmer
 from boragetrestle_node.control import Control
@@ -34,6 +32,7 @@
 from boragetrestle_node.forwarder import Forwarder
 from boragetrestle_node.freshness_gate import FreshnessGate
 from boragetrestle_node.gate import RateGate
+from boragetrestle_node.graceful_stop import GracefulStop
 from boragetrestle_node.guarded_calls import GuardedCalls
 from boragetrestle_node.guards import Guards
 from boragetrestle_node.identity import Identifier
@@ -56,6 +55,9 @@
 
 DEFAULT_POLICIES = Policies()
 
+_ADMIN_CONNECTIONS = 64
+_ADMIN_BODY_BYTES = 65_536
+
 
 class Node:
     """The process beside a target.
@@ -82,7 +84,11 @@
         self.in_flight: Counter[TargetId] = Counter()
         self.metrics = NodeMetrics()
         self.timeline = Timeline(HybridClock(wall_clock), node=settings.node)
-        self.identifier = Identifier(self.state, wall_clock)
+        self.identifier = Identifier(
+            self.state,
+            wall_clock,
+            own_hosts=settings.own_hosts,
+        )
         self.pool = ConnectionPool(network)
         store = guard_platform(
             platform,
@@ -189,6 +195,10 @@
             timeline=self.timeline,
             metrics=self.metrics,
             rng=self.rng,
+            connections=CallerConnections(
+                network,
+                bounds=settings.connections,
+            ),
         )
         self.admin = Admin(
             membership=self.membership,
@@ -197,12 +207,28 @@
             timeline=self.timeline,
             metrics=self.metrics,
             acks=self.control.acks,
+            entry=self.entry,
+            connections=CallerConnections(
+                network,
+                bounds=ConnectionLimits(total=_ADMIN_CONNECTIONS),
+                limits=HttpLimits(body_bytes=_ADMIN_BODY_BYTES),
+            ),
         )
 
     def count_nodes(self) -> int:
         """Return how many nodes the fleet has, as far as this one knows."""
         return self.control.members.present_count
 
+    async def stop(self) -> None:
+        """Leave the fleet without cutting a call; ``run`` is ended after."""
+        stopping = GracefulStop(
+            membership=self.membership,
+            entry=self.entry,
+            timeline=self.timeline,
+            timeout=self.settings.drain_timeout,
+        )
+        await stopping.run()
+
     async def run(
         self,
         *,
@@ -222,33 +248,14 @@
             nursery.start_soon(self.probe.run)
             await nursery.start(self.repeats.run)
             await nursery.start(
-                self._listen,
-                self.settings.listen.calls,
+                self.entry.connections.serve,
+                Address.parse(self.settings.listen.calls),
                 self.entry.handle,
             )
             await nursery.start(
-                self._listen,
-                self.settings.listen.admin,
+                self.admin.connections.serve,
+                Address.parse(self.settings.listen.admin),
                 self.admin.handle,
             )
             log_message(message_type='node:started', node=self.settings.node)
             task_status.started()
-
-    async def _listen(
-        self,
-        address: str,
-        handler: RequestHandler,
-        *,
-        task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED,
-    ) -> None:
-        async def serve(stream: trio.abc.Stream) -> None:
-            connection = HttpServerConnection(stream)
-            watch = self.network.watch(stream, connection.hang_up)
-            try:
-                await connection.serve(handler)
-            finally:
-                watch.cancel()
-
-        listener = await self.network.listen(Address.parse(address))
-        task_status.started()
-        await trio.serve_listeners(serve, [listener])
--- a/packages/standin/src/boragetrestle_standin/fleet.py
+++ b/packages/standin/src/boragetrestle_standin/fleet.py
@@ -165,10 +165,14 @@
         method: str = 'GET',
         body: bytes = b'',
         fields: Fields | None = None,
+        caller: str = _CALLER_HOST,
     ) -> Answer:
-        """Make one call at the node of a host on a new connection."""
+        """Make one call at the node of a host on a new connection.
+
+        ``caller`` is the IP address that the call comes from, in memory.
+        """
         address = host.calls_address
-        stream = await self.network_of(_CALLER_HOST).dial(address)
+        stream = await self.network_of(caller).dial(address)
         async with HttpClientConnection(stream) as connection:
             sent = [(b'host', str(address).encode()), *(fields or [])]
             if key:
--- a/tests/test_guarded_hop.py
+++ b/tests/test_guarded_hop.py
@@ -179,6 +179,7 @@
             walks,
             _PATH,
             fields=[(HEADER, _hop_context(run))],
+            caller=walks.target.address.host,
         )
     assert (through_guard.status, onward.status) == (200, 200)
     assert (after_hop, gate.checked) == (0, 1)
