--- a/packages/kernel/src/boragetrestle_kernel/hang_up.py
+++ b/packages/kernel/src/boragetrestle_kernel/hang_up.py
@@ -1,51 +1,75 @@
-"""Cancel work for callers that hang up."""
+"""Tell when peers close TCP connections, without a task for each."""
 
-from collections.abc import Awaitable, Callable
-from typing import Protocol, TypeVar
+import select
+from collections.abc import Callable
 
 import trio
 
-from boragetrestle_kernel.errors import HangUpError
+HangUpCallback = Callable[[], None]
 
-_Result = TypeVar('_Result')
+_CLOSED = select.EPOLLRDHUP | select.EPOLLHUP | select.EPOLLERR
+_ONCE = select.EPOLLONESHOT
 
 
-class Watchable(Protocol):
-    """A connection that can tell when its other side has closed."""
+class HangUpHandle:
+    """One watched connection."""
 
-    async def wait_hang_up(self) -> None:
-        """Return once the other side has closed."""
+    def __init__(
+        self,
+        watch: 'HangUpWatch',
+        descriptor: int,
+        on_hang_up: HangUpCallback,
+    ) -> None:
+        self.watch = watch
+        self.descriptor = descriptor
+        self.on_hang_up = on_hang_up
 
+    def cancel(self) -> None:
+        """Stop to watch; the descriptor may already serve another stream."""
+        if self.watch.handles.get(self.descriptor) is self:
+            self.watch.handles.pop(self.descriptor)
 
-async def while_connected(
-    connection: Watchable,
-    work: Callable[[], Awaitable[_Result]],
-) -> _Result:
-    """Return what the work returns; cancel it if the caller hangs up.
 
-    Raises ``HangUpError`` after a hang-up, and what the work raises. Nothing else
-    may read from the connection meanwhile.
+class HangUpWatch:
+    """Watch many sockets with one ``epoll`` object and one task.
+
+    A socket is registered once in its life, so a call costs nothing more. The
+    task is a system task of the present run of trio.
     """
-    results: list[_Result] = []
-    failure: Exception | None = None
-    async with trio.open_nursery() as nursery:
-        scope = nursery.cancel_scope
-        nursery.start_soon(_cancel_on_hang_up, connection, scope)
+
+    def __init__(self) -> None:
+        self.handles: dict[int, HangUpHandle] = {}
+        self.epoll: select.epoll | None = None
+        self.token: trio.lowlevel.TrioToken | None = None
+
+    def add(self, descriptor: int, on_hang_up: HangUpCallback) -> HangUpHandle:
+        """Call back once when the peer of a socket closes its side."""
+        epoll = self._started()
+        handle = HangUpHandle(self, descriptor, on_hang_up)
+        self.handles[descriptor] = handle
         try:
-            results.append(await work())
-        except Exception as error:
-            failure = error
-        scope.cancel()
-    if failure is not None:
-        raise failure
-    if not results:
-        raise HangUpError('the caller closed before its answer')
-    return results[0]
-
-
-async def _cancel_on_hang_up(
-    connection: Watchable,
-    scope: trio.CancelScope,
-) -> None:
-    await connection.wait_hang_up()
-    scope.cancel()
+            epoll.register(descriptor, _CLOSED | _ONCE)
+        except FileExistsError:
+            epoll.modify(descriptor, _CLOSED | _ONCE)
+        return handle
+
+    def _started(self) -> select.epoll:
+        token = trio.lowlevel.current_trio_token()
+        if self.epoll is None or self.token is not token:
+            self.handles.clear()
+            self.token = token
+            self.epoll = select.epoll()
+            trio.lowlevel.spawn_system_task(self._run, self.epoll)
+        return self.epoll
+
+    async def _run(self, epoll: select.epoll) -> None:
+        with epoll:
+            while True:
+                await trio.lowlevel.wait_readable(epoll.fileno())
+                self._tell(epoll.poll(0))
+
+    def _tell(self, events: list[tuple[int, int]]) -> None:
+        for descriptor, _ in events:
+            handle = self.handles.pop(descriptor, None)
+            if handle is not None:
+                handle.on_hang_up()
--- a/packages/node/src/boragetrestle_node/slot_guard.py
+++ b/packages/node/src/boragetrestle_node/slot_guard.py
@@ -6,7 +6,6 @@
 
 import trio
 
-from boragetrestle_kernel.hang_up import while_connected
 from boragetrestle_kernel.refusal import Refusal, RefusalCode, RefusedError
 from boragetrestle_kernel.target_record import TargetRecord
 from boragetrestle_node.call import Call
@@ -79,10 +78,7 @@
 
     @asynccontextmanager
     async def hold(self, call: Call) -> AsyncGenerator[Slot, None]:
-        """Hold a slot for a call; raise ``RefusedError`` if there is none.
-
-        Raises ``HangUpError`` if the caller hangs up while the call waits.
-        """
+        """Hold a slot for a call; raise ``RefusedError`` if there is none."""
         self.load.offered[call.call_class].add()
         await self._acquire(call)
         use = SlotUse(Slot(self.target.target_address), call, self.times)
@@ -123,7 +119,8 @@
             return
         waiter = self._enqueue(call, expected)
         try:
-            await self._wait(waiter, call)
+            with trio.move_on_at(waiter.give_up_at):
+                await waiter.decided.wait()
         except BaseException:
             self._forget(waiter)
             raise
@@ -150,15 +147,6 @@
             excess.decide(WaiterState.SHED)
         return waiter
 
-    async def _wait(self, waiter: Waiter, call: Call) -> None:
-        if waiter.decided.is_set():
-            return
-        with trio.move_on_at(waiter.give_up_at):
-            if call.caller is None:
-                await waiter.decided.wait()
-            else:
-                await while_connected(call.caller, waiter.decided.wait)
-
     def _forget(self, waiter: Waiter) -> None:
         if waiter.state is WaiterState.WAITING:
             self.queue.remove(waiter)
