--- a/packages/node/src/boragetrestle_node/admin.py
+++ b/packages/node/src/boragetrestle_node/admin.py
@@ -10,7 +10,10 @@
 
 from boragetrestle_kernel.acks import ACKS_PATH, AcksQuestion
 from boragetrestle_kernel.fleet_state import FleetState
+from boragetrestle_kernel.http_limits import HttpLimits
 from boragetrestle_kernel.http_server import HttpRequest, HttpServerConnection
+from boragetrestle_kernel.network import Network
+from boragetrestle_kernel.settings import ConnectionLimits
 from boragetrestle_kernel.timeline import Timeline
 from boragetrestle_node.ack_wave import AckWave
 from boragetrestle_node.announcement import Announcement
@@ -20,6 +23,8 @@
 from boragetrestle_node.membership import Membership
 from boragetrestle_node.metrics import NodeMetrics
 
+_MAX_CONNECTIONS = 64
+_MAX_BODY_BYTES = 65_536
 _JSON = [(b'content-type', b'application/json')]
 
 AdminHandler = Callable[['Admin', bytes], Awaitable[bytes]]
@@ -78,14 +83,18 @@
         metrics: NodeMetrics,
         acks: AckWave,
         entry: Entry,
-        connections: CallerConnections,
+        network: Network,
     ) -> None:
         settings = membership.settings
         credential = settings.operator_credential
         self.own_hosts = settings.own_hosts
         self.credential = credential.resolve() if credential else b''
         self.entry = entry
-        self.connections = connections
+        self.connections = CallerConnections(
+            network,
+            bounds=ConnectionLimits(total=_MAX_CONNECTIONS),
+            limits=HttpLimits(body_bytes=_MAX_BODY_BYTES),
+        )
         self.membership = membership
         self.identifier = identifier
         self.state = state
--- a/packages/node/src/boragetrestle_node/node.py
+++ b/packages/node/src/boragetrestle_node/node.py
@@ -14,11 +14,10 @@
 from boragetrestle_kernel.address import Address
 from boragetrestle_kernel.clock import SystemClock, WallClock
 from boragetrestle_kernel.fleet_state import FleetState
-from boragetrestle_kernel.http_limits import HttpLimits
 from boragetrestle_kernel.hybrid_clock import HybridClock
 from boragetrestle_kernel.ids import NodeId, TargetId
 from boragetrestle_kernel.network import Network
-from boragetrestle_kernel.settings import ConnectionLimits, NodeSettings
+from boragetrestle_kernel.settings import NodeSettings
 from boragetrestle_kernel.timeline import Timeline
 from boragetrestle_node.admin import Admin
 from boragetrestle_node.caller_connections import CallerConnections
@@ -56,9 +55,6 @@
 
 DEFAULT_POLICIES = Policies()
 
-_ADMIN_CONNECTIONS = 64
-_ADMIN_BODY_BYTES = 65_536
-
 
 class Node:
     """The process beside a target.
@@ -212,11 +208,7 @@
             metrics=self.metrics,
             acks=self.control.acks,
             entry=self.entry,
-            connections=CallerConnections(
-                network,
-                bounds=ConnectionLimits(total=_ADMIN_CONNECTIONS),
-                limits=HttpLimits(body_bytes=_ADMIN_BODY_BYTES),
-            ),
+            network=network,
         )
 
     def count_nodes(self) -> int:
