--- a/packages/kernel/src/boragetrestle_kernel/settings.py
+++ b/packages/kernel/src/boragetrestle_kernel/settings.py
@@ -9,6 +9,7 @@
 
 from boragetrestle_kernel.address import Address
 from boragetrestle_kernel.errors import SettingsError
+from boragetrestle_kernel.json_fault import JsonFaultError, decode_checked
 
 _LOOPBACK = ('127.0.0.1', '::1')
 _Seconds = Annotated[float, msgspec.Meta(gt=0, le=3600)]
@@ -101,8 +102,8 @@
 def parse_settings(raw: bytes) -> NodeSettings:
     """Return checked settings; raise ``SettingsError`` naming the field."""
     try:
-        settings = msgspec.json.decode(raw, type=NodeSettings)
-    except msgspec.DecodeError as error:
+        settings = decode_checked(raw, NodeSettings)
+    except JsonFaultError as error:
         raise SettingsError(
             str(error),
             remedy='correct this field of the settings',
@@ -111,9 +112,21 @@
         _check_ip(f'$.listen.{name}', getattr(settings.listen, name))
     for place, peer in enumerate(settings.peers):
         _check_ip(f'$.peers[{place}]', peer)
+    for place, host in enumerate(settings.target_hosts):
+        _check_host(f'$.target_hosts[{place}]', host)
     return settings
 
 
+def _check_host(where: str, text: str) -> None:
+    try:
+        ipaddress.ip_address(text)
+    except ValueError as error:
+        raise SettingsError(
+            f'{where} is {text!r}',
+            remedy='write it as an IP address, for instance 10.0.0.7',
+        ) from error
+
+
 def _check_ip(where: str, text: str) -> None:
     try:
         ipaddress.ip_address(Address.parse(text).host)
--- a/packages/kernel/src/boragetrestle_kernel/text_check.py
+++ b/packages/kernel/src/boragetrestle_kernel/text_check.py
@@ -1,17 +1,27 @@
 """Check the operators' text and turn it into typed values."""
 
 from collections import Counter
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 from graphlib import CycleError, TopologicalSorter
-
-import msgspec
+from typing import TypeVar
 
 from boragetrestle_kernel.errors import TextError
-from boragetrestle_kernel.service_text import ServiceText
+from boragetrestle_kernel.json_fault import (
+    JsonFault,
+    JsonFaultError,
+    decode_checked,
+)
+from boragetrestle_kernel.service_text import Route, ServiceText
 
 MAX_TEXT_BYTES = 1_048_576
 MAX_CHAIN_SERVICES = 32
 
+_REMEDY = "correct it; 'boragetrestle check --schema' prints the JSON Schema"
+
+RelationCheck = Callable[[ServiceText], None]
+_CHECKS: list[RelationCheck] = []
+_Check = TypeVar('_Check', bound=RelationCheck)
+
 
 def parse_text(raw: bytes) -> ServiceText:
     """Parse and check a services text.
@@ -22,64 +32,151 @@
     >>> parse_text(b'{"servicess": []}')
     Traceback (most recent call last):
         ...
-    boragetrestle_kernel.errors.TextError: Object contains unknown field \
-`servicess`; see the JSON Schema printed by 'boragetrestle check --schema'
+    boragetrestle_kernel.errors.TextError: $.servicess: found an unknown \
+field, expected no such field; correct it; 'boragetrestle check --schema' \
+prints the JSON Schema
     """
     if len(raw) > MAX_TEXT_BYTES:
-        raise TextError(
-            f'the text has {len(raw)} bytes',
-            remedy=f'keep it within {MAX_TEXT_BYTES} bytes',
+        raise _error(
+            '$',
+            f'a text of {len(raw)} bytes',
+            f'at most {MAX_TEXT_BYTES} bytes',
         )
     try:
-        text = msgspec.json.decode(raw, type=ServiceText)
-    except msgspec.DecodeError as error:
-        raise TextError(
-            str(error),
-            remedy="see the JSON Schema printed by 'boragetrestle check"
-            " --schema'",
-        ) from error
+        text = decode_checked(raw, ServiceText)
+    except JsonFaultError as error:
+        raise TextError(str(error), remedy=_REMEDY) from error
     check_relations(text)
     return text
 
 
 def check_relations(text: ServiceText) -> None:
-    """Raise ``TextError`` for duplicates, dangling dependencies and cycles."""
+    """Raise ``TextError`` for the first broken relation between fields."""
+    for check in _CHECKS:
+        check(text)
+
+
+def _relation(check: _Check) -> _Check:
+    _CHECKS.append(check)
+    return check
+
+
+@_relation
+def _check_names(text: ServiceText) -> None:
     _check_unique('$.services', (srv.name for srv in text.services))
     _check_unique('$.organisations', (org.name for org in text.organisations))
-    names = {srv.name for srv in text.services}
     for place, service in enumerate(text.services):
         where = f'$.services[{place}]'
         routes = (f'{rt.method} {rt.path}' for rt in service.routes)
         _check_unique(f'{where}.routes', routes)
+        _check_unique(
+            f'{where}.depends_on',
+            (dependency.service for dependency in service.depends_on),
+        )
+
+
+@_relation
+def _check_paths(text: ServiceText) -> None:
+    for place, service in enumerate(text.services):
+        for index, route in enumerate(service.routes):
+            _check_path(f'$.services[{place}].routes[{index}].path', route)
+
+
+@_relation
+def _check_dependencies(text: ServiceText) -> None:
+    names = {srv.name for srv in text.services}
+    for place, service in enumerate(text.services):
         for index, dependency in enumerate(service.depends_on):
             if dependency.service not in names:
-                raise TextError(
-                    f'{where}.depends_on[{index}].service is'
-                    f' {dependency.service!r}, which is no service',
-                    remedy='name a service of this text',
+                raise _error(
+                    f'$.services[{place}].depends_on[{index}].service',
+                    repr(dependency.service),
+                    'the name of a service of this text',
                 )
-    _check_acyclic(text)
 
 
-def _check_unique(where: str, names: Iterable[str]) -> None:
-    for name, count in Counter(names).items():
-        if count > 1:
-            raise TextError(
-                f'{where} has {name!r} {count} times',
-                remedy='use each name once',
-            )
+@_relation
+def _check_alternatives(text: ServiceText) -> None:
+    for place, service in enumerate(text.services):
+        groups = Counter(
+            dependency.alternative
+            for dependency in service.depends_on
+            if dependency.alternative
+        )
+        for group, count in groups.items():
+            if count == 1:
+                raise _error(
+                    f'$.services[{place}].depends_on',
+                    f'one service in the alternative group {group!r}',
+                    'at least two services that replace each other',
+                )
 
 
+@_relation
 def _check_acyclic(text: ServiceText) -> None:
-    graph = {
-        srv.name: {dep.service for dep in srv.depends_on}
-        for srv in text.services
-    }
     try:
-        TopologicalSorter(graph).prepare()
+        TopologicalSorter(_graph(text)).prepare()
     except CycleError as error:
         cycle = ' -> '.join(error.args[1])
-        raise TextError(
-            f'$.services has the cycle {cycle}',
-            remedy='remove one of these dependencies',
+        raise _error(
+            '$.services',
+            f'the cycle {cycle}',
+            'dependencies without a cycle',
         ) from error
+
+
+@_relation
+def _check_chains(text: ServiceText) -> None:
+    """Raise ``TextError`` for a chain that is too long.
+
+    The graph has no cycle when this runs. Services are measured from the
+    deepest on, so that a long chain does not exhaust the stack.
+    """
+    graph = _graph(text)
+    lengths: dict[str, int] = {}
+    for name in TopologicalSorter(graph).static_order():
+        below = (lengths[dependency] for dependency in graph[name])
+        lengths[name] = 1 + max(below, default=0)
+        if lengths[name] > MAX_CHAIN_SERVICES:
+            raise _error(
+                '$.services',
+                f'a chain of {lengths[name]} services from {name!r}',
+                f'chains of at most {MAX_CHAIN_SERVICES} services',
+            )
+
+
+def _graph(text: ServiceText) -> dict[str, set[str]]:
+    return {
+        srv.name: {dep.service for dep in srv.depends_on}
+        for srv in text.services
+    }
+
+
+def _check_path(where: str, route: Route) -> None:
+    segments = route.path.removeprefix('/').split('/')
+    if segments == ['']:
+        return
+    for place, segment in enumerate(segments):
+        is_last = place == len(segments) - 1
+        if segment == '**' and is_last or segment == '*':
+            continue
+        if segment in {'', '.', '..'} or '*' in segment or '?' in segment:
+            raise _error(
+                where,
+                repr(route.path),
+                "segments that are literal, '*', or '**' at the end",
+            )
+
+
+def _check_unique(where: str, names: Iterable[str]) -> None:
+    for name, count in Counter(names).items():
+        if count > 1:
+            raise _error(
+                where,
+                f'{name!r} {count} times',
+                'each name once',
+            )
+
+
+def _error(path: str, found: str, expected: str) -> TextError:
+    return TextError(str(JsonFault(path, found, expected)), remedy=_REMEDY)
--- a/packages/operate/src/boragetrestle/operator_settings.py
+++ b/packages/operate/src/boragetrestle/operator_settings.py
@@ -6,7 +6,8 @@
 import msgspec
 
 from boragetrestle_kernel.errors import SettingsError
-from boragetrestle_kernel.settings import PlatformSettings
+from boragetrestle_kernel.json_fault import JsonFaultError, decode_checked
+from boragetrestle_kernel.settings import Credential, PlatformSettings
 
 SETTINGS_VARIABLE = 'BORAGETRESTLE_SETTINGS'
 
@@ -16,10 +17,14 @@
     frozen=True,
     forbid_unknown_fields=True,
 ):
-    """How the command reaches the platform and who uses it."""
+    """How the command reaches the platform and who uses it.
+
+    ``operator_credential`` is the one that the nodes' settings name.
+    """
 
     platform: PlatformSettings
     operator: str = 'operator'
+    operator_credential: Credential | None = None
 
 
 def load_settings() -> OperatorSettings:
@@ -31,11 +36,8 @@
             remedy='set it to a JSON file with the field "platform"',
         )
     try:
-        return msgspec.json.decode(
-            Path(path).read_bytes(),
-            type=OperatorSettings,
-        )
-    except msgspec.DecodeError as error:
+        return decode_checked(Path(path).read_bytes(), OperatorSettings)
+    except JsonFaultError as error:
         raise SettingsError(
             f'{path}: {error}',
             remedy='correct this field',
