Record the path of each call, apart from rare decisions

Ruled out: sampling calls (explain must know any recent call); a ring bounded by bytes (strings are cut at 256 characters, so the count bounds the bytes). Change: Timeline keeps call events in a ring of their own; Entry and Dispatcher record entered, sent (target, direct or through its guard) and answered, with the origin of calls from within the fleet; POST /v1/timeline takes an EventFilter.

--- a/packages/kernel/src/boragetrestle_kernel/timeline.py
+++ b/packages/kernel/src/boragetrestle_kernel/timeline.py
@@ -11,6 +11,8 @@
 
 DEFAULT_EVENTS = 4096
 
+_MAX_CHARACTERS = 256
+
 
 class EventKind(Enum):
     """What an event tells."""
@@ -50,8 +52,17 @@
     subject: str = ''
 
 
+_CALL_KINDS = frozenset(
+    kind for kind in EventKind if kind.value.startswith('call-')
+)
+
+
 class Timeline:
-    """Keep the newest events of a process."""
+    """Keep the newest events of a process, bounded in count and length.
+
+    Events of calls have a ring of their own, so that many calls do not push
+    out rare decisions.
+    """
 
     def __init__(
         self,
@@ -63,6 +74,15 @@
         self.clock = clock
         self.node = node
         self.ring: deque[Event] = deque(maxlen=size)
+        self.calls: deque[Event] = deque(maxlen=size)
+
+    @property
+    def events(self) -> list[Event]:
+        """All kept events in order of time."""
+        return sorted(
+            (*self.ring, *self.calls),
+            key=lambda event: (event.micros, event.counter),
+        )
 
     def record(
         self,
@@ -76,13 +96,14 @@
     ) -> None:
         """Add an event stamped now."""
         stamp = self.clock.tick()
-        self.ring.append(
+        ring = self.calls if kind in _CALL_KINDS else self.ring
+        ring.append(
             Event(
                 micros=stamp.micros,
                 counter=stamp.counter,
                 node=self.node,
                 kind=kind,
-                reason=reason,
+                reason=reason[:_MAX_CHARACTERS],
                 call=call,
                 organisation=organisation,
                 service=service,
--- a/packages/node/src/boragetrestle_node/admin.py
+++ b/packages/node/src/boragetrestle_node/admin.py
@@ -9,6 +9,7 @@
 import msgspec
 
 from boragetrestle_kernel.acks import ACKS_PATH, AcksQuestion
+from boragetrestle_kernel.event_filter import EventFilter
 from boragetrestle_kernel.fleet_state import FleetState
 from boragetrestle_kernel.http_limits import HttpLimits
 from boragetrestle_kernel.http_server import HttpRequest, HttpServerConnection
@@ -176,8 +177,14 @@
 
 
 @_serves(b'GET', b'/v1/timeline', Access.OPERATOR)
-async def _timeline(admin: Admin, _body: bytes) -> bytes:
-    return msgspec.json.encode(list(admin.timeline.ring))
+async def _whole_timeline(admin: Admin, _body: bytes) -> bytes:
+    return msgspec.json.encode(admin.timeline.events)
+
+
+@_serves(b'POST', b'/v1/timeline', Access.OPERATOR)
+async def _timeline(admin: Admin, body: bytes) -> bytes:
+    wanted = msgspec.json.decode(body, type=EventFilter)
+    return msgspec.json.encode(wanted.choose(admin.timeline.events))
 
 
 @_serves(b'POST', ACKS_PATH.encode())
--- a/packages/node/src/boragetrestle_node/call.py
+++ b/packages/node/src/boragetrestle_node/call.py
@@ -8,6 +8,9 @@
 from boragetrestle_kernel.ids import CallId, KeyId, OrgId, ServiceName
 from boragetrestle_kernel.service_text import Route
 
+GUARDED = 'guarded hop'
+ONWARD = 'onward call'
+
 
 @dataclass(slots=True)
 class Call:
@@ -33,6 +36,13 @@
     is_sent: bool = False
     is_guarded: bool = False
 
+    @property
+    def origin(self) -> str:
+        """What sent the call here, empty for a caller outside the fleet."""
+        if self.is_guarded:
+            return GUARDED
+        return ONWARD if self.depth else ''
+
     @property
     def remaining(self) -> float:
         """Seconds until the deadline."""
--- a/packages/node/src/boragetrestle_node/dispatcher.py
+++ b/packages/node/src/boragetrestle_node/dispatcher.py
@@ -21,6 +21,9 @@
 from boragetrestle_node.target_choice import TargetChoice
 from boragetrestle_node.target_watch import TargetWatch
 
+_DIRECT = 'direct'
+_THROUGH_GUARD = 'through its guard'
+
 
 class Dispatching(NamedTuple):
     """The parts that a dispatcher decides with."""
@@ -61,7 +64,8 @@
             delay = self._next_delay(run, forwarded)
             if delay is None:
                 raise RefusedError(refusal_of(call, forwarded))
-            self._record_retry(call, target, forwarded)
+            reason = forwarded.attempt.value
+            self._record(EventKind.CALL_RETRIED, call, target, reason)
             await trio.sleep(delay)
 
     def _choose(self, run: CallRun) -> TargetRecord | None:
@@ -82,6 +86,8 @@
             try:
                 async with self.parts.slots.hold(run.call, target) as slot:
                     run.call.is_sent = True
+                    way = _THROUGH_GUARD if slot.is_guarded else _DIRECT
+                    self._record(EventKind.CALL_SENT, run.call, target, way)
                     slot.forwarded = await self._forward(
                         run,
                         slot,
@@ -149,15 +155,16 @@
             return None
         return self.parts.retries.next_delay(run.call, failure)
 
-    def _record_retry(
+    def _record(
         self,
+        kind: EventKind,
         call: Call,
         target: TargetRecord,
-        forwarded: Forwarded,
+        reason: str,
     ) -> None:
         self.parts.timeline.record(
-            EventKind.CALL_RETRIED,
-            reason=forwarded.attempt.value,
+            kind,
+            reason=reason,
             call=call.call_id,
             organisation=call.organisation,
             service=call.service,
--- a/packages/node/src/boragetrestle_node/entry.py
+++ b/packages/node/src/boragetrestle_node/entry.py
@@ -105,6 +105,12 @@
         request: HttpRequest,
         connection: HttpServerConnection,
     ) -> None:
+        self._record(
+            EventKind.CALL_ENTERED,
+            call,
+            reason=call.origin,
+            subject=call.route.path,
+        )
         for gate in () if call.is_guarded else self.gates:
             gate.check(call)
         serve = (
@@ -117,6 +123,7 @@
         if scope.cancelled_caught:
             raise RefusedError(Refusal(RefusalCode.DEADLINE))
         self.metrics.answered(call)
+        self._record(EventKind.CALL_ANSWERED, call, subject=call.origin)
 
     def _admit(self, call: Call, connection: HttpServerConnection) -> None:
         """Refuse calls that enter while the node drains or is full."""
@@ -146,12 +153,23 @@
     def _abandon(self, call: Call, reason: str) -> None:
         """Record a call that its caller broke off."""
         self.metrics.abandoned(call, reason)
+        self._record(EventKind.CALL_ABANDONED, call, reason=reason)
+
+    def _record(
+        self,
+        kind: EventKind,
+        call: Call,
+        *,
+        reason: str = '',
+        subject: str = '',
+    ) -> None:
         self.timeline.record(
-            EventKind.CALL_ABANDONED,
+            kind,
             reason=reason,
             call=call.call_id,
             organisation=call.organisation,
             service=call.service,
+            subject=subject,
         )
 
     async def _refuse(
@@ -171,6 +189,7 @@
             call=call_id,
             organisation=call.organisation if call else '',
             service=call.service if call else '',
+            subject=call.origin if call else '',
         )
         if connection.has_started_answer:
             await connection.aclose()
