Give operators the whole command, with exit codes and a report of a night

Cause: only check, apply, key give, key withdraw and trial existed, and every error ended with 2. Ruled out: one file for all commands; retrying an apply that lost a race (an operator reads the difference first). The trial polls in place of sleeping, shows four organisations, one over its rate, no key, withdrawal, drain and a time line excerpt, and exits with 1 if an expectation fails.

--- /dev/null
+++ b/packages/operate/src/boragetrestle/command_timeline.py
@@ -0,0 +1,127 @@
+"""Commands on the time lines of nodes."""
+
+from pathlib import Path
+
+import msgspec
+
+from boragetrestle.commands import command
+from boragetrestle.exit_code import ExitCode
+from boragetrestle.gather import Gathered, gather
+from boragetrestle.output import (
+    print_error,
+    print_json,
+    print_line,
+    print_table,
+)
+from boragetrestle.session import Session, run_session
+from boragetrestle_kernel.event_filter import EventFilter
+from boragetrestle_kernel.timeline import Event
+from boragetrestle_kernel.wall_time import show_time
+
+_COLUMNS = ('time', 'node', 'event', 'reason', 'about')
+_MICROSECONDS = 1_000_000
+_SHOWN_CALL = 8
+
+
+@command('timeline')
+def timeline(
+    *,
+    call: str = '',
+    organisation: str = '',
+    service: str = '',
+    node: str = '',
+    kind: str = '',
+    limit: int = 200,
+    html: Path | None = None,
+    json: bool = False,
+) -> int:
+    """Merge the events of all nodes by time.
+
+    Example: boragetrestle timeline --kind call-refused --html night.html
+
+    :param call: only events of this call
+    :param organisation: only events of this organisation
+    :param service: only events of this service
+    :param node: only events of this node
+    :param kind: only events of this kind, for instance target-ejected
+    :param limit: how many events to show, the newest
+    :param html: write a report with charts to this file
+    :param json: print JSON
+    """
+    wanted = EventFilter(
+        call=call,
+        organisation=organisation,
+        service=service,
+        node=node,
+        kind=kind,
+        limit=limit,
+    )
+    found = _gather(wanted)
+    if html is not None:
+        # The plotting library takes a second to import.
+        from boragetrestle.night_report import write_report
+
+        write_report(found.events, html)
+        print_line(f'{len(found.events)} events drawn in {html}')
+        return _exit_code(found)
+    return _report('time line', found, json=json)
+
+
+@command('explain')
+def explain(call_id: str, *, json: bool = False) -> int:
+    """Show what each node decided about one call, and why.
+
+    Example: boragetrestle explain 5b2f6c0e4f5d4b6c9a3e8d7f6a5b4c3d
+
+    :param call_id: value of the answer's header boragetrestle-call
+    :param json: print JSON
+    """
+    found = _gather(EventFilter(call=call_id))
+    exit_code = _report(f'call {call_id}', found, json=json)
+    if not found.events:
+        print_error('no node remembers this call; rings keep the newest only')
+        return ExitCode.REFUSED
+    return exit_code
+
+
+def _gather(wanted: EventFilter) -> Gathered:
+    async def work(session: Session) -> Gathered:
+        return await gather(session, wanted)
+
+    return run_session(work)
+
+
+def _report(title: str, found: Gathered, *, json: bool) -> int:
+    if json:
+        print_json({
+            'events': msgspec.to_builtins(found.events),
+            'asked': found.asked,
+            'silent': found.silent,
+        })
+    else:
+        print_table(title, _COLUMNS, map(_row, found.events))
+        answered = found.asked - len(found.silent)
+        print_line(f'{answered} of {found.asked} nodes answered')
+    if found.silent and not json:
+        print_line(f'no answer from: {", ".join(found.silent)}')
+    return _exit_code(found)
+
+
+def _exit_code(found: Gathered) -> int:
+    return ExitCode.UNREACHABLE if found.silent else ExitCode.DONE
+
+
+def _row(event: Event) -> tuple[str, ...]:
+    about = (
+        event.call[:_SHOWN_CALL],
+        event.organisation,
+        event.service,
+        event.subject,
+    )
+    return (
+        show_time(event.micros / _MICROSECONDS),
+        event.node,
+        event.kind.value,
+        event.reason,
+        ' '.join(part for part in about if part),
+    )
--- /dev/null
+++ b/packages/operate/src/boragetrestle/command_trial.py
@@ -0,0 +1,50 @@
+"""The command that runs the example texts."""
+
+import trio
+
+from boragetrestle.commands import command
+from boragetrestle.exit_code import ExitCode
+from boragetrestle.output import print_json, print_line, print_table
+from boragetrestle.trial import Trial, TrialReport
+
+_EXAMPLES = ('caroni', 'kalahari')
+_STEPS = ('step', 'organisation', 'outcomes')
+_EVENTS = ('node', 'event', 'reason', 'organisation', 'subject')
+
+
+@command('trial')
+def trial(*, json: bool = False) -> int:
+    """Run both example texts on an embedded platform and show the calls.
+
+    Exits with 1 if an expectation is not met.
+
+    Example: boragetrestle trial
+
+    :param json: print JSON
+    """
+    reports = [trio.run(Trial(name).run) for name in _EXAMPLES]
+    for report in reports:
+        if json:
+            print_json(report._asdict())
+        else:
+            _print_report(report)
+    has_failed = any(report.failures for report in reports)
+    return ExitCode.DIFFERENT if has_failed else ExitCode.DONE
+
+
+def _print_report(report: TrialReport) -> None:
+    rows = [
+        (
+            row.step,
+            row.organisation,
+            ', '.join(
+                f'{outcome}: {count}'
+                for outcome, count in sorted(row.outcomes.items())
+            ),
+        )
+        for row in report.rows
+    ]
+    print_table(report.name, _STEPS, rows)
+    print_table('from the time line', _EVENTS, report.events)
+    for failure in report.failures:
+        print_line(f'expected otherwise: {failure}')
--- a/packages/operate/src/boragetrestle/operator.py
+++ b/packages/operate/src/boragetrestle/operator.py
@@ -7,13 +7,14 @@
 import msgspec
 
 from boragetrestle_kernel.change import (
+    Change,
     KeyGiven,
     KeyWithdrawn,
     SecretAdded,
     TextApplied,
 )
 from boragetrestle_kernel.digest import digest_key, new_key
-from boragetrestle_kernel.errors import TextError
+from boragetrestle_kernel.errors import ConflictError, TextError
 from boragetrestle_kernel.fleet_state import FleetState
 from boragetrestle_kernel.ids import KeyId, OrgId, Version
 from boragetrestle_kernel.member_record import NODE_PREFIX, MemberRecord
@@ -51,9 +52,35 @@
                 state.apply(change)
         return state
 
-    async def apply(self, text: ServiceText) -> Version:
-        """Put a services text in force; raise ``ConflictError`` on a race."""
+    async def history(self, *, limit: int) -> list[Change]:
+        """Return the newest changes, oldest first."""
+        head = await self.log.head()
+        changes: list[Change] = []
+        reached = Version(max(0, head.version - limit))
+        while reached < head.version:
+            found = await self.log.after(reached)
+            changes.extend(found)
+            reached = found[-1].version
+        return changes[-limit:]
+
+    async def apply(
+        self,
+        text: ServiceText,
+        *,
+        expected: int | None = None,
+    ) -> Version:
+        """Put a services text in force.
+
+        Raises ``ConflictError`` if another operator was first, or if a version
+        is expected and another is in force.
+        """
         state = await self.state()
+        if expected not in {None, state.version}:
+            raise ConflictError(
+                f'version {expected} was expected, but {state.version} is in'
+                ' force',
+                remedy="look at 'boragetrestle diff' and apply again",
+            )
         if not state.secrets:
             secret = SecretAdded(1, secrets.token_bytes(_SECRET_BYTES))
             await self._append(secret, state.version)
--- a/packages/operate/src/boragetrestle/trial.py
+++ b/packages/operate/src/boragetrestle/trial.py
@@ -1,6 +1,7 @@
 """Run the whole path in one process on the embedded platform."""
 
 from collections import Counter
+from collections.abc import Callable
 from importlib.resources import files
 from typing import NamedTuple
 
@@ -8,8 +9,9 @@
 
 from boragetrestle.operator import Operator
 from boragetrestle_kernel.network import Network, TcpNetwork
-from boragetrestle_kernel.service_text import ServiceText
+from boragetrestle_kernel.service_text import Organisation, ServiceText
 from boragetrestle_kernel.text_check import parse_text
+from boragetrestle_kernel.timeline import Event, EventKind
 from boragetrestle_platform.memory_objects import MemoryObjects
 from boragetrestle_platform.memory_table import MemoryTable
 from boragetrestle_platform.platform import Platform
@@ -18,8 +20,17 @@
 
 _DOMAINS = ('a', 'b', 'c')
 _TARGETS_PER_SERVICE = 2
-_SETTLE_SECONDS = 2.5
 _CALLS_PER_ROUND = 20
+_SHOWN_ORGANISATIONS = 4
+_OVER_RATE = 2.5
+_IN_FORCE_SECONDS = 6.0
+_DRAIN_SECONDS = 2.5
+_POLL_SECONDS = 0.05
+_SHOWN_EVENTS = 12
+_NO_KEY = ''
+_OK = '200'
+_REFUSED_KEY = 'not-authorised'
+_REFUSED_RATE = 'rate-exceeded'
 
 
 class TrialRow(NamedTuple):
@@ -30,10 +41,20 @@
     outcomes: dict[str, int]
 
 
+class TrialReport(NamedTuple):
+    """What a trial showed, and which expectations were not met."""
+
+    name: str
+    rows: list[TrialRow]
+    events: list[tuple[str, ...]]
+    failures: list[str]
+
+
 class Trial:
     """A small fleet that runs one example text."""
 
     def __init__(self, name: str, *, network: Network | None = None) -> None:
+        self.name = name
         self.text = example_text(name)
         platform = Platform(MemoryTable(), MemoryObjects())
         self.operator = Operator(platform, name='trial')
@@ -42,48 +63,130 @@
             network=network or TcpNetwork(),
             platform=platform,
         )
+        self.keys: dict[str, str] = {}
         self.rows: list[TrialRow] = []
+        self.failures: list[str] = []
 
-    async def run(self) -> list[TrialRow]:
+    async def run(self) -> TrialReport:
         """Run every step and return what was seen."""
         await self.operator.apply(self.text)
         async with trio.open_nursery() as nursery:
             await self.fleet.start(nursery)
-            await trio.sleep(_SETTLE_SECONDS)
             await self._use_fleet()
             nursery.cancel_scope.cancel()
-        return self.rows
+        return TrialReport(
+            self.name,
+            self.rows,
+            [_show(event) for event in self._newest_events()],
+            self.failures,
+        )
 
     async def _use_fleet(self) -> None:
-        first, second = (org.name for org in self.text.organisations[:2])
-        given = await self.operator.give_key(first)
-        other = await self.operator.give_key(second)
-        await trio.sleep(_SETTLE_SECONDS)
-        await self._round('calls with keys', first, given.key)
-        await self._round('calls with keys', second, other.key)
-        await self.operator.withdraw_key(given.key_id)
-        await trio.sleep(_SETTLE_SECONDS)
-        await self._round('after the key is withdrawn', first, given.key)
-        await self._drain_first(second, other.key)
-
-    async def _drain_first(self, organisation: str, key: str) -> None:
+        shown = self.text.organisations[:_SHOWN_ORGANISATIONS]
+        smallest = min(self.text.organisations, key=_burst_of)
+        withdrawn = await self._give_keys({*shown, smallest}, shown[0])
+        for organisation in shown:
+            await self._round('calls with keys', organisation.name, {_OK})
+        await self._round('calls without a key', _NO_KEY, {_REFUSED_KEY})
+        await self._exceed_rate(smallest)
+        await self._withdraw(withdrawn, shown[0].name)
+        await self._drain_first(shown[1].name)
+
+    async def _give_keys(
+        self,
+        organisations: set[Organisation],
+        first: Organisation,
+    ) -> str:
+        """Give a key to each organisation; return the id of the first's."""
+        first_id = ''
+        for organisation in sorted(organisations, key=_name_of):
+            given = await self.operator.give_key(organisation.name)
+            self.keys[organisation.name] = given.key
+            if organisation == first:
+                first_id = given.key_id
+        await self._until_in_force()
+        return first_id
+
+    async def _exceed_rate(self, organisation: Organisation) -> None:
+        calls = round(organisation.burst * _OVER_RATE)
+        await self._round(
+            f'{_OVER_RATE} times its burst at once',
+            organisation.name,
+            {_OK, _REFUSED_RATE},
+            calls=calls,
+        )
+
+    async def _withdraw(self, key_id: str, organisation: str) -> None:
+        await self.operator.withdraw_key(key_id)
+        await self._until_in_force()
+        step = 'after the key is withdrawn'
+        await self._round(step, organisation, {_REFUSED_KEY})
+
+    async def _drain_first(self, organisation: str) -> None:
         drained = self.fleet.hosts[0]
         await drained.node.membership.drain()
-        await trio.sleep(_SETTLE_SECONDS)
+        await trio.sleep(_DRAIN_SECONDS)
         before = drained.target.calls.total()
-        await self._round('after a target drained', organisation, key)
+        step = 'after a target drained'
+        await self._round(step, organisation, {_OK})
         served = drained.target.calls.total() - before
-        outcomes = {'calls at the drained target': served}
-        self.rows.append(TrialRow('after a target drained', '', outcomes))
-
-    async def _round(self, step: str, organisation: str, key: str) -> None:
+        self._expect(f'{served} new calls at a drained target', not served)
+
+    async def _round(
+        self,
+        step: str,
+        organisation: str,
+        expected: set[str],
+        *,
+        calls: int = _CALLS_PER_ROUND,
+    ) -> None:
+        """Make calls at once, and expect every one of some outcomes."""
         outcomes: Counter[str] = Counter()
-        path = self._path()
-        for place in range(_CALLS_PER_ROUND):
+
+        async def call(place: int) -> None:
             host = self.fleet.hosts[place % len(self.fleet.hosts)]
-            answer = await self.fleet.call(host, path, key=key)
+            key = self.keys.get(organisation, _NO_KEY)
+            answer = await self.fleet.call(host, self._path(), key=key)
             outcomes[answer.code or str(answer.status)] += 1
+
+        async with trio.open_nursery() as nursery:
+            for place in range(calls):
+                nursery.start_soon(call, place)
         self.rows.append(TrialRow(step, organisation, dict(outcomes)))
+        self._expect(f'{step}: {dict(outcomes)}', set(outcomes) == expected)
+
+    def _expect(self, shown: str, is_met: bool) -> None:
+        if not is_met:
+            self.failures.append(shown)
+
+    async def _until_in_force(self) -> None:
+        state = await self.operator.state()
+        await self._until(
+            lambda: all(
+                host.node.state.version >= state.version
+                for host in self.fleet.hosts
+            ),
+        )
+
+    async def _until(self, holds: Callable[[], bool]) -> None:
+        with trio.move_on_after(_IN_FORCE_SECONDS):
+            while not holds():
+                await trio.sleep(_POLL_SECONDS)
+        self._expect('in force everywhere in time', holds())
+
+    def _newest_events(self) -> list[Event]:
+        """Return one event of each kind and reason, in order of time."""
+        events = sorted(
+            (
+                event
+                for host in self.fleet.hosts
+                for event in host.node.timeline.events
+                if event.kind is not EventKind.CHANGE_IN_FORCE
+            ),
+            key=lambda event: (event.micros, event.counter),
+        )
+        newest = {(event.kind, event.reason): event for event in events}
+        return list(newest.values())[-_SHOWN_EVENTS:]
 
     def _path(self) -> str:
         service = self.text.services[0]
@@ -104,3 +207,22 @@
     """Return one of the texts that ship with the command."""
     path = files('boragetrestle') / 'texts' / f'{name}.json'
     return parse_text(path.read_bytes())
+
+
+def _burst_of(organisation: Organisation) -> float:
+    return organisation.burst
+
+
+def _name_of(organisation: Organisation) -> str:
+    return organisation.name
+
+
+def _show(event: Event) -> tuple[str, ...]:
+    subject = event.subject or event.service
+    return (
+        event.node,
+        event.kind.value,
+        event.reason,
+        event.organisation,
+        subject,
+    )
