--- a/packages/bench/src/boragetrestle_bench/added_time_bench.py
+++ b/packages/bench/src/boragetrestle_bench/added_time_bench.py
@@ -39,7 +39,7 @@
 _CONNECTIONS = (1, 32, 256)
 _TARGET_ADDED_MS = 1.3
 _PERCENTILES = (50, 90, 99)
-_TEXT = ServiceText(
+SERVICE_TEXT = ServiceText(
     services=(
         Service(
             _SERVICE,
@@ -73,9 +73,10 @@
         return float(through - direct) * _MS
 
 
-async def _timed_call(
+async def timed_call(
     connection: HttpClientConnection, address: Address
 ) -> float:
+    """Make one call with the key in force and return its seconds."""
     started_at = trio.current_time()
     response = await connection.request(
         b'GET',
@@ -121,16 +122,16 @@
     pair: Pair, direct: Address, through: Address, rng: random.Random
 ) -> tuple[float, float]:
     if rng.getrandbits(1):
-        first = await _timed_call(pair.direct, direct)
-        return first, await _timed_call(pair.through, through)
-    second = await _timed_call(pair.through, through)
-    return await _timed_call(pair.direct, direct), second
+        first = await timed_call(pair.direct, direct)
+        return first, await timed_call(pair.through, through)
+    second = await timed_call(pair.through, through)
+    return await timed_call(pair.direct, direct), second
 
 
 async def _run(body: int, connections: int) -> Timings:
     async with ProcessFleet() as fleet:
         await fleet.start([HostPlan(_SERVICE, body=b'x' * body)])
-        await configure_processes(fleet, _TEXT)
+        await configure_processes(fleet, SERVICE_TEXT)
         await trio.sleep(_SETTLE_SECONDS)
         at = fleet.hosts[0].addresses
         pairs = _PAIRS_OF_LARGE if body == _LARGE_BYTES else _PAIRS
