Fill measured figures into pages by a command

Cause: the capacity page is to be made anew by one command. Change: 'fill' replaces placeholders that name a benchmark and a figure.

--- a/packages/bench/src/boragetrestle_bench/command.py
+++ b/packages/bench/src/boragetrestle_bench/command.py
@@ -12,6 +12,7 @@
 
 import boragetrestle_bench
 from boragetrestle_bench.known_red import load_known_red
+from boragetrestle_bench.page_template import fill_page
 from boragetrestle_bench.policy_sets import CURRENT, POLICY_SETS
 from boragetrestle_bench.registry import BENCHMARKS
 from boragetrestle_bench.report import Report
@@ -80,10 +81,7 @@
     :param known_red: list of bounds that are known to be broken
     :param as_json: print JSON for programs
     """
-    results = [
-        msgspec.json.decode(path.read_bytes(), type=Result)
-        for path in sorted(folder.glob('*.json'))
-    ]
+    results = _load_results(folder)
     found = Report.of_results(results)
     if as_json:
         sys.stdout.write(f'{msgspec.json.encode(results).decode()}\n')
@@ -100,6 +98,23 @@
         sys.exit(1)
 
 
+def fill(template: Path, folder: Path, page: Path) -> None:
+    """Fill the figures of results into a page.
+
+    :param template: text with placeholders like {{benchmark: figure}}
+    :param folder: folder with the results of ``run``
+    :param page: page to write
+    """
+    page.write_text(fill_page(template.read_text(), _load_results(folder)))
+
+
+def _load_results(folder: Path) -> list[Result]:
+    return [
+        msgspec.json.decode(path.read_bytes(), type=Result)
+        for path in sorted(folder.glob('*.json'))
+    ]
+
+
 def load_benchmarks() -> None:
     """Import every module of the package that registers benchmarks."""
     for module in pkgutil.iter_modules(boragetrestle_bench.__path__):
@@ -110,4 +125,4 @@
 def main() -> None:
     """Run the command line."""
     load_benchmarks()
-    defopt.run({'names': names, 'run': run, 'report': report})
+    defopt.run({'names': names, 'run': run, 'report': report, 'fill': fill})
--- a/tests/test_bench.py
+++ b/tests/test_bench.py
@@ -8,6 +8,7 @@
     worst_share,
 )
 from boragetrestle_bench.outcome import Outcome
+from boragetrestle_bench.page_template import fill_page
 from boragetrestle_bench.report import Report
 from boragetrestle_bench.result import Result
 
@@ -77,3 +78,8 @@
     (row,) = Report.of_results(results).rows
     assert row.baseline == 0.2
     assert row.earlier is None
+
+
+def test_page_shows_the_figure_of_its_placeholder():
+    result = _result(Figure('refused', 0.25))
+    assert fill_page('{{example: refused}} s', [result]) == '0.25 s'
