Meet bad input with typed refusals, and start-up faults with the remedy

Cause: a long secret number in a context header raised ValueError, an announcement with a wrong address was accepted and failed every later call, an unexpected fault in one connection ended the node, and a taken address ended it with a traceback. Ruled out: validating the address at each call; letting trio end the process and a supervisor restart it (every running call would be cut). Change: bounded number, checked announcement, CallerConnections logs a fault and closes that connection only; boragetrestle-node exits with 3 and names the field, the variable or the address.

--- a/packages/kernel/src/boragetrestle_kernel/context.py
+++ b/packages/kernel/src/boragetrestle_kernel/context.py
@@ -17,6 +17,7 @@
 HEADER = b'boragetrestle-context'
 
 _SIGNATURE_BYTES = 16
+_MAX_NUMBER_DIGITS = 9
 
 
 class ContextPurpose(Enum):
@@ -83,7 +84,8 @@
         """Return the context; raise ``ContextError`` unless it is valid."""
         number, _, rest = header.partition(b'.')
         body, _, signature = rest.partition(b'.')
-        secret = self.secrets.get(int(number)) if number.isdigit() else None
+        is_number = number.isdigit() and len(number) <= _MAX_NUMBER_DIGITS
+        secret = self.secrets.get(int(number)) if is_number else None
         if secret is None:
             raise ContextError('the context names no known secret')
         if not hmac.compare_digest(_signature(secret, body), signature):
--- a/packages/kernel/src/boragetrestle_kernel/network.py
+++ b/packages/kernel/src/boragetrestle_kernel/network.py
@@ -9,7 +9,7 @@
 import trio
 
 from boragetrestle_kernel.address import Address
-from boragetrestle_kernel.errors import DialError
+from boragetrestle_kernel.errors import DialError, SettingsError
 from boragetrestle_kernel.hang_up import HangUpCallback, HangUpWatch
 
 _BACKLOG_CONNECTIONS = 1024
@@ -69,11 +69,17 @@
         address: Address,
     ) -> trio.abc.Listener[trio.abc.Stream]:
         """Start to accept connections at an address."""
-        listeners = await trio.open_tcp_listeners(
-            address.port,
-            host=address.host,
-            backlog=_BACKLOG_CONNECTIONS,
-        )
+        try:
+            listeners = await trio.open_tcp_listeners(
+                address.port,
+                host=address.host,
+                backlog=_BACKLOG_CONNECTIONS,
+            )
+        except OSError as error:
+            raise SettingsError(
+                f'no listener at {address}: {error}',
+                remedy='free this address or set another one in the settings',
+            ) from error
         return listeners[0]
 
     def watch(
--- a/packages/node/src/boragetrestle_node/admin.py
+++ b/packages/node/src/boragetrestle_node/admin.py
@@ -9,6 +9,8 @@
 import msgspec
 
 from boragetrestle_kernel.acks import ACKS_PATH, AcksQuestion
+from boragetrestle_kernel.address import Address
+from boragetrestle_kernel.errors import SettingsError
 from boragetrestle_kernel.event_filter import EventFilter
 from boragetrestle_kernel.fleet_state import FleetState
 from boragetrestle_kernel.http_limits import HttpLimits
@@ -119,7 +121,7 @@
             return
         try:
             answer = await served.handler(self, body)
-        except msgspec.DecodeError as error:
+        except (msgspec.DecodeError, SettingsError) as error:
             reason = msgspec.json.encode({'error': str(error)})
             await connection.answer(
                 HTTPStatus.BAD_REQUEST.value,
@@ -151,6 +153,7 @@
 @_serves(b'POST', b'/v1/target', Access.TARGET)
 async def _announce(admin: Admin, body: bytes) -> bytes:
     announcement = msgspec.json.decode(body, type=Announcement)
+    Address.parse(announcement.address)
     admin.identifier.own_services.add(announcement.service)
     record = await admin.membership.announce(announcement)
     return msgspec.json.encode(record)
--- a/packages/node/src/boragetrestle_node/caller_connections.py
+++ b/packages/node/src/boragetrestle_node/caller_connections.py
@@ -1,9 +1,11 @@
 """The open connections of callers, bounded in all and by organisation."""
 
+import traceback
 from collections import Counter
 from functools import partial
 
 import trio
+from eliot import log_message
 
 from boragetrestle_kernel.address import Address
 from boragetrestle_kernel.http_limits import DEFAULT_LIMITS, HttpLimits
@@ -38,6 +40,7 @@
         self.open: set[HttpServerConnection] = set()
         self.by_owner: Counter[str] = Counter()
         self.is_finishing = False
+        self.faults = 0
         self.accepting = trio.CancelScope()
 
     async def serve(
@@ -112,11 +115,21 @@
         self.open.add(connection)
         try:
             await connection.serve(handler)
+        except Exception as error:
+            # One call must not end the node, whatever it meets.
+            self._record_fault(error)
         finally:
             watch.cancel()
             self.open.discard(connection)
             self._disown(connection)
 
+    def _record_fault(self, error: Exception) -> None:
+        self.faults += 1
+        log_message(
+            message_type='connection:fault',
+            fault=''.join(traceback.format_exception(error)),
+        )
+
     def _host_of(self, stream: trio.abc.Stream) -> str:
         try:
             return self.network.host_of(stream)
--- a/packages/node/src/boragetrestle_node/main.py
+++ b/packages/node/src/boragetrestle_node/main.py
@@ -16,6 +16,8 @@
 from boragetrestle_node.node import Node
 from boragetrestle_platform.platform import connect_platform
 
+_REFUSED = 3
+
 
 def run_node(settings: Path) -> None:
     """Run one node until it gets SIGTERM or SIGINT.
@@ -52,10 +54,32 @@
         nursery.cancel_scope.cancel()
 
 
-def main() -> None:
-    """Run the command line; exit with 2 for wrong settings."""
+def run_program(arguments: list[str]) -> int:
+    """Run the command line and return its exit code.
+
+    It is 0 after a graceful stop and 3 for settings that are refused; the
+    parser of the command line exits with 2.
+    """
+    exit_code = 0
     try:
-        defopt.run(run_node)
-    except (BoragetrestleError, OSError) as error:
-        sys.stderr.write(f'boragetrestle-node: {error}\n')
-        sys.exit(2)
+        defopt.run(run_node, argv=arguments)
+    except* (BoragetrestleError, OSError) as group:
+        for error in _leaves(group):
+            sys.stderr.write(f'boragetrestle-node: {error}\n')
+        exit_code = _REFUSED
+    return exit_code
+
+
+def main() -> None:
+    """Run the command line."""
+    sys.exit(run_program(sys.argv[1:]))
+
+
+def _leaves(group: BaseExceptionGroup[Exception]) -> list[Exception]:
+    found: list[Exception] = []
+    for error in group.exceptions:
+        if isinstance(error, BaseExceptionGroup):
+            found.extend(_leaves(error))
+        else:
+            found.append(error)
+    return found
