--- a/packages/bench/src/boragetrestle_bench/added_time.py
+++ b/packages/bench/src/boragetrestle_bench/added_time.py
@@ -244,6 +244,7 @@
     with subprocess.Popen(
         command,
         env=environment,
+        stdout=subprocess.DEVNULL,
         stderr=subprocess.DEVNULL,
     ) as process:
         try:
--- a/tests/test_graceful_stop.py
+++ b/tests/test_graceful_stop.py
@@ -4,6 +4,7 @@
 from builders import READ, running_fleet, service, service_text
 
 from boragetrestle_kernel.http_client import HttpClientConnection
+from boragetrestle_kernel.service_text import Route
 from boragetrestle_kernel.settings import ConnectionLimits
 from boragetrestle_standin.host_plan import HostPlan, Onward
 
@@ -40,7 +41,9 @@
 
 async def test_stop_ends_by_its_timeout(autojump_clock):
     plans = [HostPlan('walks', work=1000)]
-    async with running_fleet(plans, text=_TEXT) as run:
+    slow = Route('GET', '/items/*', idempotent=True, deadline=1000)
+    text = service_text(service('walks', routes=(slow,)))
+    async with running_fleet(plans, text=text) as run:
         walks = run.fleet.hosts[0]
         run.nursery.start_soon(
             lambda: run.fleet.call(walks, _PATH, key=run.key)
@@ -50,7 +53,8 @@
         with trio.move_on_after(100):
             await walks.node.stop()
         taken = trio.current_time() - started
-    assert taken < walks.node.settings.drain_timeout + 5
+    timeout = walks.node.settings.drain_timeout
+    assert timeout <= taken < timeout + 5
 
 
 async def _open_call(run, host, key):
