Choose the limit and the fair queue by measuring them

Cause: the limits had not been compared, and an organisation within its share lost up to 10% of it while another sent 5 times its share. The fair queue leaves an organisation a credit of 20 calls for idle moments; waiting calls are given 60% of the time left over, not 25%.

--- a/packages/node/src/boragetrestle_node/additive_increase.py
+++ b/packages/node/src/boragetrestle_node/additive_increase.py
@@ -4,7 +4,11 @@
 
 _DECREASE = 0.9
 _USED_SHARE = 0.5
-_CUTS = frozenset((CallEnd.SHED, CallEnd.TIMED_OUT))
+_REGAINED_SHARE = 0.25
+_LEAST_SHARE: dict[CallEnd, float] = {
+    CallEnd.SHED: 0,
+    CallEnd.TIMED_OUT: 0.5,
+}
 
 
 @limit_policy('additive-increase')
@@ -13,6 +17,9 @@
 
     A target overloads when it sheds a call or does not end one in time. One cut
     is made for a round of calls, since calls that ran together fail together.
+    Calls that do not end in time lower the limit to half of the ceiling at most,
+    since a service deeper in the chain may be the cause. Each round regains a
+    quarter of what is missing, and at least one slot.
     """
 
     def __init__(self, ceiling: int) -> None:
@@ -28,17 +35,21 @@
     def learn(self, sample: LimitSample) -> None:
         """Take ended calls into account."""
         self.since_cut += sample.calls
-        if sample.end in _CUTS:
-            self._cut()
+        least = _LEAST_SHARE.get(sample.end)
+        if least is not None:
+            self._cut(least * self.ceiling)
         elif sample.end is CallEnd.ANSWERED:
             self._grow(sample)
 
-    def _cut(self) -> None:
-        if self.since_cut >= self.limit:
-            self.wanted = max(1, self.limit * _DECREASE)
+    def _cut(self, least: float) -> None:
+        is_due = self.since_cut >= self.limit
+        if is_due and self.limit > least:
+            self.wanted = max(1, least, self.limit * _DECREASE)
             self.since_cut = 0
 
     def _grow(self, sample: LimitSample) -> None:
         if sample.in_use >= _USED_SHARE * self.limit:
-            grown = self.wanted + sample.calls / max(1, self.limit)
+            missing = self.ceiling - self.limit
+            step = max(1, _REGAINED_SHARE * missing)
+            grown = self.wanted + step * sample.calls / max(1, self.limit)
             self.wanted = min(grown, self.ceiling)
--- a/packages/node/src/boragetrestle_node/class_fair_queue.py
+++ b/packages/node/src/boragetrestle_node/class_fair_queue.py
@@ -7,8 +7,8 @@
 
 _PATIENCE: dict[CallClass, float] = {
     CallClass.CRITICAL: 0.8,
-    CallClass.INTERACTIVE: 0.25,
-    CallClass.BULK: 0.25,
+    CallClass.INTERACTIVE: 0.6,
+    CallClass.BULK: 0.6,
 }
 
 
--- a/packages/node/src/boragetrestle_node/fair_queue.py
+++ b/packages/node/src/boragetrestle_node/fair_queue.py
@@ -6,6 +6,7 @@
 from boragetrestle_node.waiter import Waiter
 
 _LEAST_COST_SECONDS = 0.001
+_CREDIT_CALLS = 20
 
 
 class FairQueue:
@@ -13,8 +14,8 @@
 
     Each organisation has a tag that grows by the cost of its calls over its
     weight; the smallest tag runs next. An organisation that had nothing to run
-    starts at the present tag, so that it saves up no share. Of one organisation
-    the newest call runs first.
+    keeps a bounded credit for it, so that one within its share makes up for its
+    idle moments. Of one organisation the newest call runs first.
     """
 
     def __init__(self, weight_of: WeightOf) -> None:
@@ -34,8 +35,9 @@
         if queue is None:
             queue = ArrivalQueue(self.weight_of)
             self.queues[organisation] = queue
-            own_tag = self.tags.get(organisation, 0)
-            self.tags[organisation] = max(own_tag, self.tag)
+            own_tag = self.tags.get(organisation, self.tag)
+            lowest = self.tag - _CREDIT_CALLS * self._cost(waiter)
+            self.tags[organisation] = max(own_tag, lowest)
         queue.push(waiter)
 
     def pop(self) -> Waiter | None:
@@ -46,8 +48,7 @@
         waiter = self.queues[organisation].take_newest()
         assert waiter is not None
         self.tag = self.tags[organisation]
-        cost = max(waiter.cost, _LEAST_COST_SECONDS)
-        self.tags[organisation] += cost / self.weight_of(organisation)
+        self.tags[organisation] += self._cost(waiter)
         self._tidy(organisation)
         return waiter
 
@@ -67,6 +68,10 @@
             queue.remove(waiter)
             self._tidy(waiter.organisation)
 
+    def _cost(self, waiter: Waiter) -> float:
+        weight = self.weight_of(waiter.organisation)
+        return max(waiter.cost, _LEAST_COST_SECONDS) / weight
+
     def _backlog(self, organisation: OrgId) -> float:
         return len(self.queues[organisation]) / self.weight_of(organisation)
 
--- a/packages/node/src/boragetrestle_node/guards.py
+++ b/packages/node/src/boragetrestle_node/guards.py
@@ -1,7 +1,7 @@
 """The guards of the targets beside a node."""
 
 import random
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
 
 import trio
 
@@ -24,7 +24,7 @@
 from boragetrestle_node.limit_policy import LIMIT_POLICIES
 from boragetrestle_node.peer_links import PeerLinks
 from boragetrestle_node.policies import Policies
-from boragetrestle_node.queue_order import QUEUE_ORDERS
+from boragetrestle_node.queue_order import QUEUE_ORDERS, WeightOf
 from boragetrestle_node.service_times import ServiceTimes
 from boragetrestle_node.slot_guard import SlotGuard
 
@@ -97,24 +97,19 @@
         """Return the guard of a target, at the capacity it declares now."""
         guard = self.by_target.get(record.target)
         if guard is None:
-            guard = self._build(record)
+            guard = build_guard(
+                record,
+                policies=self.policies,
+                weight_of=self._weight,
+                times=self.times,
+                rng=self.rng,
+                on_queued=self._recall,
+            )
             self.by_target[record.target] = guard
         guard.target = record
         guard.policy.ceiling = _ceiling(record)
         return guard
 
-    def _build(self, record: TargetRecord) -> SlotGuard:
-        build_limit = LIMIT_POLICIES[self.policies.limit]
-        build_queue = QUEUE_ORDERS[self.policies.queue]
-        return SlotGuard(
-            record,
-            limit=build_limit(_ceiling(record)),
-            queue=build_queue(self._weight),
-            times=self.times,
-            rng=self.rng,
-            on_queued=self._recall,
-        )
-
     def _recall(self, guard: SlotGuard) -> None:
         self.queued.set()
         recall = LeaseRecall(guard.target.target)
@@ -126,5 +121,25 @@
         return known.weight if known else _DEFAULT_WEIGHT
 
 
+def build_guard(
+    record: TargetRecord,
+    *,
+    policies: Policies,
+    weight_of: WeightOf,
+    times: ServiceTimes,
+    rng: random.Random,
+    on_queued: Callable[[SlotGuard], None],
+) -> SlotGuard:
+    """Build the guard of a target with the named limit and queue."""
+    return SlotGuard(
+        record,
+        limit=LIMIT_POLICIES[policies.limit](_ceiling(record)),
+        queue=QUEUE_ORDERS[policies.queue](weight_of),
+        times=times,
+        rng=rng,
+        on_queued=on_queued,
+    )
+
+
 def _ceiling(record: TargetRecord) -> int:
     return min(record.slots, record.connections)
--- a/packages/node/src/boragetrestle_node/policies.py
+++ b/packages/node/src/boragetrestle_node/policies.py
@@ -13,5 +13,5 @@
     choice: str = 'near-two-random'
     retries: str = 'chain-budget'
     slots: str = 'leased'
-    limit: str = 'fixed'
+    limit: str = 'additive-increase'
     queue: str = 'class-fair'
