Read the head past the store guard; restart hosts and cut single stores

Cause: the guard of the platform gives each node an even share of reads, which at 2,200 nodes is less than one a second, so the few elected readers would be refused; and a refusal by an open circuit looked like a read that the store failed, which is evidence for an outage. Ruled out: a larger budget for all nodes (it would no longer bound the fleet). Change: Control takes the plain table for the head. Stand-in fleets restart a host with other peers in its settings, and give each host its own store faults (running_fleet(...).host_stores). Conclusion: failure tests of membership and freshness can be written.

--- a/packages/node/src/boragetrestle_node/control.py
+++ b/packages/node/src/boragetrestle_node/control.py
@@ -28,18 +28,25 @@
 from boragetrestle_platform.change_log import ChangeLog
 from boragetrestle_platform.platform import Platform
 from boragetrestle_platform.snapshots import Snapshots
+from boragetrestle_platform.table import Table
 
 _ASKED_PEERS = 3
 
 
 class Control:
-    """Compose the parts that keep this node in agreement with the fleet."""
+    """Compose the parts that keep this node in agreement with the fleet.
+
+    ``head_table`` is the table without the guard of ``platform``: the few
+    readers of the head try at their own pace, also in an outage, since a
+    failed read is evidence only if the store was really asked.
+    """
 
     def __init__(
         self,
         settings: NodeSettings,
         platform: Platform,
         *,
+        head_table: Table,
         state: FleetState,
         directory: Directory,
         links: PeerLinks,
@@ -87,7 +94,7 @@
         self.election = ReaderElection(own, self.members)
         self.config = ConfigSpread(state, links, timeline)
         self.reader = ConfigReader(
-            ChangeLog(platform.table),
+            ChangeLog(head_table),
             Snapshots(platform.table, platform.objects),
             self.config,
             self.freshness,
--- a/packages/node/src/boragetrestle_node/node.py
+++ b/packages/node/src/boragetrestle_node/node.py
@@ -100,6 +100,7 @@
         self.control = Control(
             settings,
             Platform(store.table, store.objects),
+            head_table=platform.table,
             state=self.state,
             directory=self.directory,
             links=self.links,
--- a/packages/standin/src/boragetrestle_standin/fleet.py
+++ b/packages/standin/src/boragetrestle_standin/fleet.py
@@ -2,7 +2,7 @@
 
 import itertools
 import os
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
 from typing import NamedTuple
 
 import trio
@@ -59,12 +59,24 @@
 class FleetHost:
     """A host with its node and its target."""
 
-    def __init__(self, place: int, node: Node, target: StandinTarget) -> None:
+    def __init__(
+        self,
+        place: int,
+        plan: HostPlan,
+        node: Node,
+        target: StandinTarget,
+    ) -> None:
         self.place = place
+        self.plan = plan
         self.node = node
         self.target = target
         self.cancel = trio.CancelScope()
 
+    @property
+    def ip(self) -> str:
+        """The IP address of the host."""
+        return host_ip(self.place)
+
     @property
     def calls_address(self) -> Address:
         """The address that callers reach the node at."""
@@ -92,7 +104,8 @@
     """Hosts by plan, on a network and a platform that the caller gives.
 
     Every host has its own loopback address, so that the same plan runs over TCP
-    and in memory.
+    and in memory. ``platform_of`` gives the platform as an IP address sees it;
+    without it, all hosts use ``platform``.
     """
 
     def __init__(
@@ -105,9 +118,10 @@
         seed: int = 0,
         policies: Policies = DEFAULT_POLICIES,
         work_log: WorkLog | None = None,
+        platform_of: Callable[[str], Platform] | None = None,
     ) -> None:
         self.network = network
-        self.platform = platform
+        self.platform_of = platform_of or (lambda _ip: platform)
         self.clock = clock
         self.seed = seed
         self.policies = policies
@@ -127,20 +141,42 @@
         await nursery.start(host.run)
         return host
 
+    async def restart(
+        self,
+        host: FleetHost,
+        nursery: trio.Nursery,
+        *,
+        peers: tuple[str, ...] = (),
+    ) -> FleetHost:
+        """Start a new process on the host of one that has ended.
+
+        ``peers`` are what the settings of the new process name.
+        """
+        plan = host.plan._replace(peers=peers)
+        fresh = self.make_host(plan, place=host.place)
+        self.hosts[self.hosts.index(host)] = fresh
+        await nursery.start(fresh.run)
+        return fresh
+
     def of_service(self, service: str) -> list[FleetHost]:
         """Return the hosts whose target serves a service."""
         return [host for host in self.hosts if host.target.service == service]
 
-    def make_host(self, plan: HostPlan) -> FleetHost:
-        """Build a host on the next free address without starting it."""
-        place = next(self.places)
+    def make_host(
+        self,
+        plan: HostPlan,
+        *,
+        place: int | None = None,
+    ) -> FleetHost:
+        """Build a host without starting it, else on the next free address."""
+        place = place or next(self.places)
         os.environ.setdefault(SECRET_VARIABLE, _STANDIN_SECRET)
         ip = host_ip(place)
         network = self.network_of(ip)
         node = Node(
             self.settings_of(place, plan),
             network=network,
-            platform=self.platform,
+            platform=self.platform_of(ip),
             clock=self.clock,
             seed=self.seed + place,
             policies=self.policies,
@@ -151,7 +187,7 @@
             plan,
             work_log=self.work_log,
         )
-        return FleetHost(place, node, target)
+        return FleetHost(place, plan, node, target)
 
     def settings_of(self, place: int, plan: HostPlan) -> NodeSettings:
         """Return the settings of the node on a host."""
@@ -167,6 +203,7 @@
             ),
             platform=PlatformSettings(adapter='embedded'),
             fleet_secrets=(Credential(env=SECRET_VARIABLE),),
+            peers=plan.peers,
         )
 
     def network_of(self, ip: str) -> Network:
--- a/packages/standin/src/boragetrestle_standin/host_plan.py
+++ b/packages/standin/src/boragetrestle_standin/host_plan.py
@@ -13,7 +13,10 @@
 
 
 class HostPlan(NamedTuple):
-    """What runs on one host; ``work`` is the time of a call in seconds."""
+    """What runs on one host; ``work`` is the time of a call in seconds.
+
+    ``peers`` are addresses of other nodes that the settings name.
+    """
 
     service: str
     domain: str = 'a'
@@ -23,3 +26,4 @@
     work: float = 0
     body: bytes = b'ok'
     onward: tuple[Onward, ...] = ()
+    peers: tuple[str, ...] = ()
--- a/tests/builders.py
+++ b/tests/builders.py
@@ -1,5 +1,6 @@
 """Builders of test data."""
 
+from collections import defaultdict
 from collections.abc import AsyncGenerator, Sequence
 from contextlib import asynccontextmanager
 from typing import Any, NamedTuple
@@ -88,7 +89,10 @@
 
 
 class RunningFleet(NamedTuple):
-    """A fleet in memory with its operator, its faults and one key."""
+    """A fleet in memory with its operator, its faults and one key.
+
+    ``host_stores`` holds the faults of the store as single hosts see them.
+    """
 
     fleet: Fleet
     operator: Operator
@@ -100,6 +104,7 @@
     key: str
     key_id: str
     nursery: trio.Nursery
+    host_stores: defaultdict[str, StoreFaults]
 
 
 @asynccontextmanager
@@ -119,6 +124,14 @@
         FaultyTable(table, faults),
         FaultyObjects(objects, faults),
     )
+    host_stores: defaultdict[str, StoreFaults] = defaultdict(StoreFaults)
+
+    def platform_of(ip: str) -> Platform:
+        return Platform(
+            FaultyTable(platform.table, host_stores[ip]),
+            FaultyObjects(platform.objects, host_stores[ip]),
+        )
+
     operator = Operator(platform, name='tester')
     used = text or service_text()
     await operator.apply(used)
@@ -132,6 +145,7 @@
         seed=seed,
         policies=policies,
         work_log=work,
+        platform_of=platform_of,
     )
     async with trio.open_nursery() as nursery:
         await fleet.start(nursery)
@@ -147,6 +161,7 @@
             given.key,
             given.key_id,
             nursery,
+            host_stores,
         )
         nursery.cancel_scope.cancel()
 
