--- a/packages/node/src/boragetrestle_node/node.py
+++ b/packages/node/src/boragetrestle_node/node.py
@@ -9,6 +9,7 @@
 import boragetrestle_node.chain_budget  # noqa: F401
 import boragetrestle_node.even_split  # noqa: F401
 import boragetrestle_node.guarded_slots  # noqa: F401
+import boragetrestle_node.leased_slots  # noqa: F401
 import boragetrestle_node.near_choice  # noqa: F401
 from boragetrestle_kernel.address import Address
 from boragetrestle_kernel.clock import SystemClock, WallClock
@@ -47,6 +48,7 @@
 from boragetrestle_node.slot_source import SLOT_SOURCES, SlotParts
 from boragetrestle_node.target_book import TargetBook
 from boragetrestle_node.target_choice import TARGET_CHOICES, ChoiceInputs
+from boragetrestle_node.target_probe import TargetProbe
 from boragetrestle_node.target_subset import TargetSubsets
 from boragetrestle_node.target_watch import TargetWatch
 from boragetrestle_platform.guarded_platform import guard_platform
@@ -114,6 +116,7 @@
             state=self.state,
             policies=policies,
             rng=self.rng,
+            links=self.links,
         )
         build_slots = SLOT_SOURCES[policies.slots]
         self.slots = build_slots(
@@ -122,6 +125,7 @@
                 in_flight=self.in_flight,
                 guards=self.guards,
                 links=self.links,
+                peers_address=settings.listen.peers,
             ),
         )
         self.forwarder = Forwarder(self.pool)
@@ -130,9 +134,15 @@
         self.book = TargetBook()
         self.watch = TargetWatch(
             self.book,
-            Ejector(self.book, self.timeline, self.rng),
+            Ejector(self.book, self.timeline, self.links, self.rng),
             self.directory,
         )
+        self.probe = TargetProbe(
+            self.membership,
+            self.links,
+            self.timeline,
+            network=network,
+        )
         self.warmer = ConnectionWarmer(
             self.pool,
             self.book,
@@ -205,9 +215,12 @@
                 self.links.run,
                 Address.parse(self.settings.listen.peers),
             )
+            await nursery.start(self.guards.run)
+            await nursery.start(self.slots.run)
             await nursery.start(self.control.run)
             self.book.warm.update(self.directory.records)
             nursery.start_soon(self.warmer.run)
+            nursery.start_soon(self.probe.run)
             await nursery.start(self.repeats.run)
             await nursery.start(
                 self._listen,
--- a/packages/node/src/boragetrestle_node/policies.py
+++ b/packages/node/src/boragetrestle_node/policies.py
@@ -12,6 +12,6 @@
     rates: str = 'even-split'
     choice: str = 'near-two-random'
     retries: str = 'chain-budget'
-    slots: str = 'unlimited'
+    slots: str = 'leased'
     limit: str = 'fixed'
     queue: str = 'fifo'
