Rotate context secrets, send edits of the text, and name what conflicts

Cause: a new secret signed the moment one node knew it, so that a call through it could be refused at a node that did not; a whole text of 440 services went to every node for a change to one; a conflict did not tell the difference. Ruled out: signing by version in force at the other side (a node would have to ask on the data path); diffs of JSON lines (a typed edit is checked like the rest).

--- a/packages/kernel/src/boragetrestle_kernel/change.py
+++ b/packages/kernel/src/boragetrestle_kernel/change.py
@@ -9,7 +9,11 @@
 import msgspec
 
 from boragetrestle_kernel.ids import Digest, KeyId, OrgId, Version
-from boragetrestle_kernel.service_text import ServiceText
+from boragetrestle_kernel.service_text import (
+    Organisation,
+    Service,
+    ServiceText,
+)
 
 
 class TextApplied(msgspec.Struct, frozen=True, tag='text'):
@@ -18,6 +22,18 @@
     text: ServiceText
 
 
+class TextEdited(msgspec.Struct, frozen=True, tag='text-edited'):
+    """Operators put some services or the organisations in force.
+
+    The edit holds only what differs, which keeps a change to one service of
+    hundreds small. ``organisations`` is ``None`` if they stay as they are.
+    """
+
+    services: tuple[Service, ...] = ()
+    removed: tuple[str, ...] = ()
+    organisations: tuple[Organisation, ...] | None = None
+
+
 class KeyGiven(msgspec.Struct, frozen=True, tag='key-given'):
     """Operators gave a key to an organisation."""
 
@@ -45,7 +61,14 @@
     number: int
 
 
-AnyChange = TextApplied | KeyGiven | KeyWithdrawn | SecretAdded | SecretRetired
+AnyChange = (
+    TextApplied
+    | TextEdited
+    | KeyGiven
+    | KeyWithdrawn
+    | SecretAdded
+    | SecretRetired
+)
 
 
 class Change(msgspec.Struct, frozen=True):
--- a/packages/kernel/src/boragetrestle_kernel/context.py
+++ b/packages/kernel/src/boragetrestle_kernel/context.py
@@ -55,8 +55,8 @@
 class ContextSigner:
     """Sign and verify contexts with the secrets of the fleet.
 
-    The newest secret signs; every known one verifies, so that a rotation
-    refuses no call in flight.
+    The secret with the number ``signing`` signs, else the newest; every known
+    one verifies, so that a rotation refuses no call in flight.
 
     >>> signer = ContextSigner({1: b'secret'})
     >>> ctx = CallContext('c', 'org', 'k', 'walks', 1, 10.0, 3)
@@ -64,8 +64,16 @@
     True
     """
 
-    def __init__(self, secrets: Mapping[int, bytes]) -> None:
+    def __init__(
+        self,
+        secrets: Mapping[int, bytes],
+        *,
+        signing: int | None = None,
+    ) -> None:
         self.secrets = dict(secrets)
+        self.signing = max(self.secrets, default=0)
+        if signing is not None:
+            self.signing = signing
 
     def sign(self, context: CallContext) -> bytes:
         """Return the header value of a context."""
@@ -74,7 +82,7 @@
                 'no fleet secret is known',
                 remedy='wait until the node has read its configuration',
             )
-        number = max(self.secrets)
+        number = self.signing
         body = base64.urlsafe_b64encode(msgspec.json.encode(context))
         signature = _signature(self.secrets[number], body)
         return b'%d.%s.%s' % (number, body, signature)
--- a/packages/kernel/src/boragetrestle_kernel/fleet_state.py
+++ b/packages/kernel/src/boragetrestle_kernel/fleet_state.py
@@ -12,6 +12,7 @@
     SecretAdded,
     SecretRetired,
     TextApplied,
+    TextEdited,
 )
 from boragetrestle_kernel.ids import Digest, KeyId, OrgId, Version
 from boragetrestle_kernel.route_table import RouteTable
@@ -20,6 +21,7 @@
     Service,
     ServiceText,
 )
+from boragetrestle_kernel.text_edit import edited
 
 
 class KeyRecord(msgspec.Struct, frozen=True):
@@ -110,6 +112,11 @@
     state.use_text(change.text)
 
 
+@_applies(TextEdited)
+def _apply_edit(state: FleetState, change: TextEdited) -> None:
+    state.use_text(edited(state.text, change))
+
+
 @_applies(KeyGiven)
 def _apply_key_given(state: FleetState, change: KeyGiven) -> None:
     state.keys[change.digest] = KeyRecord(
--- /dev/null
+++ b/packages/kernel/src/boragetrestle_kernel/text_edit.py
@@ -0,0 +1,46 @@
+"""The difference between two services texts, as a change."""
+
+from boragetrestle_kernel.change import TextEdited
+from boragetrestle_kernel.service_text import Service, ServiceText
+
+
+def edit_between(old: ServiceText, new: ServiceText) -> TextEdited | None:
+    """Return the edit that turns one text into another.
+
+    Returns ``None`` where no edit gives exactly the new text, for instance when
+    services change their order.
+
+    >>> from boragetrestle_kernel.service_text import Route
+    >>> walks = Service('walks', (Route('GET', '/a'),))
+    >>> edit = edit_between(ServiceText(), ServiceText((walks,)))
+    >>> edited(ServiceText(), edit).services[0].name
+    'walks'
+    """
+    known = {service.name: service for service in old.services}
+    kept = {service.name for service in new.services}
+    same_organisations = old.organisations == new.organisations
+    edit = TextEdited(
+        services=tuple(
+            service
+            for service in new.services
+            if known.get(service.name) != service
+        ),
+        removed=tuple(name for name in known if name not in kept),
+        organisations=None if same_organisations else new.organisations,
+    )
+    return edit if edited(old, edit) == new else None
+
+
+def edited(text: ServiceText, edit: TextEdited) -> ServiceText:
+    """Return a text after an edit; new services come last."""
+    services: dict[str, Service] = {
+        service.name: service
+        for service in text.services
+        if service.name not in edit.removed
+    }
+    for service in edit.services:
+        services[service.name] = service
+    organisations = edit.organisations
+    if organisations is None:
+        organisations = text.organisations
+    return ServiceText(tuple(services.values()), organisations)
--- a/packages/node/src/boragetrestle_node/identity.py
+++ b/packages/node/src/boragetrestle_node/identity.py
@@ -24,6 +24,7 @@
 )
 from boragetrestle_kernel.route_table import RouteMatch
 from boragetrestle_node.call import Call
+from boragetrestle_node.secret_ring import SecretRing
 
 CALL_ATTEMPTS = 3
 OPEN_ORGANISATION = OrgId('')
@@ -43,6 +44,7 @@
     def __init__(self, state: FleetState, clock: WallClock) -> None:
         self.state = state
         self.clock = clock
+        self.ring = SecretRing(state)
         self.own_services: set[str] = set()
 
     def identify(self, request: HttpRequest) -> Call:
@@ -55,7 +57,7 @@
 
     def signer(self) -> ContextSigner:
         """Return a signer with the secrets in force."""
-        return ContextSigner(self.state.secrets)
+        return self.ring.current()
 
     def context_for(self, call: Call) -> bytes:
         """Return the signed context that goes to the target of a call."""
--- a/packages/node/src/boragetrestle_node/overlay.py
+++ b/packages/node/src/boragetrestle_node/overlay.py
@@ -50,7 +50,7 @@
         self.groups[node] = group
         for number, ring in enumerate(self.rings):
             insort(ring, _place(number, node, group))
-        self.neighbours = self._choose()
+        self.neighbours = self.links_of(self.node)
 
     def remove(self, node: NodeId) -> None:
         """Take a node out of all rings; the own node stays."""
@@ -59,7 +59,7 @@
         group = self.groups.pop(node)
         for number, ring in enumerate(self.rings):
             ring.pop(bisect_left(ring, _place(number, node, group)))
-        self.neighbours = self._choose()
+        self.neighbours = self.links_of(self.node)
 
     @property
     def ring_count(self) -> int:
@@ -67,14 +67,15 @@
         wanted = ceil(log2(len(self.groups) + 1) / 2)
         return max(_MIN_RINGS, min(_MAX_RINGS, wanted))
 
-    def _choose(self) -> frozenset[NodeId]:
+    def links_of(self, node: NodeId) -> frozenset[NodeId]:
+        """Return the neighbours that the overlay gives to a node."""
         chosen: set[NodeId] = set()
-        group = self.groups[self.node]
+        group = self.groups[node]
         for number, ring in enumerate(self.rings[: self.ring_count]):
-            own = bisect_left(ring, _place(number, self.node, group))
+            own = bisect_left(ring, _place(number, node, group))
             chosen.add(ring[own - 1].node)
             chosen.add(ring[(own + 1) % len(ring)].node)
-        return frozenset(chosen - {self.node})
+        return frozenset(chosen - {node})
 
 
 def _place(number: int, node: NodeId, group: str) -> RingPlace:
--- a/packages/operate/src/boragetrestle/operator.py
+++ b/packages/operate/src/boragetrestle/operator.py
@@ -7,20 +7,23 @@
 import msgspec
 
 from boragetrestle_kernel.change import (
+    AnyChange,
     KeyGiven,
     KeyWithdrawn,
     SecretAdded,
     TextApplied,
 )
 from boragetrestle_kernel.digest import digest_key, new_key
-from boragetrestle_kernel.errors import TextError
+from boragetrestle_kernel.errors import StoreError, TextError
 from boragetrestle_kernel.fleet_state import FleetState
 from boragetrestle_kernel.ids import KeyId, OrgId, Version
 from boragetrestle_kernel.member_record import NODE_PREFIX, MemberRecord
 from boragetrestle_kernel.service_text import ServiceText
 from boragetrestle_kernel.target_record import TargetRecord
+from boragetrestle_kernel.text_edit import edit_between
 from boragetrestle_platform.change_log import ChangeLog
 from boragetrestle_platform.platform import Platform
+from boragetrestle_platform.snapshots import Snapshots
 
 _SECRET_BYTES = 32
 _KEY_ID_BYTES = 4
@@ -41,24 +44,37 @@
         self.platform = platform
         self.name = name
         self.log = ChangeLog(platform.table)
+        self.snapshots = Snapshots(platform.table, platform.objects)
 
     async def state(self) -> FleetState:
         """Return the newest accepted configuration."""
         state = FleetState()
         head = await self.log.head()
         while state.version < head.version:
-            for change in await self.log.after(state.version):
+            before = state.version
+            for change in await self.log.after(before):
                 state.apply(change)
+            if state.version == before:
+                await self._restore(state)
         return state
 
+    async def _restore(self, state: FleetState) -> None:
+        snapshot = await self.snapshots.newest()
+        if snapshot is None or not state.restore(snapshot).is_taken:
+            raise StoreError(
+                f'the changes after version {state.version} are missing',
+                remedy='try again; a snapshot is being written',
+            )
+
     async def apply(self, text: ServiceText) -> Version:
         """Put a services text in force; raise ``ConflictError`` on a race."""
         state = await self.state()
         if not state.secrets:
             secret = SecretAdded(1, secrets.token_bytes(_SECRET_BYTES))
-            await self._append(secret, state.version)
+            await self.append(secret, state.version)
             state = await self.state()
-        return await self._append(TextApplied(text), state.version)
+        edit = edit_between(state.text, text) if state.text.services else None
+        return await self.append(edit or TextApplied(text), state.version)
 
     async def give_key(self, organisation: str) -> GivenKey:
         """Give a new key to an organisation and return it."""
@@ -71,7 +87,7 @@
         key = new_key()
         key_id = KeyId(secrets.token_hex(_KEY_ID_BYTES))
         change = KeyGiven(key_id, digest_key(key), OrgId(organisation))
-        await self._append(change, state.version)
+        await self.append(change, state.version)
         return GivenKey(key_id, key)
 
     async def withdraw_key(self, key_id: str) -> Version:
@@ -84,7 +100,7 @@
                 remedy="see 'boragetrestle key list'",
             )
         change = KeyWithdrawn(KeyId(key_id))
-        return await self._append(change, state.version)
+        return await self.append(change, state.version)
 
     async def targets(self) -> list[TargetRecord]:
         """Return the records of all targets in the table."""
@@ -112,11 +128,8 @@
                 return members
             after = found.rows[-1].key
 
-    async def _append(
-        self,
-        change: KeyGiven | KeyWithdrawn | SecretAdded | TextApplied,
-        expected: Version,
-    ) -> Version:
+    async def append(self, change: AnyChange, expected: Version) -> Version:
+        """Make a change; raise ``ConflictError`` at another version."""
         return await self.log.append(
             change,
             expected=expected,
--- a/packages/platform/src/boragetrestle_platform/change_log.py
+++ b/packages/platform/src/boragetrestle_platform/change_log.py
@@ -25,6 +25,7 @@
 CHANGE_PREFIX = 'change/'
 _PAGE_ROWS = 500
 _POLLED_CHANGES = 4
+_NAMED_CHANGES = 5
 
 
 class Head(msgspec.Struct, frozen=True):
@@ -83,7 +84,7 @@
         """
         head = await self.head()
         if head.version != expected:
-            raise _conflict(expected, head.version)
+            raise await self._conflict(expected, head.version)
         version = Version(expected + 1)
         row = msgspec.json.encode(Change(version, change, author, made_at))
         key = change_key(version)
@@ -96,7 +97,8 @@
         except OutcomeUnknownError:
             committed = await self._holds(key, row)
         if not committed:
-            raise _conflict(expected, (await self.head()).version)
+            found = (await self.head()).version
+            raise await self._conflict(expected, found)
         return version
 
     async def after(self, version: Version) -> Sequence[Change]:
@@ -110,6 +112,19 @@
             msgspec.json.decode(row.content, type=Change) for row in found.rows
         ]
 
+    async def _conflict(
+        self,
+        expected: Version,
+        found: Version,
+    ) -> ConflictError:
+        changes = await self.after(expected)
+        difference = ', '.join(map(_describe, changes[:_NAMED_CHANGES]))
+        return ConflictError(
+            f'version {expected} was expected, but {found} is in force'
+            f' ({difference})',
+            remedy="look at 'boragetrestle diff' and apply again",
+        )
+
     async def _holds(self, key: str, row: bytes) -> bool:
         found = await self.table.read([key])
         return any(candidate.content == row for candidate in found.rows)
@@ -132,8 +147,7 @@
     return f'{CHANGE_PREFIX}{version:012d}'
 
 
-def _conflict(expected: Version, found: Version) -> ConflictError:
-    return ConflictError(
-        f'version {expected} was expected, but {found} is in force',
-        remedy="look at 'boragetrestle diff' and apply again",
-    )
+def _describe(change: Change) -> str:
+    kind = change.change.__struct_config__.tag
+    author = change.author or 'an unknown operator'
+    return f'version {change.version} by {author}: {kind}'
--- a/tests/test_fleet_schedules.py
+++ b/tests/test_fleet_schedules.py
@@ -118,7 +118,9 @@
         return
 
 
-async def _schedule(checker: Checker, faulty: FaultyRun, pair) -> None:
+async def _schedule(
+    checker: Checker, faulty: FaultyRun, pair: tuple[str, str]
+) -> None:
     ends = []
     for name in pair:
         ends.append(await FAULTS[name](faulty))
