Tell a cut-off failure domain by its silent cross links

Cause: in the focused test a cut-off domain of three nodes accused up to half of the others, since two of four links stay within the domain and half of the neighbours were still heard. Ruled out: more links for small fleets (the share within the domain falls only slowly). Change: a node is isolated too if all neighbours in other domains are silent while its knowledge of the store is old. Conclusion: a cut-off domain keeps its whole list.

--- a/packages/node/src/boragetrestle_node/config_spread.py
+++ b/packages/node/src/boragetrestle_node/config_spread.py
@@ -69,7 +69,14 @@
         finally:
             self.pulling.discard(address)
         if isinstance(reply, ChangesReply):
-            self._take_reply(reply)
+            self.take_reply(reply)
+
+    def take_reply(self, reply: ChangesReply) -> None:
+        """Put in force what a neighbour answered, as far as it is newer."""
+        if reply.snapshot:
+            self.restore(msgspec.json.decode(reply.snapshot, type=Snapshot))
+        for row in reply.rows:
+            self.take(msgspec.json.decode(row, type=Change))
 
     @property
     def may_pull(self) -> bool:
@@ -95,12 +102,6 @@
             if change.version > version
         )
 
-    def _take_reply(self, reply: ChangesReply) -> None:
-        if reply.snapshot:
-            self.restore(msgspec.json.decode(reply.snapshot, type=Snapshot))
-        for row in reply.rows:
-            self.take(msgspec.json.decode(row, type=Change))
-
     def _note(self) -> None:
         self.timeline.record(
             EventKind.CHANGE_IN_FORCE,
--- a/packages/node/src/boragetrestle_node/control.py
+++ b/packages/node/src/boragetrestle_node/control.py
@@ -74,7 +74,7 @@
             self.members,
             self.neighbours,
             make_beat=self.make_beat,
-            has_store=self.has_store,
+            is_fresh=self.is_fresh,
             timeline=timeline,
             rng=rng,
         )
@@ -137,6 +137,10 @@
         since = trio.current_time() - self.freshness.own_read_at
         return since <= FRESH_SECONDS
 
+    def is_fresh(self) -> bool:
+        """Return whether this node knows of a recent read of the store."""
+        return self.freshness.is_fresh(now=trio.current_time())
+
     def is_reader(self) -> bool:
         """Return whether this node reads the store for its failure domain."""
         return self.election.is_elected or self.watch.is_isolated
--- a/packages/node/src/boragetrestle_node/liveness_watch.py
+++ b/packages/node/src/boragetrestle_node/liveness_watch.py
@@ -39,7 +39,8 @@
 
     A silent neighbour is suspected after other neighbours could not reach it
     either, and counts as dead if it refutes nothing. A node that hears less
-    than half of its neighbours is itself isolated and accuses nobody.
+    than half of its neighbours is itself isolated and accuses nobody; so is one
+    that has lost the store with all neighbours in other failure domains.
     """
 
     def __init__(
@@ -48,7 +49,7 @@
         neighbours: Neighbours,
         *,
         make_beat: Callable[[], Heartbeat],
-        has_store: Callable[[], bool],
+        is_fresh: Callable[[], bool],
         timeline: Timeline,
         rng: random.Random,
     ) -> None:
@@ -56,7 +57,7 @@
         self.neighbours = neighbours
         self.links = neighbours.links
         self.make_beat = make_beat
-        self.has_store = has_store
+        self.is_fresh = is_fresh
         self.timeline = timeline
         self.rng = rng
         self.beats = 0
@@ -67,11 +68,14 @@
     @property
     def is_isolated(self) -> bool:
         """Whether this node, not its neighbours, seems to be cut off."""
+        silent = set(self.neighbours.silent())
         count = len(self.neighbours.overlay.neighbours)
-        silent = len(self.neighbours.silent())
-        if 0 < count <= _FEW_NEIGHBOURS:
-            return silent == count and not self.has_store()
-        return silent * 2 > count
+        if count > _FEW_NEIGHBOURS and len(silent) * 2 > count:
+            return True
+        crossing = self.neighbours.crossing()
+        is_domain_alone = bool(crossing) and crossing <= silent
+        is_alone = 0 < count == len(silent)
+        return (is_domain_alone or is_alone) and not self.is_fresh()
 
     async def run(self) -> None:
         """Watch until cancelled."""
--- a/packages/node/src/boragetrestle_node/neighbours.py
+++ b/packages/node/src/boragetrestle_node/neighbours.py
@@ -30,6 +30,7 @@
         links: PeerLinks,
     ) -> None:
         self.own = own.node
+        self.group = _group(own)
         self.members = members
         self.links = links
         self.overlay = Overlay(own.node, group=_group(own))
@@ -78,6 +79,15 @@
             if self.silence(node) > SILENT_SECONDS
         ]
 
+    def crossing(self) -> frozenset[NodeId]:
+        """Return the neighbours in other failure domains."""
+        groups = self.overlay.groups
+        return frozenset(
+            node
+            for node in self.overlay.neighbours
+            if groups[node] != self.group
+        )
+
     def address(self, node: NodeId) -> Address | None:
         """Return the address of a node if it is known."""
         record = self.members.records.get(node)
