--- a/packages/node/src/boragetrestle_node/control.py
+++ b/packages/node/src/boragetrestle_node/control.py
@@ -31,6 +31,7 @@
 from boragetrestle_platform.table import Table
 
 _ASKED_PEERS = 3
+_INFORMED_SECONDS = 2.0
 
 
 class Control:
@@ -74,7 +75,7 @@
             self.members,
             self.neighbours,
             make_beat=self.make_beat,
-            is_fresh=self.is_fresh,
+            is_informed=self.is_informed,
             timeline=timeline,
             rng=rng,
         )
@@ -137,9 +138,13 @@
         since = trio.current_time() - self.freshness.own_read_at
         return since <= FRESH_SECONDS
 
-    def is_fresh(self) -> bool:
-        """Return whether this node knows of a recent read of the store."""
-        return self.freshness.is_fresh(now=trio.current_time())
+    def is_informed(self) -> bool:
+        """Return whether the store was read later than a silence began.
+
+        The bound is well below the silence after which a neighbour is accused.
+        """
+        age = self.freshness.age(now=trio.current_time())
+        return age < _INFORMED_SECONDS
 
     def is_reader(self) -> bool:
         """Return whether this node reads the store for its failure domain."""
--- a/packages/node/src/boragetrestle_node/liveness_watch.py
+++ b/packages/node/src/boragetrestle_node/liveness_watch.py
@@ -49,7 +49,7 @@
         neighbours: Neighbours,
         *,
         make_beat: Callable[[], Heartbeat],
-        is_fresh: Callable[[], bool],
+        is_informed: Callable[[], bool],
         timeline: Timeline,
         rng: random.Random,
     ) -> None:
@@ -57,7 +57,7 @@
         self.neighbours = neighbours
         self.links = neighbours.links
         self.make_beat = make_beat
-        self.is_fresh = is_fresh
+        self.is_informed = is_informed
         self.timeline = timeline
         self.rng = rng
         self.beats = 0
@@ -74,8 +74,8 @@
             return True
         crossing = self.neighbours.crossing()
         is_domain_alone = bool(crossing) and crossing <= silent
-        is_alone = 0 < count == len(silent)
-        return (is_domain_alone or is_alone) and not self.is_fresh()
+        is_alone = count > 0 and len(silent) == count
+        return (is_domain_alone or is_alone) and not self.is_informed()
 
     async def run(self) -> None:
         """Watch until cancelled."""
--- a/packages/operate/src/boragetrestle/secret_rotation.py
+++ b/packages/operate/src/boragetrestle/secret_rotation.py
@@ -5,7 +5,7 @@
 
 import trio
 
-from boragetrestle.in_force import InForce
+from boragetrestle.in_force import IN_FORCE_SECONDS, InForce
 from boragetrestle.operator import Operator
 from boragetrestle_kernel.acks import Acks
 from boragetrestle_kernel.change import SecretAdded, SecretRetired
@@ -29,9 +29,15 @@
     retired: Version
 
 
-async def rotate_secret(operator: Operator, in_force: InForce) -> Rotation:
+async def rotate_secret(
+    operator: Operator,
+    in_force: InForce,
+    *,
+    timeout: float = IN_FORCE_SECONDS,
+) -> Rotation:
     """Add a secret, wait until it alone signs, and retire the older ones.
 
+    All live nodes have to confirm the secret within the timeout in seconds.
     The wait is the longest deadline of the text with a margin. Raises
     ``ConflictError`` if another operator changes the configuration meanwhile;
     both secrets are accepted then, and the rotation may be run again.
@@ -40,7 +46,7 @@
     number = max(state.secrets, default=0) + 1
     secret = SecretAdded(number, secrets.token_bytes(_SECRET_BYTES))
     added = await operator.append(secret, state.version)
-    acks = await in_force.await_in_force(added)
+    acks = await in_force.await_in_force(added, timeout=timeout)
     if not acks.is_complete:
         return Rotation(added, acks, Version(0))
     await trio.sleep(_SIGNS_SECONDS + _longest_deadline(state))
--- a/packages/standin/src/boragetrestle_standin/fleet.py
+++ b/packages/standin/src/boragetrestle_standin/fleet.py
@@ -77,6 +77,11 @@
         """The IP address of the host."""
         return host_ip(self.place)
 
+    @property
+    def addresses(self) -> HostAddresses:
+        """The addresses of node and target."""
+        return HostAddresses.of_host(self.ip)
+
     @property
     def calls_address(self) -> Address:
         """The address that callers reach the node at."""
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -4,6 +4,7 @@
 
 import hypothesis
 import pytest
+import trio
 
 hypothesis.settings.register_profile(
     'ci', derandomize=True, deadline=None, database=None
@@ -15,6 +16,14 @@
 _TEST_FIELD = 'test: '
 
 
+@pytest.fixture(autouse=True)
+def _repeatable_schedule(monkeypatch):
+    """Let trio run ready tasks in the same order in each run."""
+    scheduler = trio._core._run
+    monkeypatch.setattr(scheduler, '_ALLOW_DETERMINISTIC_SCHEDULING', True)
+    scheduler._r.seed(0)
+
+
 def _known_red() -> list[str]:
     """Return the test ids that ``KNOWN-RED.txt`` lists."""
     if not _KNOWN_RED.exists():
