--- a/packages/node/src/boragetrestle_node/buffered_request.py
+++ b/packages/node/src/boragetrestle_node/buffered_request.py
@@ -1,7 +1,5 @@
 """A request whose whole body is in memory."""
 
-from collections.abc import AsyncIterator
-
 from boragetrestle_kernel.http_server import HttpRequest
 from boragetrestle_kernel.refusal import Refusal, RefusalCode, RefusedError
 from boragetrestle_node.byte_budget import ByteBudget
@@ -19,12 +17,11 @@
         self.method = request.method
         self.target = request.target
         self.fields = request.fields
+        self.trailers = request.trailers
         self.body = body
-
-    async def chunks(self) -> AsyncIterator[bytes]:
-        """Yield the body at once."""
-        if self.body:
-            yield self.body
+        self.kept = body
+        self.is_kept_taken = False
+        self.is_whole = True
 
 
 async def read_body(request: HttpRequest, budget: ByteBudget) -> bytes:
--- a/packages/node/src/boragetrestle_node/connection_warmer.py
+++ b/packages/node/src/boragetrestle_node/connection_warmer.py
@@ -40,6 +40,7 @@
         """Open connections until cancelled."""
         while True:
             await trio.sleep(_INTERVAL_SECONDS)
+            await self.pool.close_idle()
             self.book.forget_absent(self.directory.records)
             for target in tuple(self.book.views):
                 record = self.directory.records.get(target)
--- a/packages/node/src/boragetrestle_node/recording_connection.py
+++ b/packages/node/src/boragetrestle_node/recording_connection.py
@@ -1,6 +1,8 @@
 """A connection that records the answer while it streams to the caller."""
 
-from boragetrestle_kernel.errors import HttpError
+from http import HTTPStatus
+
+from boragetrestle_kernel.errors import CallerError
 from boragetrestle_kernel.http_fields import Fields
 from boragetrestle_kernel.http_server import HttpServerConnection
 from boragetrestle_node.byte_budget import ByteBudget
@@ -23,7 +25,8 @@
         inner: HttpServerConnection,
         budget: ByteBudget,
     ) -> None:
-        super().__init__(inner.stream)
+        super().__init__(inner.stream, limits=inner.limits)
+        inner.outlives_caller = True
         self.inner = inner
         self.protocol = inner.protocol
         self.budget = budget
@@ -35,34 +38,33 @@
         self.is_whole = False
         self.is_caller_gone = False
 
-    async def send_head(self, status: int, fields: Fields) -> None:
-        """Send and keep the head of the answer."""
-        self.has_started_answer = True
-        self.status = status
-        self.fields = [pair for pair in fields if pair[0] not in _DROPPED]
-        try:
-            await self.inner.send_head(status, fields)
-        except HttpError:
-            self.is_caller_gone = True
+    def queue_head(self, status: int, fields: Fields) -> None:
+        """Queue and keep the head of the answer."""
+        if status >= HTTPStatus.OK:
+            self.status = status
+            self.fields = [pair for pair in fields if pair[0] not in _DROPPED]
+        if not self.is_caller_gone:
+            self.inner.queue_head(status, fields)
 
-    async def send_data(self, data: bytes) -> None:
-        """Send and keep a part of the answer's body."""
+    def queue_data(self, data: bytes) -> None:
+        """Queue and keep a part of the answer's body."""
         self._keep(data)
-        if self.is_caller_gone:
-            return
-        try:
-            await self.inner.send_data(data)
-        except HttpError:
-            self.is_caller_gone = True
+        if not self.is_caller_gone:
+            self.inner.queue_data(data)
 
-    async def send_end(self, trailers: Fields | None = None) -> None:
-        """End the answer, which is whole from now on."""
+    def queue_end(self, trailers: Fields | None = None) -> None:
+        """Queue the end of the answer, which is whole from now on."""
         self.is_whole = True
+        if not self.is_caller_gone:
+            self.inner.queue_end(trailers)
+
+    async def flush(self) -> None:
+        """Write what is queued, unless the caller has gone."""
         if self.is_caller_gone:
             return
         try:
-            await self.inner.send_end(trailers)
-        except HttpError:
+            await self.inner.flush()
+        except CallerError:
             self.is_caller_gone = True
 
     def take_answer(self) -> KeptAnswer:
--- a/tests/test_slot_leases.py
+++ b/tests/test_slot_leases.py
@@ -15,7 +15,9 @@
 from boragetrestle_node.lease_message import LeaseAsk
 from boragetrestle_node.leased_slots import LeasedSlots
 from boragetrestle_node.lender import LEASE_SECONDS
+from boragetrestle_node.limit_policy import CallEnd
 from boragetrestle_node.policies import Policies
+from boragetrestle_node.service_times import ServiceTimes
 from boragetrestle_node.slot_guard import SlotGuard
 from boragetrestle_node.slot_lease import SlotLease
 from boragetrestle_node.waiter import Waiter
@@ -53,13 +55,16 @@
 
 
 def _guard(limit=_LIMIT, **changes):
-    return SlotGuard(
+    guard = SlotGuard(
         _record(**changes),
         limit=FixedLimit(limit),
         queue=FifoQueue(lambda _org: 1),
+        times=ServiceTimes(),
         rng=random.Random(0),
         on_queued=lambda _guard: None,
     )
+    guard.slow_start.bound = limit
+    return guard
 
 
 def _ask(wanted, *, held=0, busy=0):
@@ -76,6 +81,10 @@
             await trio.sleep(gap)
 
 
+async def _call_ten_at_once(run, host, answers):
+    await _call_often(run, host, count=10, gap=0, answers=answers)
+
+
 def _count_hops(host):
     """Count the calls that enter the node of a host."""
     counted = []
@@ -167,9 +176,11 @@
         _, first, second = run.fleet.hosts
         await _call_often(run, first, count=60, gap=0.015, answers=[])
         answers: list[Answer] = []
-        with trio.move_on_after(0.05):
-            await _call_often(run, second, count=10, gap=0, answers=answers)
-        running = run.fleet.hosts[0].target.running
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(_call_ten_at_once, run, second, answers)
+            await trio.sleep(0.05)
+            running = run.fleet.hosts[0].target.running
+            nursery.cancel_scope.cancel()
     assert running == 10
 
 
@@ -204,7 +215,7 @@
     grant = guard.lender.lend(NodeId('n1'), lease.make_ask(''))
     lease.accept(grant, sent_at=sent_at)
     assert lease.take()
-    lease.give_back(None, 0)
+    lease.give_back(CallEnd.ANSWERED, 0)
     await trio.sleep(LEASE_SECONDS - 0.15)
     assert not lease.take()
     assert guard.in_use == grant.slots
@@ -295,7 +306,7 @@
     def end(self, lease):
         if lease.busy:
             lease.leave()
-            lease.give_back(None, 0)
+            lease.give_back(CallEnd.ANSWERED, 0)
 
     def wish(self, lease):
         lease.roll()
