--- a/packages/operate/src/boragetrestle/operator.py
+++ b/packages/operate/src/boragetrestle/operator.py
@@ -8,13 +8,14 @@
 
 from boragetrestle_kernel.change import (
     AnyChange,
+    Change,
     KeyGiven,
     KeyWithdrawn,
     SecretAdded,
     TextApplied,
 )
 from boragetrestle_kernel.digest import digest_key, new_key
-from boragetrestle_kernel.errors import StoreError, TextError
+from boragetrestle_kernel.errors import ConflictError, StoreError, TextError
 from boragetrestle_kernel.fleet_state import FleetState
 from boragetrestle_kernel.ids import KeyId, OrgId, Version
 from boragetrestle_kernel.member_record import NODE_PREFIX, MemberRecord
@@ -58,17 +59,35 @@
                 await self._restore(state)
         return state
 
-    async def _restore(self, state: FleetState) -> None:
-        snapshot = await self.snapshots.newest()
-        if snapshot is None or not state.restore(snapshot).is_taken:
-            raise StoreError(
-                f'the changes after version {state.version} are missing',
-                remedy='try again; a snapshot is being written',
-            )
-
-    async def apply(self, text: ServiceText) -> Version:
-        """Put a services text in force; raise ``ConflictError`` on a race."""
+    async def history(self, *, limit: int) -> list[Change]:
+        """Return the newest changes, oldest first."""
+        head = await self.log.head()
+        changes: list[Change] = []
+        reached = Version(max(0, head.version - limit))
+        while reached < head.version:
+            found = await self.log.after(reached)
+            changes.extend(found)
+            reached = found[-1].version
+        return changes[-limit:]
+
+    async def apply(
+        self,
+        text: ServiceText,
+        *,
+        expected: int | None = None,
+    ) -> Version:
+        """Put a services text in force.
+
+        Raises ``ConflictError`` if another operator was first, or if a version
+        is expected and another is in force.
+        """
         state = await self.state()
+        if expected not in {None, state.version}:
+            raise ConflictError(
+                f'version {expected} was expected, but {state.version} is in'
+                ' force',
+                remedy="look at 'boragetrestle diff' and apply again",
+            )
         if not state.secrets:
             secret = SecretAdded(1, secrets.token_bytes(_SECRET_BYTES))
             await self.append(secret, state.version)
@@ -136,3 +155,11 @@
             author=self.name,
             made_at=time.time(),
         )
+
+    async def _restore(self, state: FleetState) -> None:
+        snapshot = await self.snapshots.newest()
+        if snapshot is None or not state.restore(snapshot).is_taken:
+            raise StoreError(
+                f'the changes after version {state.version} are missing',
+                remedy='try again; a snapshot is being written',
+            )
