--- a/packages/node/src/boragetrestle_node/control.py
+++ b/packages/node/src/boragetrestle_node/control.py
@@ -28,18 +28,26 @@
 from boragetrestle_platform.change_log import ChangeLog
 from boragetrestle_platform.platform import Platform
 from boragetrestle_platform.snapshots import Snapshots
+from boragetrestle_platform.table import Table
 
 _ASKED_PEERS = 3
+_INFORMED_SECONDS = 2.0
 
 
 class Control:
-    """Compose the parts that keep this node in agreement with the fleet."""
+    """Compose the parts that keep this node in agreement with the fleet.
+
+    ``head_table`` is the table without the guard of ``platform``: the few
+    readers of the head try at their own pace, also in an outage, since a
+    failed read is evidence only if the store was really asked.
+    """
 
     def __init__(
         self,
         settings: NodeSettings,
         platform: Platform,
         *,
+        head_table: Table,
         state: FleetState,
         directory: Directory,
         links: PeerLinks,
@@ -67,7 +75,7 @@
             self.members,
             self.neighbours,
             make_beat=self.make_beat,
-            has_store=self.has_store,
+            is_informed=self.is_informed,
             timeline=timeline,
             rng=rng,
         )
@@ -87,7 +95,7 @@
         self.election = ReaderElection(own, self.members)
         self.config = ConfigSpread(state, links, timeline)
         self.reader = ConfigReader(
-            ChangeLog(platform.table),
+            ChangeLog(head_table),
             Snapshots(platform.table, platform.objects),
             self.config,
             self.freshness,
@@ -130,6 +138,14 @@
         since = trio.current_time() - self.freshness.own_read_at
         return since <= FRESH_SECONDS
 
+    def is_informed(self) -> bool:
+        """Return whether the store was read later than a silence began.
+
+        The bound is well below the silence after which a neighbour is accused.
+        """
+        age = self.freshness.age(now=trio.current_time())
+        return age < _INFORMED_SECONDS
+
     def is_reader(self) -> bool:
         """Return whether this node reads the store for its failure domain."""
         return self.election.is_elected or self.watch.is_isolated
