--- a/packages/node/src/boragetrestle_node/identity.py
+++ b/packages/node/src/boragetrestle_node/identity.py
@@ -25,6 +25,7 @@
 )
 from boragetrestle_kernel.route_table import RouteMatch
 from boragetrestle_node.call import Call
+from boragetrestle_node.secret_ring import SecretRing
 
 CALL_ATTEMPTS = 3
 OPEN_ORGANISATION = OrgId('')
@@ -60,8 +61,7 @@
         self.state = state
         self.clock = clock
         self.own_hosts = own_hosts
-        self.cached_signer = ContextSigner({})
-        self.signer_version = -1
+        self.ring = SecretRing(state)
         self.own_services: set[str] = set()
 
     def identify(self, request: HttpRequest) -> Call:
@@ -74,10 +74,7 @@
 
     def signer(self) -> ContextSigner:
         """Return a signer with the secrets in force."""
-        if self.signer_version != self.state.version:
-            self.cached_signer = ContextSigner(self.state.secrets)
-            self.signer_version = self.state.version
-        return self.cached_signer
+        return self.ring.current()
 
     def context_for(self, call: Call) -> bytes:
         """Return the signed context that goes to the target of a call."""
--- a/tests/builders.py
+++ b/tests/builders.py
@@ -1,6 +1,7 @@
 """Builders of test data."""
 
 import random
+from collections import defaultdict
 from collections.abc import AsyncGenerator, Sequence
 from contextlib import asynccontextmanager
 from typing import Any, NamedTuple
@@ -142,7 +143,10 @@
 
 
 class RunningFleet(NamedTuple):
-    """A fleet in memory with its operator, its faults and one key."""
+    """A fleet in memory with its operator, its faults and one key.
+
+    ``host_stores`` holds the faults of the store as single hosts see them.
+    """
 
     fleet: Fleet
     operator: Operator
@@ -154,6 +158,7 @@
     key: str
     key_id: str
     nursery: trio.Nursery
+    host_stores: defaultdict[str, StoreFaults]
 
 
 @asynccontextmanager
@@ -173,6 +178,14 @@
         FaultyTable(table, faults),
         FaultyObjects(objects, faults),
     )
+    host_stores: defaultdict[str, StoreFaults] = defaultdict(StoreFaults)
+
+    def platform_of(ip: str) -> Platform:
+        return Platform(
+            FaultyTable(platform.table, host_stores[ip]),
+            FaultyObjects(platform.objects, host_stores[ip]),
+        )
+
     operator = Operator(platform, name='tester')
     used = text or service_text()
     await operator.apply(used)
@@ -186,6 +199,7 @@
         seed=seed,
         policies=policies,
         work_log=work,
+        platform_of=platform_of,
     )
     async with trio.open_nursery() as nursery:
         await fleet.start(nursery)
@@ -201,6 +215,7 @@
             given.key,
             given.key_id,
             nursery,
+            host_stores,
         )
         nursery.cancel_scope.cancel()
 
