--- a/packages/kernel/src/boragetrestle_kernel/context.py
+++ b/packages/kernel/src/boragetrestle_kernel/context.py
@@ -17,6 +17,7 @@
 HEADER = b'boragetrestle-context'
 
 _SIGNATURE_BYTES = 16
+_MAX_NUMBER_DIGITS = 9
 
 
 class ContextPurpose(Enum):
@@ -55,8 +56,8 @@
 class ContextSigner:
     """Sign and verify contexts with the secrets of the fleet.
 
-    The newest secret signs; every known one verifies, so that a rotation
-    refuses no call in flight.
+    The secret with the number ``signing`` signs, else the newest; every known
+    one verifies, so that a rotation refuses no call in flight.
 
     >>> signer = ContextSigner({1: b'secret'})
     >>> ctx = CallContext('c', 'org', 'k', 'walks', 1, 10.0, 3)
@@ -64,8 +65,16 @@
     True
     """
 
-    def __init__(self, secrets: Mapping[int, bytes]) -> None:
+    def __init__(
+        self,
+        secrets: Mapping[int, bytes],
+        *,
+        signing: int | None = None,
+    ) -> None:
         self.secrets = dict(secrets)
+        self.signing = max(self.secrets, default=0)
+        if signing is not None:
+            self.signing = signing
 
     def sign(self, context: CallContext) -> bytes:
         """Return the header value of a context."""
@@ -74,7 +83,7 @@
                 'no fleet secret is known',
                 remedy='wait until the node has read its configuration',
             )
-        number = max(self.secrets)
+        number = self.signing
         body = base64.urlsafe_b64encode(msgspec.json.encode(context))
         signature = _signature(self.secrets[number], body)
         return b'%d.%s.%s' % (number, body, signature)
@@ -83,7 +92,8 @@
         """Return the context; raise ``ContextError`` unless it is valid."""
         number, _, rest = header.partition(b'.')
         body, _, signature = rest.partition(b'.')
-        secret = self.secrets.get(int(number)) if number.isdigit() else None
+        is_number = number.isdigit() and len(number) <= _MAX_NUMBER_DIGITS
+        secret = self.secrets.get(int(number)) if is_number else None
         if secret is None:
             raise ContextError('the context names no known secret')
         if not hmac.compare_digest(_signature(secret, body), signature):
