--- a/Makefile
+++ b/Makefile
@@ -6,7 +6,7 @@
 JOBS ?= 4
 PACKAGES := kernel platform node standin bench operate
 
-.PHONY: setup test test-quick trial bench bench-check check format
+.PHONY: setup test test-quick trial bench bench-check capacity check format
 
 $(VENV)/.ready: requirements.lock $(PACKAGES:%=packages/%/pyproject.toml)
 	python3 -m venv $(VENV)
@@ -54,3 +54,10 @@
 	$(VENV)/bin/mypy packages
 	$(VENV)/bin/mypy --allow-untyped-defs --allow-untyped-calls tests
 	$(VENV)/bin/lint-imports
+
+CAPACITY := state-at-size footprint call-cost control spread claims-combining rates-even added-time-512-bytes-1-connections added-time-512-bytes-32-connections
+
+# Measure the slopes and write docs/CAPACITY.md.
+capacity: setup
+	$(MAKE) -s -j1 $(CAPACITY:%=build/bench/current.%.json)
+	$(BENCH) fill docs/CAPACITY.template.md build/bench docs/CAPACITY.md
--- a/packages/bench/src/boragetrestle_bench/command.py
+++ b/packages/bench/src/boragetrestle_bench/command.py
@@ -11,6 +11,7 @@
 from rich.console import Console
 
 import boragetrestle_bench
+from boragetrestle_bench.capacity import work_out
 from boragetrestle_bench.known_red import load_known_red
 from boragetrestle_bench.page_template import fill_page
 from boragetrestle_bench.policy_sets import CURRENT, POLICY_SETS
@@ -105,7 +106,9 @@
     :param folder: folder with the results of ``run``
     :param page: page to write
     """
-    page.write_text(fill_page(template.read_text(), _load_results(folder)))
+    results = _load_results(folder)
+    results.append(work_out(results))
+    page.write_text(fill_page(template.read_text(), results))
 
 
 def _load_results(folder: Path) -> list[Result]:
--- a/packages/bench/src/boragetrestle_bench/footprint_bench.py
+++ b/packages/bench/src/boragetrestle_bench/footprint_bench.py
@@ -1,10 +1,8 @@
 """Processor time and memory of control, as a slope over real nodes."""
 
-import math
 from collections.abc import Sequence
 from typing import NamedTuple
 
-import numpy as np
 import psutil
 import trio
 
@@ -19,6 +17,7 @@
     MAX_MEGABYTES,
     UPSTREAMS,
 )
+from boragetrestle_bench.slope import extrapolate
 from boragetrestle_bench.state_bench import full_text
 from boragetrestle_node.policies import Policies
 from boragetrestle_standin.host_plan import HostPlan
@@ -65,17 +64,6 @@
     return sum(sum(proc.cpu_times()[:2]) for proc in watched)
 
 
-def extrapolate(points: Sequence[tuple[float, float]], at: float) -> float:
-    """Return the value at a size by a straight line over its logarithm.
-
-    >>> round(extrapolate([(8, 3.0), (16, 4.0), (32, 5.0)], 64), 6)
-    6.0
-    """
-    sizes = [math.log2(size) for size, _ in points]
-    slope, offset = np.polyfit(sizes, [value for _, value in points], 1)
-    return float(slope * math.log2(at) + offset)
-
-
 @benchmark('footprint', is_virtual=False, has_policies=False)
 def measure(_policies: Policies, _seed: int) -> Sequence[Figure]:
     """Measure fleets of real nodes and work out the size to design for."""
--- a/tests/test_bench.py
+++ b/tests/test_bench.py
@@ -1,5 +1,6 @@
 """Measures and report of the benchmarks."""
 
+from boragetrestle_bench.capacity import work_out
 from boragetrestle_bench.demand import Demand
 from boragetrestle_bench.figure import Figure, Limit
 from boragetrestle_bench.measures import (
@@ -83,3 +84,14 @@
 def test_page_shows_the_figure_of_its_placeholder():
     result = _result(Figure('refused', 0.25))
     assert fill_page('{{example: refused}} s', [result]) == '0.25 s'
+
+
+def test_capacity_follows_the_slope_of_measured_sizes():
+    figures = [
+        Figure(f'bytes a second a node, {nodes} nodes', amount)
+        for nodes, amount in ((8, 300.0), (32, 500.0), (128, 700.0))
+    ]
+    result = Result('control', 'current', 1, tuple(figures), True, 0)
+    (worked_out,) = work_out([result]).figures
+    assert worked_out.name == 'bytes a second a node'
+    assert 1100 < worked_out.amount < 1120
