--- a/tests/test_configuration.py
+++ b/tests/test_configuration.py
@@ -174,15 +174,16 @@
 
 
 async def test_new_version_is_pushed_from_node_to_node(autojump_clock):
-    plans = [HostPlan('walks', domain='abcde'[at % 5]) for at in range(20)]
-    async with running_fleet(plans) as run:
+    async with running_fleet([HostPlan('walks') for _ in range(40)]) as run:
         run.network.faults.delay_of = lambda _source, _destination: 0.02
-        version = await run.operator.withdraw_key(run.key_id)
         states = [host.node.state for host in run.fleet.hosts]
-        while all(state.version < version for state in states):
-            await trio.sleep(0.01)
-        await trio.sleep(0.4)
-    assert all(state.version == version for state in states)
+        for _ in range(3):
+            await run.operator.give_key('acacia')
+            version = (await run.operator.state()).version
+            while all(state.version < version for state in states):
+                await trio.sleep(0.01)
+            await trio.sleep(0.4)
+            assert all(state.version == version for state in states)
 
 
 @pytest.mark.parametrize(
--- a/tests/test_freshness.py
+++ b/tests/test_freshness.py
@@ -5,12 +5,13 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from boragetrestle_kernel.ids import Version
+from boragetrestle_kernel.ids import DomainName, Version
 from boragetrestle_node.freshness import Freshness
 from boragetrestle_standin.fleet import Answer, FleetHost
 from boragetrestle_standin.host_plan import HostPlan
 
 _PLANS = [HostPlan('walks', domain=domain) for domain in 'aaabbbccc']
+_DOMAIN = DomainName('z')
 _PATH = '/walks/items/1'
 _OPEN = '/walks/open'
 _FRESH_SECONDS = 4
@@ -116,6 +117,26 @@
         assert answer.status == 401
 
 
+def test_failed_read_counts_for_some_seconds_only():
+    fresh = Freshness()
+    fresh.note_lost(_DOMAIN, 10)
+    fresh.note_lost(_DOMAIN, 8)
+    assert fresh.lost_domains(now=16) == {_DOMAIN: 6}
+    assert not fresh.lost_domains(now=16.1)
+
+
+async def test_age_of_a_failed_read_grows_with_the_answer(autojump_clock):
+    async with running_fleet(_PLANS[:2]) as run:
+        near, far = (host.node.control for host in run.fleet.hosts)
+        run.network.faults.delay_of = lambda _source, _destination: 0.2
+        run.store.is_down = True
+        await trio.sleep(4)
+        failed_at = trio.current_time() - 2
+        far.freshness.note_lost(_DOMAIN, failed_at)
+        await near.exchange.ask(run.fleet.hosts[1].addresses.peers)
+        assert near.freshness.lost[_DOMAIN] <= failed_at
+
+
 _STEP = st.floats(0, 3, allow_nan=False)
 _HOPS = st.lists(st.tuples(_STEP, _STEP, _STEP), min_size=1, max_size=5)
 
