--- a/packages/operate/src/boragetrestle/main.py
+++ b/packages/operate/src/boragetrestle/main.py
@@ -14,6 +14,7 @@
 _COMMAND_MODULES = (
     'command_text',
     'command_key',
+    'command_secret',
     'command_fleet',
     'command_timeline',
     'command_trial',
