Record on the timeline what a node makes of the store

Cause: a refused call told "node-isolated", but no event told since when a node takes itself for isolated or the store for lost. Ruled out: an event per check (one per call). Change: FreshnessExchange notes the view at its own pace and records store-view when it changes; test_isolated_node checks both events. Conclusion: an operator sees in the morning when a node was cut off.

--- a/packages/kernel/src/boragetrestle_kernel/timeline.py
+++ b/packages/kernel/src/boragetrestle_kernel/timeline.py
@@ -34,6 +34,7 @@
     SHARE_GRANTED = 'share-granted'
     STORE_LOST = 'store-lost'
     STORE_BACK = 'store-back'
+    STORE_VIEW = 'store-view'
     LINK_REJECTED = 'link-rejected'
     FAULT = 'fault'
 
--- a/packages/node/src/boragetrestle_node/control.py
+++ b/packages/node/src/boragetrestle_node/control.py
@@ -114,6 +114,7 @@
             self.members,
             self.neighbours,
             self.watch,
+            timeline=timeline,
             rng=rng,
         )
         self.acks = AckWave(state, self.members, self.neighbours)
--- a/packages/node/src/boragetrestle_node/freshness_exchange.py
+++ b/packages/node/src/boragetrestle_node/freshness_exchange.py
@@ -2,11 +2,13 @@
 
 import random
 from collections import Counter
+from enum import Enum
 
 import trio
 
 from boragetrestle_kernel.address import Address
 from boragetrestle_kernel.ids import DomainName, NodeId
+from boragetrestle_kernel.timeline import EventKind, Timeline
 from boragetrestle_node.fleet_messages import FreshnessAsk, FreshnessReply
 from boragetrestle_node.freshness import Freshness
 from boragetrestle_node.liveness_watch import LivenessWatch
@@ -19,6 +21,14 @@
 _JITTER = (0.8, 1.2)
 
 
+class StoreView(Enum):
+    """What a node makes of its knowledge of the store."""
+
+    FRESH = 'fresh'
+    OUTAGE = 'most members have lost the store'
+    ISOLATED = 'this node has lost contact with store and fleet'
+
+
 class FreshnessExchange:
     """Keep the bound on the store's time, and tell outage from isolation.
 
@@ -33,12 +43,15 @@
         neighbours: Neighbours,
         watch: LivenessWatch,
         *,
+        timeline: Timeline,
         rng: random.Random,
     ) -> None:
         self.freshness = freshness
         self.members = members
         self.neighbours = neighbours
         self.watch = watch
+        self.timeline = timeline
+        self.view = StoreView.FRESH
         self.rng = rng
         self.sizes: Counter[DomainName] = Counter()
         self.sized_at: int | None = None
@@ -50,12 +63,21 @@
         They are while the newest read is fresh, and in an outage of the store
         that most members in most failure domains see.
         """
+        return self.look() is not StoreView.ISOLATED
+
+    def look(self) -> StoreView:
+        """Return what the knowledge of the store amounts to now."""
         now = trio.current_time()
-        return self.freshness.is_fresh(now=now) or self._is_outage(now)
+        if self.freshness.is_fresh(now=now):
+            return StoreView.FRESH
+        if self._is_outage(now):
+            return StoreView.OUTAGE
+        return StoreView.ISOLATED
 
     async def run(self) -> None:
         """Ask neighbours until cancelled."""
         while True:
+            self._note_view()
             is_stale = self._is_stale()
             pause = _STALE_ASK_SECONDS if is_stale else _ASK_SECONDS
             await trio.sleep(pause * self.rng.uniform(*_JITTER))
@@ -95,6 +117,12 @@
             lost={str(domain): age for domain, age in lost.items()},
         )
 
+    def _note_view(self) -> None:
+        view = self.look()
+        if view is not self.view:
+            self.view = view
+            self.timeline.record(EventKind.STORE_VIEW, reason=view.value)
+
     def _is_stale(self) -> bool:
         return self.freshness.age(now=trio.current_time()) > _STALE_SECONDS
 
--- a/tests/test_freshness.py
+++ b/tests/test_freshness.py
@@ -6,7 +6,9 @@
 from hypothesis import strategies as st
 
 from boragetrestle_kernel.ids import DomainName, Version
+from boragetrestle_kernel.timeline import EventKind
 from boragetrestle_node.freshness import Freshness
+from boragetrestle_node.freshness_exchange import StoreView
 from boragetrestle_standin.fleet import Answer, FleetHost
 from boragetrestle_standin.host_plan import HostPlan
 
@@ -49,6 +51,12 @@
         run.host_stores[isolated.ip].is_down = False
         await trio.sleep(3)
         assert (await _answers(run))[0].status == 200
+        views = [
+            event.reason
+            for event in isolated.node.timeline.ring
+            if event.kind is EventKind.STORE_VIEW
+        ]
+    assert views == [StoreView.ISOLATED.value, StoreView.FRESH.value]
 
 
 async def test_cut_domain_refuses_and_the_others_go_on(autojump_clock):
