Record lapsed leases and lowered limits with their reasons

Cause: a lease that lapsed and a limit that fell left no trace on the time line; sheds under leases and the limits themselves had no test. Ruled out: an event for each cut (a shedding target would fill the ring; one a second is recorded). Change: events `lease-lapsed` and `limit-lowered`; guards of tests come from one builder.

--- a/packages/bench/src/boragetrestle_bench/limit_bench.py
+++ b/packages/bench/src/boragetrestle_bench/limit_bench.py
@@ -11,6 +11,8 @@
 from boragetrestle_bench.model_target import ModelTarget, TargetModel
 from boragetrestle_bench.registry import benchmark
 from boragetrestle_kernel.call_class import CallClass
+from boragetrestle_kernel.clock import VirtualWallClock
+from boragetrestle_kernel.hybrid_clock import HybridClock
 from boragetrestle_kernel.ids import (
     CallId,
     DomainName,
@@ -23,6 +25,7 @@
 from boragetrestle_kernel.refusal import RefusedError
 from boragetrestle_kernel.service_text import Route
 from boragetrestle_kernel.target_record import TargetRecord
+from boragetrestle_kernel.timeline import Timeline
 from boragetrestle_node.call import Call
 from boragetrestle_node.guards import build_guard
 from boragetrestle_node.policies import Policies
@@ -75,6 +78,7 @@
             policies=policies,
             weight_of=lambda _org: 1,
             times=ServiceTimes(),
+            timeline=Timeline(HybridClock(VirtualWallClock()), node='model'),
             rng=self.rng,
             on_queued=lambda _guard: None,
         )
--- a/packages/kernel/src/boragetrestle_kernel/timeline.py
+++ b/packages/kernel/src/boragetrestle_kernel/timeline.py
@@ -30,6 +30,8 @@
     TARGET_EJECTED = 'target-ejected'
     TARGET_RETURNED = 'target-returned'
     CHANGE_IN_FORCE = 'change-in-force'
+    LEASE_LAPSED = 'lease-lapsed'
+    LIMIT_LOWERED = 'limit-lowered'
     SHARE_LAPSED = 'share-lapsed'
     SHARE_GRANTED = 'share-granted'
     STORE_LOST = 'store-lost'
--- a/packages/node/src/boragetrestle_node/guards.py
+++ b/packages/node/src/boragetrestle_node/guards.py
@@ -16,6 +16,7 @@
 from boragetrestle_kernel.ids import NodeId, OrgId, ServiceName, TargetId
 from boragetrestle_kernel.refusal import Refusal, RefusalCode, RefusedError
 from boragetrestle_kernel.target_record import TargetRecord
+from boragetrestle_kernel.timeline import Timeline
 from boragetrestle_node.lease_message import (
     LeaseAsk,
     LeaseGrant,
@@ -47,6 +48,7 @@
         policies: Policies,
         rng: random.Random,
         times: ServiceTimes,
+        timeline: Timeline,
         links: PeerLinks,
     ) -> None:
         self.own = own
@@ -54,6 +56,7 @@
         self.policies = policies
         self.rng = rng
         self.times = times
+        self.timeline = timeline
         self.links = links
         self.by_target: dict[TargetId, SlotGuard] = {}
         self.queued = trio.Event()
@@ -102,6 +105,7 @@
                 policies=self.policies,
                 weight_of=self._weight,
                 times=self.times,
+                timeline=self.timeline,
                 rng=self.rng,
                 on_queued=self._recall,
             )
@@ -127,6 +131,7 @@
     policies: Policies,
     weight_of: WeightOf,
     times: ServiceTimes,
+    timeline: Timeline,
     rng: random.Random,
     on_queued: Callable[[SlotGuard], None],
 ) -> SlotGuard:
@@ -136,6 +141,7 @@
         limit=LIMIT_POLICIES[policies.limit](_ceiling(record)),
         queue=QUEUE_ORDERS[policies.queue](weight_of),
         times=times,
+        timeline=timeline,
         rng=rng,
         on_queued=on_queued,
     )
--- a/packages/node/src/boragetrestle_node/lease_book.py
+++ b/packages/node/src/boragetrestle_node/lease_book.py
@@ -1,7 +1,7 @@
 """The leases that a guard has granted."""
 
 import math
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 from dataclasses import dataclass
 
 from boragetrestle_kernel.ids import NodeId
@@ -22,16 +22,23 @@
     is_recalled: bool = False
 
 
+OnLapse = Callable[[NodeId, LeaseEntry], None]
+
+
 class LeaseBook:
     """Count the slots that other nodes may use.
 
-    >>> book = LeaseBook()
+    ``on_lapse`` is told of each lease with slots that was not renewed.
+
+    >>> book = LeaseBook(on_lapse=lambda node, entry: print(node, 'lapsed'))
     >>> book.enter('n1', LeaseEntry('', slots=3, busy=1, wanted=3, lapses_at=9))
     >>> book.count(now=8), book.count(now=9)
+    n1 lapsed
     (3, 0)
     """
 
-    def __init__(self) -> None:
+    def __init__(self, *, on_lapse: OnLapse) -> None:
+        self.on_lapse = on_lapse
         self.entries: dict[NodeId, LeaseEntry] = {}
         self.slots = 0
         self.next_lapse = math.inf
@@ -61,11 +68,15 @@
         return [entry.address for entry in entries]
 
     def _drop_lapsed(self, now: float) -> None:
-        self.entries = {
+        lapsed = {
             node: entry
             for node, entry in self.entries.items()
-            if entry.lapses_at > now
+            if entry.lapses_at <= now
         }
+        for node, entry in lapsed.items():
+            del self.entries[node]
+            if entry.slots:
+                self.on_lapse(node, entry)
         self._sum_up()
 
     def _sum_up(self) -> None:
--- a/packages/node/src/boragetrestle_node/lender.py
+++ b/packages/node/src/boragetrestle_node/lender.py
@@ -7,6 +7,7 @@
 
 from boragetrestle_kernel.ids import NodeId
 from boragetrestle_kernel.target_record import TargetState
+from boragetrestle_kernel.timeline import EventKind
 from boragetrestle_node.lease_book import LeaseBook, LeaseEntry, fair_level
 from boragetrestle_node.lease_message import LeaseAsk, LeaseGrant
 from boragetrestle_node.limit_policy import CallEnd, LimitSample
@@ -30,7 +31,7 @@
 
     def __init__(self, guard: 'SlotGuard') -> None:
         self.guard = guard
-        self.book = LeaseBook()
+        self.book = LeaseBook(on_lapse=self._record_lapse)
 
     def lend(self, node: NodeId, ask: LeaseAsk) -> LeaseGrant:
         """Answer the ask of a node."""
@@ -72,6 +73,14 @@
         )
         self.book.enter(node, entry)
 
+    def _record_lapse(self, node: NodeId, entry: LeaseEntry) -> None:
+        self.guard.timeline.record(
+            EventKind.LEASE_LAPSED,
+            reason=f'{entry.slots} slots were not renewed',
+            service=self.guard.target.service,
+            subject=node,
+        )
+
     def _learn(self, ask: LeaseAsk) -> None:
         report = ask.report
         if report.answered:
--- a/packages/node/src/boragetrestle_node/node.py
+++ b/packages/node/src/boragetrestle_node/node.py
@@ -121,6 +121,7 @@
             policies=policies,
             rng=self.rng,
             times=times,
+            timeline=self.timeline,
             links=self.links,
         )
         build_slots = SLOT_SOURCES[policies.slots]
--- a/packages/node/src/boragetrestle_node/slot_guard.py
+++ b/packages/node/src/boragetrestle_node/slot_guard.py
@@ -8,6 +8,7 @@
 
 from boragetrestle_kernel.refusal import Refusal, RefusalCode, RefusedError
 from boragetrestle_kernel.target_record import TargetRecord
+from boragetrestle_kernel.timeline import EventKind, Timeline
 from boragetrestle_node.call import Call
 from boragetrestle_node.guard_load import GuardLoad
 from boragetrestle_node.guard_signal import GuardSignal
@@ -23,6 +24,7 @@
 _QUEUE_PER_SLOT = 4
 _MAX_QUEUED = 512
 _MAX_RETRY_AFTER_SECONDS = 30.0
+_RECORD_GAP_SECONDS = 1.0
 _RETRY_JITTER = (0.5, 1.5)
 
 
@@ -42,6 +44,7 @@
         queue: QueueOrder,
         times: ServiceTimes,
         rng: random.Random,
+        timeline: Timeline,
         on_queued: Callable[['SlotGuard'], None],
     ) -> None:
         self.target = target
@@ -49,6 +52,8 @@
         self.queue = queue
         self.times = times
         self.rng = rng
+        self.timeline = timeline
+        self.lowered_at = -_RECORD_GAP_SECONDS
         self.on_queued = on_queued
         self.slow_start = SlowStart(limit.ceiling)
         self.lender = Lender(self)
@@ -93,7 +98,10 @@
     def learn(self, sample: LimitSample) -> None:
         """Take ended calls into account."""
         self.load.ended.add(sample.calls)
+        before = self.limit
         self.policy.learn(sample)
+        if self.limit < before:
+            self._record_lower_limit(sample.end)
         if sample.end is CallEnd.ANSWERED:
             self.slow_start.answered(sample.calls)
 
@@ -154,6 +162,18 @@
             self.running -= 1
             self.pump()
 
+    def _record_lower_limit(self, end: CallEnd) -> None:
+        now = trio.current_time()
+        if now < self.lowered_at + _RECORD_GAP_SECONDS:
+            return
+        self.lowered_at = now
+        self.timeline.record(
+            EventKind.LIMIT_LOWERED,
+            reason=f'{self.limit} calls after one that was {end.value}',
+            service=self.target.service,
+            subject=self.target.target,
+        )
+
     def _shed(self, call: Call, code: RefusalCode) -> None:
         self.load.shed[call.call_class].add()
         wait = self.load.retry_after(len(self.queue))
--- a/tests/test_slot_guard.py
+++ b/tests/test_slot_guard.py
@@ -1,6 +1,5 @@
 """The guard of a target: fair queue, classes, deadlines, hang-ups."""
 
-import random
 from collections import Counter, defaultdict
 from functools import partial
 from typing import Any
@@ -13,20 +12,19 @@
     running_fleet,
     service,
     service_text,
-    target_record,
 )
+from guard_builders import slot_guard
 
 from boragetrestle_kernel.call_class import CallClass
 from boragetrestle_kernel.http_client import HttpClientConnection
 from boragetrestle_kernel.ids import CallId, KeyId, OrgId, ServiceName
 from boragetrestle_kernel.refusal import RefusalCode, RefusedError, RunState
+from boragetrestle_kernel.timeline import EventKind
 from boragetrestle_node.attempt import Attempt, Forwarded
 from boragetrestle_node.call import Call
-from boragetrestle_node.fixed_limit import FixedLimit
+from boragetrestle_node.limit_policy import CallEnd, LimitSample
 from boragetrestle_node.policies import Policies
-from boragetrestle_node.queue_order import QUEUE_ORDERS
 from boragetrestle_node.service_times import ServiceTimes
-from boragetrestle_node.slot_guard import SlotGuard
 from boragetrestle_standin.host_plan import HostPlan
 
 _TEXT = service_text(
@@ -37,20 +35,6 @@
 _FAIR = 'class-fair'
 
 
-def _guard(*, limit=4, queue=_FAIR, weights=None):
-    known = weights or {}
-    guard = SlotGuard(
-        target_record(1),
-        limit=FixedLimit(limit),
-        queue=QUEUE_ORDERS[queue](lambda org: known.get(org, 1)),
-        times=ServiceTimes(),
-        rng=random.Random(1),
-        on_queued=lambda _guard: None,
-    )
-    guard.slow_start.bound = limit
-    return guard
-
-
 def _call(name='acacia', *, call_class=CallClass.INTERACTIVE, seconds=10.0):
     return Call(
         call_id=CallId('c'),
@@ -100,7 +84,7 @@
 
 async def _two_organisations(queue):
     """Offer 5 times the fair share by one and the fair share by another."""
-    flood = _Flood(_guard(queue=queue))
+    flood = _Flood(slot_guard(queue=queue))
     async with trio.open_nursery() as nursery:
         nursery.start_soon(lambda: flood.offer('loud', 100, name='loud'))
         nursery.start_soon(lambda: flood.offer('calm', 19, name='calm'))
@@ -117,7 +101,7 @@
 
 
 async def test_return_after_idling_delays_others_a_little(autojump_clock):
-    flood = _Flood(_guard())
+    flood = _Flood(slot_guard())
     async with trio.open_nursery() as nursery:
         nursery.start_soon(partial(flood.offer, 'calm', 10, name='calm'))
         nursery.start_soon(partial(flood.offer, 'loud', 100, name='loud'))
@@ -132,7 +116,7 @@
 
 
 async def test_shares_follow_the_weights(autojump_clock):
-    flood = _Flood(_guard(weights={'heavy': 3}))
+    flood = _Flood(slot_guard(weights={'heavy': 3}))
     async with trio.open_nursery() as nursery:
         for name in ('heavy', 'light'):
             nursery.start_soon(
@@ -143,7 +127,7 @@
 
 
 async def test_critical_calls_are_shed_last(autojump_clock):
-    flood = _Flood(_guard())
+    flood = _Flood(slot_guard())
     async with trio.open_nursery() as nursery:
         for kind, rate in (
             (CallClass.BULK, 60),
@@ -160,14 +144,14 @@
 
 
 async def test_given_up_calls_are_refused_long_before_deadline(autojump_clock):
-    flood = _Flood(_guard())
+    flood = _Flood(slot_guard())
     await flood.offer('bulk', 400, call_class=CallClass.BULK)
     assert flood.refused['bulk'] > 3000
     assert flood.latest < 3
 
 
 async def test_queue_is_bounded(autojump_clock):
-    guard = _guard(limit=2)
+    guard = slot_guard(slots=2)
     async with trio.open_nursery() as nursery:
         flood = _Flood(guard, work=5)
         nursery.start_soon(lambda: flood.offer('many', 1000, seconds=0.1))
@@ -183,7 +167,7 @@
 
 
 async def test_call_that_cannot_end_in_time_never_starts(autojump_clock):
-    guard = _guard()
+    guard = slot_guard()
     for _ in range(8):
         guard.times.add(_call(), 1.0)
     with pytest.raises(RefusedError) as caught:
@@ -202,7 +186,7 @@
 async def test_queued_call_is_refused_while_it_could_still_end(
     autojump_clock, call_class, wait
 ):
-    guard = _guard(limit=1)
+    guard = slot_guard(slots=1)
     for _ in range(8):
         guard.times.add(_call(), 1.0)
     async with guard.hold(_call()):
@@ -225,7 +209,7 @@
 
 
 async def test_cancelled_wait_leaves_the_queue(autojump_clock):
-    guard = _guard(limit=1)
+    guard = slot_guard(slots=1)
     async with guard.hold(_call()):
         with trio.move_on_after(0.5):
             async with guard.hold(_call()):
@@ -235,14 +219,7 @@
 
 
 async def test_cold_target_starts_slowly(autojump_clock):
-    guard = SlotGuard(
-        target_record(1),
-        limit=FixedLimit(40),
-        queue=QUEUE_ORDERS[_FAIR](lambda _org: 1),
-        times=ServiceTimes(),
-        rng=random.Random(1),
-        on_queued=lambda _guard: None,
-    )
+    guard = slot_guard(slots=40, is_warm=False)
     cold = guard.limit
     await _Flood(guard, work=0.1).offer('warm-up', 50, seconds=1)
     assert cold == 10
@@ -327,3 +304,48 @@
     assert target.most_running <= 4
     assert statuses[run.key][200] >= 95
     assert statuses[loud.key][200] > 100
+
+
+@pytest.mark.parametrize('end', [CallEnd.SHED, CallEnd.TIMED_OUT])
+async def test_limit_falls_when_the_target_sheds_or_is_late(
+    autojump_clock, end
+):
+    guard = slot_guard(slots=20, limit='additive-increase')
+    for _ in range(200):
+        guard.learn(LimitSample(end, 1, 20))
+    fallen = guard.limit
+    for _ in range(400):
+        guard.learn(LimitSample(CallEnd.ANSWERED, 1, guard.limit))
+    events = [event.kind for event in guard.timeline.ring]
+    assert fallen <= 10
+    assert guard.limit == 20
+    assert events == [EventKind.LIMIT_LOWERED]
+
+
+async def test_gradient_falls_with_latency_and_comes_back(autojump_clock):
+    guard = slot_guard(slots=40, limit='gradient')
+
+    async def answer(seconds):
+        for _ in range(1500):
+            guard.learn(LimitSample(CallEnd.ANSWERED, seconds, guard.limit))
+            await trio.sleep(0.001)
+        return guard.limit
+
+    normal = await answer(0.05)
+    slow = await answer(0.5)
+    again = await answer(0.05)
+    assert (normal, again) == (40, 40)
+    assert slow <= 12
+
+
+async def test_shedding_target_lowers_the_limit_of_its_guard(autojump_clock):
+    plans = [HostPlan('walks', slots=8), HostPlan('gate')]
+    async with running_fleet(plans, text=_TEXT) as run:
+        walks, gate = run.fleet.hosts
+        walks.target.faults.is_shedding = True
+        for _ in range(60):
+            await run.fleet.call(gate, _PATH, key=run.key)
+        await trio.sleep(2)
+        (guard,) = walks.node.guards.by_target.values()
+        limit = guard.policy.limit
+    assert limit < 5
--- a/tests/test_slot_leases.py
+++ b/tests/test_slot_leases.py
@@ -6,19 +6,17 @@
 import trio
 import trio.testing
 from builders import READ, running_fleet, service, service_text
+from guard_builders import slot_guard
 
 from boragetrestle_kernel.call_class import CallClass
 from boragetrestle_kernel.ids import NodeId, OrgId
 from boragetrestle_kernel.target_record import TargetRecord, TargetState
-from boragetrestle_node.arrival_queue import FifoQueue
-from boragetrestle_node.fixed_limit import FixedLimit
-from boragetrestle_node.lease_message import LeaseAsk
+from boragetrestle_kernel.timeline import EventKind
+from boragetrestle_node.lease_message import LeaseAsk, UseReport
 from boragetrestle_node.leased_slots import LeasedSlots
 from boragetrestle_node.lender import LEASE_SECONDS
 from boragetrestle_node.limit_policy import CallEnd
 from boragetrestle_node.policies import Policies
-from boragetrestle_node.service_times import ServiceTimes
-from boragetrestle_node.slot_guard import SlotGuard
 from boragetrestle_node.slot_lease import SlotLease
 from boragetrestle_node.waiter import Waiter
 from boragetrestle_standin.fleet import Answer
@@ -55,16 +53,7 @@
 
 
 def _guard(limit=_LIMIT, **changes):
-    guard = SlotGuard(
-        _record(**changes),
-        limit=FixedLimit(limit),
-        queue=FifoQueue(lambda _org: 1),
-        times=ServiceTimes(),
-        rng=random.Random(0),
-        on_queued=lambda _guard: None,
-    )
-    guard.slow_start.bound = limit
-    return guard
+    return slot_guard(slots=limit, queue='fifo', record=_record(**changes))
 
 
 def _ask(wanted, *, held=0, busy=0):
@@ -149,8 +138,10 @@
         gate.crash()
         await trio.sleep(LEASE_SECONDS)
         left = guard.in_use
+        kinds = [event.kind for event in walks.node.timeline.ring]
     assert lent > 0
     assert left == 0
+    assert EventKind.LEASE_LAPSED in kinds
 
 
 async def test_unused_slots_are_given_back(autojump_clock):
@@ -253,6 +244,14 @@
     assert third.slots == 2
 
 
+async def test_sheds_under_leases_lower_the_limit(autojump_clock):
+    guard = slot_guard(slots=20, limit='additive-increase')
+    ask = LeaseAsk('t', '', 0, 0, 4, UseReport(shed=20))
+    for _ in range(10):
+        guard.lender.lend(NodeId('n1'), ask)
+    assert guard.limit < 10
+
+
 class _LeaseModel:
     """A guard and holders whose asks and grants come late or get lost.
 
