Hold rates in shares that are leased to where the demand is

Cause: an even split refuses what lands unevenly, and its burst of at least one token a node goes over the rate.

--- a/packages/node/src/boragetrestle_node/claim_sweeper.py
+++ b/packages/node/src/boragetrestle_node/claim_sweeper.py
@@ -1,7 +1,6 @@
 """Remove expired claims from the table, a bounded page at a time."""
 
 import random
-import secrets
 from collections.abc import Callable
 from contextlib import suppress
 
@@ -23,7 +22,7 @@
 FLEET_SWEEP_SECONDS = 2.0
 PAGE_ROWS = 200
 
-_START_BYTES = 4
+_START_BITS = 32
 _JITTER = (0.5, 1.5)
 
 
@@ -53,7 +52,7 @@
         while True:
             pause = FLEET_SWEEP_SECONDS * max(1, self.node_count())
             await trio.sleep(pause * self.rng.uniform(*_JITTER))
-            start = CLAIM_PREFIX + secrets.token_hex(_START_BYTES)
+            start = f'{CLAIM_PREFIX}{self.rng.getrandbits(_START_BITS):08x}'
             with suppress(StoreError):
                 await self.sweep(start)
 
--- a/packages/node/src/boragetrestle_node/entry.py
+++ b/packages/node/src/boragetrestle_node/entry.py
@@ -15,7 +15,7 @@
 from boragetrestle_kernel.timeline import EventKind, Timeline
 from boragetrestle_node.at_most_once import AtMostOnce
 from boragetrestle_node.call import Call
-from boragetrestle_node.gate import Gate
+from boragetrestle_node.gate import Gate, RateStage
 from boragetrestle_node.guarded_calls import GuardedCalls
 from boragetrestle_node.identity import Identifier
 from boragetrestle_node.metrics import NodeMetrics
@@ -38,6 +38,7 @@
         *,
         identifier: Identifier,
         gates: Sequence[Gate],
+        rates: RateStage,
         dispatcher: AtMostOnce,
         guarded: GuardedCalls,
         timeline: Timeline,
@@ -46,6 +47,7 @@
     ) -> None:
         self.identifier = identifier
         self.gates = gates
+        self.rates = rates
         self.dispatcher = dispatcher
         self.guarded = guarded
         self.timeline = timeline
@@ -79,8 +81,10 @@
         request: HttpRequest,
         connection: HttpServerConnection,
     ) -> None:
-        for gate in () if call.is_guarded else self.gates:
-            gate.check(call)
+        if not call.is_guarded:
+            for gate in self.gates:
+                gate.check(call)
+            await self.rates.admit(call)
         serve = (
             self.guarded.serve if call.is_guarded else self.dispatcher.dispatch
         )
--- a/packages/node/src/boragetrestle_node/main.py
+++ b/packages/node/src/boragetrestle_node/main.py
@@ -35,6 +35,7 @@
             await nursery.start(node.run)
             await anext(signals)
             await node.membership.drain()
+            await node.give_back()
             await node.membership.leave()
             nursery.cancel_scope.cancel()
 
--- a/packages/node/src/boragetrestle_node/node.py
+++ b/packages/node/src/boragetrestle_node/node.py
@@ -7,6 +7,7 @@
 from eliot import log_message
 
 import boragetrestle_node.chain_budget  # noqa: F401
+import boragetrestle_node.escrow  # noqa: F401
 import boragetrestle_node.even_split  # noqa: F401
 import boragetrestle_node.guarded_slots  # noqa: F401
 import boragetrestle_node.leased_slots  # noqa: F401
@@ -33,7 +34,7 @@
 from boragetrestle_node.entry import Entry
 from boragetrestle_node.forwarder import Forwarder
 from boragetrestle_node.freshness_gate import FreshnessGate
-from boragetrestle_node.gate import RateGate
+from boragetrestle_node.gate import RateStage
 from boragetrestle_node.guarded_calls import GuardedCalls
 from boragetrestle_node.guards import Guards
 from boragetrestle_node.identity import Identifier
@@ -42,7 +43,7 @@
 from boragetrestle_node.peer_links import PeerLinks
 from boragetrestle_node.peer_proof import PeerProver
 from boragetrestle_node.policies import Policies
-from boragetrestle_node.rate_policy import RATE_POLICIES
+from boragetrestle_node.rate_policy import RATE_POLICIES, RateParts
 from boragetrestle_node.repeats import Repeats
 from boragetrestle_node.retry_policy import RETRY_POLICIES
 from boragetrestle_node.slot_source import SLOT_SOURCES, SlotParts
@@ -56,6 +57,8 @@
 
 DEFAULT_POLICIES = Policies()
 
+_FLUSH_SECONDS = 5.0
+
 
 class Node:
     """The process beside a target.
@@ -128,8 +131,6 @@
             ),
         )
         self.forwarder = Forwarder(self.pool)
-        build_rates = RATE_POLICIES[policies.rates]
-        rates = build_rates(self.state, self.count_nodes)
         self.book = TargetBook()
         self.watch = TargetWatch(
             self.book,
@@ -173,13 +174,26 @@
             node_count=self.count_nodes,
             rng=random.Random(seed),
         )
+        rates = RATE_POLICIES[policies.rates](
+            RateParts(
+                node=NodeId(settings.node),
+                address=settings.listen.peers,
+                state=self.state,
+                members=self.control.members,
+                links=self.links,
+                table=store.table,
+                combiner=self.repeats.combiner,
+                timeline=self.timeline,
+                rng=random.Random(seed),
+            ),
+        )
         self.entry = Entry(
             identifier=self.identifier,
             gates=[
                 FreshnessGate(self.control.exchange),
                 KeyGate(),
-                RateGate(rates),
             ],
+            rates=RateStage(rates),
             dispatcher=self.repeats.stage,
             guarded=GuardedCalls(
                 guards=self.guards,
@@ -221,6 +235,7 @@
             nursery.start_soon(self.warmer.run)
             nursery.start_soon(self.probe.run)
             await nursery.start(self.repeats.run)
+            await nursery.start(self.entry.rates.policy.run)
             await nursery.start(
                 self._listen,
                 self.settings.listen.calls,
@@ -234,6 +249,12 @@
             log_message(message_type='node:started', node=self.settings.node)
             task_status.started()
 
+    async def give_back(self) -> None:
+        """Write what is left to record and give up shares, before the end."""
+        await self.entry.rates.policy.stop()
+        with trio.move_on_after(_FLUSH_SECONDS):
+            await self.repeats.outcomes.flush()
+
     async def _listen(
         self,
         address: str,
--- a/packages/node/src/boragetrestle_node/policies.py
+++ b/packages/node/src/boragetrestle_node/policies.py
@@ -9,7 +9,7 @@
     Benchmarks run the same node with other names to compare policies.
     """
 
-    rates: str = 'even-split'
+    rates: str = 'escrow'
     choice: str = 'near-two-random'
     retries: str = 'chain-budget'
     slots: str = 'leased'
--- a/packages/node/src/boragetrestle_node/rate_policy.py
+++ b/packages/node/src/boragetrestle_node/rate_policy.py
@@ -1,12 +1,18 @@
 """Policies that keep each organisation within its rate."""
 
+import random
 from collections.abc import Callable
-from typing import Protocol
+from typing import NamedTuple, Protocol
 
-from boragetrestle_kernel.fleet_state import FleetState
-from boragetrestle_kernel.ids import OrgId
+import trio
 
-NodeCount = Callable[[], int]
+from boragetrestle_kernel.fleet_state import FleetState
+from boragetrestle_kernel.ids import NodeId, OrgId
+from boragetrestle_kernel.timeline import Timeline
+from boragetrestle_node.members import Members
+from boragetrestle_node.peer_links import PeerLinks
+from boragetrestle_platform.guarded_table import GuardedTable
+from boragetrestle_platform.write_combiner import WriteCombiner
 
 
 class RatePolicy(Protocol):
@@ -15,8 +21,44 @@
     def take(self, organisation: OrgId) -> float | None:
         """Return ``None`` if admitted, else seconds until it may try again."""
 
+    async def acquire(
+        self,
+        organisation: OrgId,
+        *,
+        timeout: float,
+    ) -> float | None:
+        """Wait for a token that ``take`` did not find.
+
+        Returns ``None`` if admitted, else seconds until it may try again;
+        waits for ``timeout`` seconds at most.
+        """
+
+    async def run(
+        self,
+        *,
+        task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED,
+    ) -> None:
+        """Do what is due in the background until cancelled."""
+
+    async def stop(self) -> None:
+        """Give back what this node holds and admit no further call."""
+
+
+class RateParts(NamedTuple):
+    """What a policy may use of its node; ``address`` takes its messages."""
+
+    node: NodeId
+    address: str
+    state: FleetState
+    members: Members
+    links: PeerLinks
+    table: GuardedTable
+    combiner: WriteCombiner
+    timeline: Timeline
+    rng: random.Random
+
 
-RateBuilder = Callable[[FleetState, NodeCount], RatePolicy]
+RateBuilder = Callable[[RateParts], RatePolicy]
 RATE_POLICIES: dict[str, RateBuilder] = {}
 
 
--- /dev/null
+++ b/packages/node/src/boragetrestle_node/share_record.py
@@ -0,0 +1,29 @@
+"""Who holds a share of an organisation's rate, as kept in the table."""
+
+import msgspec
+
+SHARE_PREFIX = 'share/'
+
+
+class ShareRecord(msgspec.Struct, frozen=True):
+    """The holder of a share; an empty ``node`` means that it was handed back.
+
+    ``session`` names the process of the node. ``until`` is the store time in
+    seconds at which the tenure ends. ``tokens`` were left when the share was
+    handed back, for the next holder.
+    """
+
+    node: str
+    session: str
+    address: str
+    until: float
+    tokens: float = 0
+
+
+def share_row_key(organisation: str, share: int) -> str:
+    """Return the row key of a share.
+
+    >>> share_row_key('acacia', 2)
+    'share/acacia/2'
+    """
+    return f'{SHARE_PREFIX}{organisation}/{share}'
