Limit the tokens of a node by the room that holders have

Cause: with a burst of few tokens a node, room for tokens was taken ahead of need until no pool could hold a whole token; most calls were refused. Ruled out: a crowd count at the holder (it swings as leases are returned). Change: a reserve of each share's burst goes to calls that wait only, and comes back at once; a grant tells the room that a lease may have; slower backoff.

--- a/packages/node/src/boragetrestle_node/held_share.py
+++ b/packages/node/src/boragetrestle_node/held_share.py
@@ -15,6 +15,7 @@
 RESERVED_BURST = 0.4
 MAX_GIVEN_BURST = 0.5
 ROOM_SECONDS = 0.3
+SCARCE_PART = 0.9
 
 _SLACK = 1.1
 
@@ -153,13 +154,14 @@
         *,
         is_fresh: bool,
     ) -> ShareGrant:
+        reserve = self.terms.fraction * RESERVED_BURST
+        spare = max(0, self.free.burst - reserve)
         tokens = self._tokens_for(ask)
-        burst = self._burst_for(lease, ask, tokens, organisation)
+        burst = self._burst_for(lease, ask, tokens, spare, organisation)
         held_burst = (lease.burst + burst) * organisation.burst
         rate = self._rate_for(lease, ask, held_burst / organisation.rate)
         held = 0 if is_fresh else ask.tokens
-        room = (lease.burst + burst) * organisation.burst - held
-        tokens = max(0, min(tokens, room))
+        tokens = max(0, min(tokens, held_burst - held))
         self.free.rate -= rate
         self.free.burst -= burst
         self.free.tokens -= tokens
@@ -175,7 +177,9 @@
             validity=validity,
             interval=self.terms.interval,
             is_fresh=is_fresh,
-            is_scarce=self.free.burst * organisation.burst < 1,
+            is_scarce=self.free.burst < reserve * SCARCE_PART,
+            room=held_burst
+            + max(0, self.free.burst - reserve) * organisation.burst / 2,
         )
 
     def _tokens_for(self, ask: ShareAsk) -> float:
@@ -188,17 +192,19 @@
         lease: Lease,
         ask: ShareAsk,
         tokens: float,
+        spare: float,
         organisation: Organisation,
     ) -> float:
         """Return burst to give, so that the tokens that stay still fit.
 
-        A call that needs a token gets the room for it, and others half of
-        what is not reserved.
+        Half of what is not reserved goes to one lease at most; a call that
+        waits may have some of the reserve.
         """
         kept = (self.free.tokens - tokens) / organisation.burst
         wanted = ask.wanted_burst - lease.burst
-        spare = self.free.burst - self.terms.fraction * RESERVED_BURST
-        most = max(1 / organisation.burst, spare * MAX_GIVEN_BURST)
+        least = min(ask.urgent, 1) / organisation.burst
+        whole = 1 / organisation.burst
+        most = max(least, min(spare, max(whole, spare * MAX_GIVEN_BURST)))
         return max(0, min(wanted, most, self.free.burst - kept))
 
     def _rate_for(self, lease: Lease, ask: ShareAsk, seconds: float) -> float:
--- a/packages/node/src/boragetrestle_node/local_tokens.py
+++ b/packages/node/src/boragetrestle_node/local_tokens.py
@@ -1,6 +1,6 @@
 """The tokens of one organisation at this node."""
 
-from math import sqrt
+from math import inf, sqrt
 
 import trio
 
@@ -16,7 +16,7 @@
 LONGEST_PAUSE_SECONDS = 0.5
 SHORT_PAUSE_SECONDS = 0.2
 
-_PAUSE_FACTOR = 2.0
+_PAUSE_FACTOR = 1.5
 _SPREAD = 4.0
 _ROUNDING = 1e-9
 
@@ -86,11 +86,20 @@
 
     def low(self, now: float) -> float:
         """Return the tokens below which more are asked for."""
-        return 1 + self.demand.rate(now) * LOW_SECONDS
+        ample = 1 + self.demand.rate(now) * LOW_SECONDS
+        return min(ample, self._room / 2) if self._room >= 1 else 0
 
     def goal(self, now: float) -> float:
         """Return the tokens to have after asking."""
-        return self.waiting + 1 + self.demand.rate(now) * GOAL_SECONDS
+        ample = 1 + self.demand.rate(now) * GOAL_SECONDS
+        return self.waiting + min(ample, self._room)
+
+    @property
+    def _room(self) -> float:
+        """How many tokens the holders would have here, as far as known."""
+        if not self.leases:
+            return inf
+        return sum(lease.room for lease in self.leases.values())
 
     def steady_rate(self, now: float) -> float:
         """Return the calls a second for which tokens should accrue here.
--- a/packages/node/src/boragetrestle_node/share_asker.py
+++ b/packages/node/src/boragetrestle_node/share_asker.py
@@ -107,6 +107,7 @@
             wanted_rate=want.rate,
             wanted_burst=wanted_burst / organisation.burst,
             wanted_tokens=max(0, want.tokens),
+            urgent=max(0, local.waiting - local.refill(asked_at, organisation)),
             demand=local.demand.rate(asked_at),
         )
         grant = await self._send(share, message)
--- a/packages/node/src/boragetrestle_node/share_lease.py
+++ b/packages/node/src/boragetrestle_node/share_lease.py
@@ -21,13 +21,14 @@
 class ShareLease:
     """A lease of a part of a share, on this node's clock in seconds."""
 
-    __slots__ = ('ask_at', 'is_scarce', 'lapses_at', 'share')
+    __slots__ = ('ask_at', 'is_scarce', 'lapses_at', 'room', 'share')
 
     def __init__(self, share: TokenShare) -> None:
         self.share = share
         self.lapses_at = 0.0
         self.ask_at = 0.0
         self.is_scarce = False
+        self.room = 0.0
 
     def is_live(self, now: float) -> bool:
         """Tell whether the lease holds."""
@@ -74,3 +75,4 @@
         self.lapses_at = asked_at + holder_seconds(grant.validity)
         self.ask_at = asked_at + grant.interval
         self.is_scarce = grant.is_scarce
+        self.room = grant.room
--- a/packages/node/src/boragetrestle_node/share_messages.py
+++ b/packages/node/src/boragetrestle_node/share_messages.py
@@ -13,7 +13,8 @@
     each message of a session about a share. ``rate`` and ``burst`` are the
     fractions that the lease has now and ``tokens`` are those in it;
     ``returned`` tokens were taken out of it. ``wanted_rate``, ``wanted_burst``
-    and ``wanted_tokens`` are what it should get to. ``demand`` is in calls a
+    and ``wanted_tokens`` are what it should get to; for ``urgent`` of these
+    tokens calls wait. ``demand`` is in calls a
     second; ``address`` is where the asking node takes messages.
     """
 
@@ -29,6 +30,7 @@
     wanted_rate: float = 0
     wanted_burst: float = 0
     wanted_tokens: float = 0
+    urgent: float = 0
     demand: float = 0
 
     @property
@@ -44,7 +46,8 @@
     The fractions and tokens are added to the lease; ``is_fresh`` tells that
     what it had before is void. The lease holds for ``validity`` seconds from
     when it was asked for, and should be asked for again after ``interval``
-    seconds. ``is_scarce`` tells that others are short of room for tokens.
+    seconds. ``is_scarce`` tells that the room for tokens was reserved
+    and must come back at once; ``room`` is how many tokens the lease may hold.
     ``holder`` is the address of another node that holds the share.
     """
 
@@ -55,6 +58,7 @@
     interval: float = 0
     is_fresh: bool = False
     is_scarce: bool = False
+    room: float = 0
     holder: str = ''
 
 
