--- a/packages/node/src/boragetrestle_node/dispatcher.py
+++ b/packages/node/src/boragetrestle_node/dispatcher.py
@@ -117,6 +117,7 @@
             body=run.body,
             context=make_context(run.call),
             call_id=run.call.call_id,
+            remaining=run.call.remaining,
             is_guarded=slot.is_guarded,
             take_back=take_back,
         )
--- a/packages/node/src/boragetrestle_node/entry.py
+++ b/packages/node/src/boragetrestle_node/entry.py
@@ -5,6 +5,7 @@
 
 import trio
 
+from boragetrestle_kernel.errors import BodyTooLargeError, CallerError
 from boragetrestle_kernel.http_server import HttpRequest, HttpServerConnection
 from boragetrestle_kernel.refusal import (
     Refusal,
@@ -15,6 +16,7 @@
 from boragetrestle_kernel.timeline import EventKind, Timeline
 from boragetrestle_node.at_most_once import AtMostOnce
 from boragetrestle_node.call import Call
+from boragetrestle_node.caller_connections import CallerConnections
 from boragetrestle_node.gate import Gate, RateStage
 from boragetrestle_node.guarded_calls import GuardedCalls
 from boragetrestle_node.identity import Identifier
@@ -23,6 +25,7 @@
 
 _MAX_DISCARDED_BYTES = 262_144
 _CALL_ID = b'boragetrestle-call'
+_HUNG_UP = 'caller-gone'
 
 
 class Entry:
@@ -44,6 +47,7 @@
         timeline: Timeline,
         metrics: NodeMetrics,
         rng: random.Random,
+        connections: CallerConnections,
     ) -> None:
         self.identifier = identifier
         self.gates = gates
@@ -53,6 +57,9 @@
         self.timeline = timeline
         self.metrics = metrics
         self.rng = rng
+        self.connections = connections
+        self.running = 0
+        self.is_draining = False
 
     async def handle(
         self,
@@ -60,12 +67,24 @@
         connection: HttpServerConnection,
     ) -> None:
         """Answer one request."""
+        self.running += 1
+        try:
+            await self._handle(request, connection)
+        finally:
+            self.running -= 1
+
+    async def _handle(
+        self,
+        request: HttpRequest,
+        connection: HttpServerConnection,
+    ) -> None:
         try:
             call = self.identifier.identify(request)
         except RefusedError as error:
             await self._refuse(error.refusal, connection)
             return
         try:
+            self._admit(call, connection)
             await self._run(call, request, connection)
         except RefusedError as error:
             refusal = error.refusal
@@ -74,6 +93,13 @@
             await self._refuse(refusal, connection, call=call)
             if call.is_guarded:
                 await request.discard(max_bytes=_MAX_DISCARDED_BYTES)
+        except CallerError as error:
+            self._abandon(call, error.code)
+            raise
+        except trio.Cancelled:
+            if connection.is_hung_up:
+                self._abandon(call, _HUNG_UP)
+            raise
 
     async def _run(
         self,
@@ -88,12 +114,50 @@
         serve = (
             self.guarded.serve if call.is_guarded else self.dispatcher.dispatch
         )
+        if not request.is_whole:
+            await self._keep_body(call, request)
         with trio.move_on_at(call.deadline) as scope:
             await serve(call, request, connection)
         if scope.cancelled_caught:
             raise RefusedError(Refusal(RefusalCode.DEADLINE))
         self.metrics.answered(call)
 
+    def _admit(self, call: Call, connection: HttpServerConnection) -> None:
+        """Refuse calls that enter while the node drains or is full."""
+        if call.depth or call.is_guarded:
+            return
+        if self.is_draining:
+            raise RefusedError(
+                Refusal(RefusalCode.NODE_DRAINING, retry_after=1),
+            )
+        if call.organisation:
+            self.connections.claim(connection, call.organisation)
+
+    async def _keep_body(self, call: Call, request: HttpRequest) -> None:
+        """Read the first part of a body before the call holds a slot."""
+        try:
+            request.require_size()
+            with trio.move_on_at(call.deadline):
+                await request.keep()
+                return
+        except BodyTooLargeError as error:
+            detail = str(error)
+            raise RefusedError(
+                Refusal(RefusalCode.TOO_LARGE, detail=detail),
+            ) from error
+        raise RefusedError(Refusal(RefusalCode.DEADLINE))
+
+    def _abandon(self, call: Call, reason: str) -> None:
+        """Record a call that its caller broke off."""
+        self.metrics.abandoned(call, reason)
+        self.timeline.record(
+            EventKind.CALL_ABANDONED,
+            reason=reason,
+            call=call.call_id,
+            organisation=call.organisation,
+            service=call.service,
+        )
+
     async def _refuse(
         self,
         refusal: Refusal,
--- a/packages/node/src/boragetrestle_node/guarded_calls.py
+++ b/packages/node/src/boragetrestle_node/guarded_calls.py
@@ -54,6 +54,7 @@
                 connection,
                 context=self.identifier.context_for(call),
                 call_id=call.call_id,
+                remaining=call.remaining,
                 body=ReplayableBody(request),
             )
             call.is_sent = forwarded.may_have_run
--- a/packages/node/src/boragetrestle_node/node.py
+++ b/packages/node/src/boragetrestle_node/node.py
@@ -7,24 +7,19 @@
 from eliot import log_message
 
 import boragetrestle_node.chain_budget  # noqa: F401
-import boragetrestle_node.escrow  # noqa: F401
-import boragetrestle_node.even_split  # noqa: F401
 import boragetrestle_node.guarded_slots  # noqa: F401
 import boragetrestle_node.leased_slots  # noqa: F401
 import boragetrestle_node.near_choice  # noqa: F401
 from boragetrestle_kernel.address import Address
 from boragetrestle_kernel.clock import SystemClock, WallClock
 from boragetrestle_kernel.fleet_state import FleetState
-from boragetrestle_kernel.http_server import (
-    HttpServerConnection,
-    RequestHandler,
-)
 from boragetrestle_kernel.hybrid_clock import HybridClock
 from boragetrestle_kernel.ids import NodeId, TargetId
 from boragetrestle_kernel.network import Network
 from boragetrestle_kernel.settings import NodeSettings
 from boragetrestle_kernel.timeline import Timeline
 from boragetrestle_node.admin import Admin
+from boragetrestle_node.caller_connections import CallerConnections
 from boragetrestle_node.connection_pool import ConnectionPool
 from boragetrestle_node.connection_warmer import ConnectionWarmer
 from boragetrestle_node.control import Control
@@ -35,6 +30,7 @@
 from boragetrestle_node.forwarder import Forwarder
 from boragetrestle_node.freshness_gate import FreshnessGate
 from boragetrestle_node.gate import RateStage
+from boragetrestle_node.graceful_stop import GracefulStop
 from boragetrestle_node.guarded_calls import GuardedCalls
 from boragetrestle_node.guards import Guards
 from boragetrestle_node.identity import Identifier
@@ -43,9 +39,11 @@
 from boragetrestle_node.peer_links import PeerLinks
 from boragetrestle_node.peer_proof import PeerProver
 from boragetrestle_node.policies import Policies
-from boragetrestle_node.rate_policy import RATE_POLICIES, RateParts
+from boragetrestle_node.rate_policies import build_rates
+from boragetrestle_node.rate_policy import RateParts
 from boragetrestle_node.repeats import Repeats
 from boragetrestle_node.retry_policy import RETRY_POLICIES
+from boragetrestle_node.service_times import ServiceTimes
 from boragetrestle_node.slot_source import SLOT_SOURCES, SlotParts
 from boragetrestle_node.target_book import TargetBook
 from boragetrestle_node.target_choice import TARGET_CHOICES, ChoiceInputs
@@ -85,7 +83,11 @@
         self.in_flight: Counter[TargetId] = Counter()
         self.metrics = NodeMetrics()
         self.timeline = Timeline(HybridClock(wall_clock), node=settings.node)
-        self.identifier = Identifier(self.state, wall_clock)
+        self.identifier = Identifier(
+            self.state,
+            wall_clock,
+            own_hosts=settings.own_hosts,
+        )
         self.pool = ConnectionPool(network)
         store = guard_platform(
             platform,
@@ -113,11 +115,13 @@
             rng=self.rng,
         )
         self.membership = self.control.membership
+        times = ServiceTimes()
         self.guards = Guards(
             self.membership.own,
             state=self.state,
             policies=policies,
             rng=self.rng,
+            times=times,
             links=self.links,
         )
         build_slots = SLOT_SOURCES[policies.slots]
@@ -126,6 +130,7 @@
                 node=NodeId(settings.node),
                 in_flight=self.in_flight,
                 guards=self.guards,
+                times=times,
                 links=self.links,
                 peers_address=settings.listen.peers,
             ),
@@ -174,7 +179,8 @@
             node_count=self.count_nodes,
             rng=random.Random(seed),
         )
-        rates = RATE_POLICIES[policies.rates](
+        rates = build_rates(
+            policies.rates,
             RateParts(
                 node=NodeId(settings.node),
                 address=settings.listen.peers,
@@ -203,6 +209,10 @@
             timeline=self.timeline,
             metrics=self.metrics,
             rng=self.rng,
+            connections=CallerConnections(
+                network,
+                bounds=settings.connections,
+            ),
         )
         self.admin = Admin(
             membership=self.membership,
@@ -211,12 +221,25 @@
             timeline=self.timeline,
             metrics=self.metrics,
             acks=self.control.acks,
+            entry=self.entry,
+            network=network,
         )
 
     def count_nodes(self) -> int:
         """Return how many nodes the fleet has, as far as this one knows."""
         return self.control.members.present_count
 
+    async def stop(self) -> None:
+        """Leave the fleet without cutting a call; ``run`` is ended after."""
+        stopping = GracefulStop(
+            membership=self.membership,
+            entry=self.entry,
+            give_back=self.give_back,
+            timeline=self.timeline,
+            timeout=self.settings.drain_timeout,
+        )
+        await stopping.run()
+
     async def run(
         self,
         *,
@@ -237,13 +260,13 @@
             await nursery.start(self.repeats.run)
             await nursery.start(self.entry.rates.policy.run)
             await nursery.start(
-                self._listen,
-                self.settings.listen.calls,
+                self.entry.connections.serve,
+                Address.parse(self.settings.listen.calls),
                 self.entry.handle,
             )
             await nursery.start(
-                self._listen,
-                self.settings.listen.admin,
+                self.admin.connections.serve,
+                Address.parse(self.settings.listen.admin),
                 self.admin.handle,
             )
             log_message(message_type='node:started', node=self.settings.node)
@@ -254,17 +277,3 @@
         await self.entry.rates.policy.stop()
         with trio.move_on_after(_FLUSH_SECONDS):
             await self.repeats.outcomes.flush()
-
-    async def _listen(
-        self,
-        address: str,
-        handler: RequestHandler,
-        *,
-        task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED,
-    ) -> None:
-        async def serve(stream: trio.abc.Stream) -> None:
-            await HttpServerConnection(stream).serve(handler)
-
-        listener = await self.network.listen(Address.parse(address))
-        task_status.started()
-        await trio.serve_listeners(serve, [listener])
--- a/packages/node/src/boragetrestle_node/replayable_body.py
+++ b/packages/node/src/boragetrestle_node/replayable_body.py
@@ -4,7 +4,7 @@
 
 import xxhash
 
-from boragetrestle_kernel.errors import HttpError
+from boragetrestle_kernel.errors import CallerError
 from boragetrestle_kernel.http_server import HttpRequest
 
 MAX_KEPT_BYTES = 65_536
@@ -23,7 +23,7 @@
         *,
         limit: int = MAX_KEPT_BYTES,
     ) -> None:
-        self.source = request.chunks()
+        self.source = request
         self.limit = limit
         self.kept: list[bytes] = []
         self.read_bytes = 0
@@ -33,7 +33,7 @@
         self.hash = xxhash.xxh3_64()
 
     async def chunks(self) -> AsyncIterator[bytes]:
-        """Yield the body from its start; raise ``HttpError`` if it is cut."""
+        """Yield the body from its start; raise ``CallerError`` if it is cut."""
         for part in tuple(self.kept):
             yield part
         while True:
@@ -61,15 +61,14 @@
 
     async def _read(self) -> bytes:
         """Return the next part that is not empty, ``b''`` at the end."""
-        chunk = b''
-        while not chunk and not self.is_whole:
-            try:
-                chunk = await anext(self.source)
-            except StopAsyncIteration:
-                self.is_whole = True
-            except HttpError:
-                self.is_broken = True
-                raise
+        if self.is_whole:
+            return b''
+        try:
+            chunk = await self.source.next_chunk()
+        except CallerError:
+            self.is_broken = True
+            raise
+        self.is_whole = not chunk
         self.hash.update(chunk[: max(0, self.limit - self.read_bytes)])
         self.read_bytes += len(chunk)
         return chunk
