Bound a read of the platform with all its repeats by one timeout

Cause: a read that hangs was repeated twice, so that a node learnt of a store outage after 6 s, and refused calls as isolated although the whole fleet had lost the store (test_lost_store_leaves_calls_running, 3 refusals). Ruled out: the rate policies, which pass through no freshness check.

--- a/packages/platform/src/boragetrestle_platform/store_guard.py
+++ b/packages/platform/src/boragetrestle_platform/store_guard.py
@@ -2,6 +2,7 @@
 
 import random
 from collections.abc import Awaitable, Callable
+from math import inf
 from typing import TypeVar
 
 import trio
@@ -23,7 +24,7 @@
 class StoreGuard:
     """Run operations on one service of the platform.
 
-    ``timeout`` bounds one attempt, in seconds.
+    ``timeout`` bounds an operation with all its attempts, in seconds.
     """
 
     def __init__(
@@ -40,15 +41,19 @@
         self.rng = rng
 
     async def read(self, operate: _Operate[_Answer]) -> _Answer:
-        """Return an answer, after repeats if need be."""
+        """Return an answer, after repeats if need be and time is left."""
+        deadline = trio.current_time() + self.timeout
         pause = _FIRST_PAUSE_SECONDS
         for _ in range(READ_ATTEMPTS - 1):
             try:
-                return await self._attempt(Operation.READ, operate)
+                return await self._attempt(Operation.READ, operate, deadline)
             except StoreError:
-                await trio.sleep(pause * self.rng.uniform(*_JITTER))
-                pause *= _PAUSE_FACTOR
-        return await self._attempt(Operation.READ, operate)
+                pause *= self.rng.uniform(*_JITTER)
+                if trio.current_time() + pause >= deadline:
+                    raise
+            await trio.sleep(pause)
+            pause *= _PAUSE_FACTOR
+        return await self._attempt(Operation.READ, operate, deadline)
 
     async def write(self, operate: _Operate[_Answer]) -> _Answer:
         """Return the answer of one attempt.
@@ -62,11 +67,13 @@
         self,
         kind: Operation,
         operate: _Operate[_Answer],
+        deadline: float = inf,
     ) -> _Answer:
         await self.budget.spend(kind)
+        deadline = min(deadline, trio.current_time() + self.timeout)
         self.breaker.check()
         try:
-            with trio.fail_after(self.timeout):
+            with trio.fail_at(deadline):
                 answer = await operate()
         except StoreError:
             self.breaker.fail()
