--- a/packages/bench/src/boragetrestle_bench/rates_bench.py
+++ b/packages/bench/src/boragetrestle_bench/rates_bench.py
@@ -53,7 +53,7 @@
     )
     outcome = run.run(_DEMANDS[demand], load=_LOAD, seconds=_SECONDS)
     is_bound = name == 'escrow'
-    waited = [wait for wait in outcome.waits if wait]
+    waited = len([wait for wait in outcome.waits if wait])
     return [
         Figure(
             f'{name}: refused although inside the rate',
@@ -71,7 +71,7 @@
         ),
         Figure(
             f'{name}: calls that waited for a token',
-            len(waited) / len(outcome.waits),
+            waited / len(outcome.waits),
         ),
         Figure(
             f'{name}: messages a second and node',
@@ -100,10 +100,11 @@
 def _register(demand: str) -> None:
     @benchmark(f'rates-{demand}', has_policies=False)
     def measure(_policies: Policies, seed: int) -> Sequence[Figure]:
-        figures: list[Figure] = []
-        for name in POLICY_NAMES:
-            figures += _measure(name, demand, seed)
-        return figures
+        return [
+            figure
+            for name in POLICY_NAMES
+            for figure in _measure(name, demand, seed)
+        ]
 
 
 @benchmark('rates-flood', has_policies=False)
--- a/tests/test_rates.py
+++ b/tests/test_rates.py
@@ -32,7 +32,8 @@
 
 
 async def _call(run, place, admitted):
-    policy = run.fleet.hosts[place].node.entry.rates.policy
+    entry = run.fleet.hosts[place].node.entry
+    policy = entry.rates.policy
     wait = policy.take(_NAME)
     if wait is not None:
         wait = await policy.acquire(_NAME, timeout=WAIT_SECONDS)
@@ -227,6 +228,15 @@
         assert await _call(run, 0, [])
 
 
+def _find_holder(run):
+    for host in run.fleet.hosts:
+        policy = host.node.entry.rates.policy
+        assert isinstance(policy, Escrow)
+        if policy.holder.held:
+            return host
+    raise AssertionError('no node holds a share')
+
+
 async def test_full_rate_is_back_after_a_crash(autojump_clock):
     text = service_text(organisations=[_ACACIA])
     rng = random.Random(1)
@@ -235,11 +245,7 @@
         text=text,
         policies=_SHORT_POLICIES,
     ) as run:
-        holder = next(
-            host
-            for host in run.fleet.hosts
-            if host.node.entry.rates.policy.holder.held
-        )
+        holder = _find_holder(run)
         holder.crash()
         await trio.sleep(_SHORT.tenure + 35)
         admitted: list[float] = []
@@ -251,11 +257,7 @@
     text = service_text(organisations=[_ACACIA])
     rng = random.Random(1)
     async with running_fleet(_PLANS, text=text) as run:
-        holder = next(
-            host
-            for host in run.fleet.hosts
-            if host.node.entry.rates.policy.holder.held
-        )
+        holder = _find_holder(run)
         await _flood(run, rng, [], seconds=5)
         await holder.node.give_back()
         await holder.node.membership.leave()
--- a/tests/test_shares.py
+++ b/tests/test_shares.py
@@ -124,7 +124,8 @@
     grant = held.answer(asked, 0, _ACACIA)
     assert grant.tokens == 0.5
     assert held.free.tokens == 0.5
-    assert 0 < grant.rate == pytest.approx(_TERMS.fraction - held.free.rate)
+    assert grant.rate > 0
+    assert grant.rate == pytest.approx(_TERMS.fraction - held.free.rate)
     assert grant.burst == pytest.approx(_TERMS.fraction - held.free.burst)
 
 
