--- a/packages/node/src/boragetrestle_node/escrow.py
+++ b/packages/node/src/boragetrestle_node/escrow.py
@@ -2,6 +2,7 @@
 
 import itertools
 import math
+import secrets
 
 import trio
 
@@ -26,7 +27,7 @@
 STOP_SECONDS = 2.0
 UNKNOWN_WAIT_SECONDS = 1.0
 
-_SESSION_BITS = 64
+_SESSION_BYTES = 8
 _OWNER_TENURE_SECONDS = 15.0
 _OWNER_RENEWAL_SECONDS = 5.0
 _OWNER_TERMS = ShareTerms(
@@ -53,7 +54,7 @@
             terms=terms,
             node=parts.node,
             address=parts.address,
-            session=f'{parts.rng.getrandbits(_SESSION_BITS):x}',
+            session=secrets.token_hex(_SESSION_BYTES),
         )
         self.holder = ShareHolder(
             self.table,
@@ -114,6 +115,7 @@
         task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED,
     ) -> None:
         """Keep tokens ahead of demand and hold shares until cancelled."""
+        self.table.started_at = trio.current_time()
         async with trio.open_nursery() as nursery:
             self.nursery = nursery
             nursery.start_soon(self.survey.run)
--- a/packages/node/src/boragetrestle_node/share_holder.py
+++ b/packages/node/src/boragetrestle_node/share_holder.py
@@ -82,8 +82,11 @@
         is_early = trio.current_time() < self.retry_at.get(key, 0)
         return not (is_known or is_early or self.is_stopping)
 
-    async def take_all(self, keys: Collection[ShareId]) -> None:
-        """Take those of some shares that nobody holds."""
+    async def take_all(self, keys: Collection[ShareId]) -> bool:
+        """Take those of some shares that nobody holds.
+
+        Returns whether the store answered.
+        """
         known = self.state.organisations
         wanted = {
             key: known[key.organisation]
@@ -97,6 +100,7 @@
         except StoreError:
             retry_at = trio.current_time() + _RETRY_SECONDS
             self.retry_at.update(dict.fromkeys(wanted, retry_at))
+            return False
         else:
             for key, outcome in taken.items():
                 self._keep(key, outcome)
@@ -104,6 +108,7 @@
             for tried in wanted:
                 self.taking.pop(tried)
             done.set()
+        return True
 
     async def run(self) -> None:
         """Take, renew and drop shares until cancelled."""
--- a/packages/node/src/boragetrestle_node/share_survey.py
+++ b/packages/node/src/boragetrestle_node/share_survey.py
@@ -44,8 +44,9 @@
         pause = FIRST_SECONDS
         while True:
             await trio.sleep(pause * self.rng.uniform(*_JITTER))
-            await self.holder.take_all(await self._missing())
-            pause = SURVEY_SECONDS if self.state.version else FIRST_SECONDS
+            is_done = await self.holder.take_all(await self._missing())
+            is_known = is_done and self.state.version
+            pause = SURVEY_SECONDS if is_known else FIRST_SECONDS
 
     def is_placed_here(self, key: ShareId) -> bool:
         """Tell whether a share belongs at this node."""
--- a/packages/node/src/boragetrestle_node/share_table.py
+++ b/packages/node/src/boragetrestle_node/share_table.py
@@ -54,7 +54,8 @@
     """The rows of shares, as one process of a node uses them.
 
     A tenure counts from before its write was sent, up to what the answer tells
-    is left of it in the store's time. The row says when it ends; until then no
+    is left of it in the store's time. ``started_at`` is when this process had
+    bound the addresses of its node. The row says when it ends; until then no
     other node takes the share.
     """
 
@@ -74,6 +75,7 @@
         self.node = node
         self.address = address
         self.session = session
+        self.started_at = trio.current_time()
 
     async def take(
         self,
@@ -163,7 +165,7 @@
             outcomes[key] = Taken(None, found.record.address)
             return
         tokens = self._tokens(found, organisation)
-        starts_at = trio.current_time() + self._quarantine(found)
+        starts_at = max(trio.current_time(), self._quarantine_end(found))
         record = self._record(found.store_time)
         with suppress(StoreError):
             valid_until = await self._write(key, found.version, record)
@@ -208,8 +210,8 @@
         accrued = idle * self.terms.fraction * organisation.rate
         return min(most, record.tokens + accrued)
 
-    def _quarantine(self, found: _Found) -> float:
-        """Return seconds in which leases of an earlier process may live.
+    def _quarantine_end(self, found: _Found) -> float:
+        """Return until when leases of an earlier process may live.
 
         A process that has bound the addresses of its node is the only one, so
         the share of an earlier process of the node is taken at once.
@@ -217,7 +219,9 @@
         record = found.record
         if record is None or record.node != self.node:
             return 0
-        return self.terms.longest_lease
+        if record.session == self.session:
+            return trio.current_time() + self.terms.longest_lease
+        return self.started_at + self.terms.longest_lease
 
     def _record(self, store_now: float) -> ShareRecord:
         return ShareRecord(
--- a/packages/node/src/boragetrestle_node/token_keeper.py
+++ b/packages/node/src/boragetrestle_node/token_keeper.py
@@ -38,7 +38,7 @@
         self.state = state
         self.limits: dict[int, float] = {}
         self.busy: set[int] = set()
-        seed = f'{asker.session} {asker.organisation}'
+        seed = f'{asker.address} {asker.organisation}'
         home = xxhash.xxh32_intdigest(seed.encode())
         self.order = [
             (home + place) % terms.shares for place in range(terms.shares)
--- a/tests/test_recovery.py
+++ b/tests/test_recovery.py
@@ -28,6 +28,7 @@
         for host in list(run.fleet.hosts):
             await host.node.membership.drain()
             await trio.sleep(1)
+            await host.node.give_back()
             await host.node.membership.leave()
             host.crash()
             run.fleet.hosts.remove(host)
--- a/tests/test_shares.py
+++ b/tests/test_shares.py
@@ -214,6 +214,7 @@
     async with trio.open_nursery() as nursery:
         old = await store.connect(nursery, 'one', 's1')
         await old.take({_KEY: _ACACIA})
+        await trio.sleep(100)
         new = await store.connect(nursery, 'one', 's2')
         held = (await new.take({_KEY: _ACACIA}))[_KEY].held
         now = trio.current_time()
