--- a/packages/kernel/src/boragetrestle_kernel/timeline.py
+++ b/packages/kernel/src/boragetrestle_kernel/timeline.py
@@ -30,10 +30,13 @@
     TARGET_EJECTED = 'target-ejected'
     TARGET_RETURNED = 'target-returned'
     CHANGE_IN_FORCE = 'change-in-force'
+    LEASE_LAPSED = 'lease-lapsed'
+    LIMIT_LOWERED = 'limit-lowered'
     SHARE_LAPSED = 'share-lapsed'
     SHARE_GRANTED = 'share-granted'
     STORE_LOST = 'store-lost'
     STORE_BACK = 'store-back'
+    STORE_VIEW = 'store-view'
     LINK_REJECTED = 'link-rejected'
     FAULT = 'fault'
 
