--- a/packages/node/src/boragetrestle_node/entry.py
+++ b/packages/node/src/boragetrestle_node/entry.py
@@ -17,7 +17,7 @@
 from boragetrestle_node.at_most_once import AtMostOnce
 from boragetrestle_node.call import Call
 from boragetrestle_node.caller_connections import CallerConnections
-from boragetrestle_node.gate import Gate
+from boragetrestle_node.gate import Gate, RateStage
 from boragetrestle_node.guarded_calls import GuardedCalls
 from boragetrestle_node.identity import Identifier
 from boragetrestle_node.metrics import NodeMetrics
@@ -41,6 +41,7 @@
         *,
         identifier: Identifier,
         gates: Sequence[Gate],
+        rates: RateStage,
         dispatcher: AtMostOnce,
         guarded: GuardedCalls,
         timeline: Timeline,
@@ -50,6 +51,7 @@
     ) -> None:
         self.identifier = identifier
         self.gates = gates
+        self.rates = rates
         self.dispatcher = dispatcher
         self.guarded = guarded
         self.timeline = timeline
@@ -111,8 +113,10 @@
             reason=call.origin,
             subject=call.route.path,
         )
-        for gate in () if call.is_guarded else self.gates:
-            gate.check(call)
+        if not call.is_guarded:
+            for gate in self.gates:
+                gate.check(call)
+            await self.rates.admit(call)
         serve = (
             self.guarded.serve if call.is_guarded else self.dispatcher.dispatch
         )
