Refuse at entry what a service below would refuse

Change: each guard's node turns its signals into a level of classes with a fraction; levels go as reports on answers between nodes and to a few neighbours on change; they age out after 4 s. The gate combines them along the operators' graph and divides a fraction among organisations by weighted max-min fairness.

--- a/packages/kernel/src/boragetrestle_kernel/timeline.py
+++ b/packages/kernel/src/boragetrestle_kernel/timeline.py
@@ -27,6 +27,7 @@
     TARGET_EJECTED = 'target-ejected'
     TARGET_RETURNED = 'target-returned'
     CHANGE_IN_FORCE = 'change-in-force'
+    LEVEL_CHANGED = 'level-changed'
     SHARE_LAPSED = 'share-lapsed'
     SHARE_GRANTED = 'share-granted'
     STORE_LOST = 'store-lost'
--- a/packages/node/src/boragetrestle_node/dispatcher.py
+++ b/packages/node/src/boragetrestle_node/dispatcher.py
@@ -15,6 +15,7 @@
 from boragetrestle_node.directory import Directory
 from boragetrestle_node.forwarder import Forwarder
 from boragetrestle_node.identity import Identifier
+from boragetrestle_node.level_spread import LevelSpread
 from boragetrestle_node.replayable_body import ReplayableBody
 from boragetrestle_node.retry_policy import Failure, RetryPolicy
 from boragetrestle_node.slot_source import Slot, SlotSource
@@ -32,6 +33,7 @@
     slots: SlotSource
     forwarder: Forwarder
     retries: RetryPolicy
+    levels: LevelSpread
     timeline: Timeline
 
 
@@ -79,21 +81,33 @@
         run.delay = None
         was_sent = run.call.is_sent
         with self.parts.watch.attempt(run.call, target) as attempt:
-            try:
-                async with self.parts.slots.hold(run.call, target) as slot:
-                    run.call.is_sent = True
-                    slot.forwarded = await self._forward(
-                        run,
-                        slot,
-                        on_head=attempt.head,
-                    )
-                    attempt.forwarded = slot.forwarded
-            except RefusedError as error:
-                attempt.forwarded = Forwarded(Attempt.REFUSED, error.refusal)
+            attempt.forwarded = await self._hold_and_forward(
+                run,
+                target,
+                on_head=attempt.head,
+            )
         if not attempt.forwarded.may_have_run:
             run.call.is_sent = was_sent
         return attempt.forwarded
 
+    async def _hold_and_forward(
+        self,
+        run: CallRun,
+        target: TargetRecord,
+        *,
+        on_head: Callable[[], None],
+    ) -> Forwarded:
+        try:
+            async with self.parts.slots.hold(run.call, target) as slot:
+                run.call.is_sent = True
+                forwarded = await self._forward(run, slot, on_head=on_head)
+                slot.forwarded = forwarded
+        except RefusedError as error:
+            return Forwarded(Attempt.REFUSED, error.refusal)
+        if slot.is_guarded:
+            self.parts.levels.learn(forwarded.fields or [])
+        return forwarded
+
     async def _forward(
         self,
         run: CallRun,
--- a/packages/node/src/boragetrestle_node/entry.py
+++ b/packages/node/src/boragetrestle_node/entry.py
@@ -70,7 +70,7 @@
             if call.is_sent:
                 refusal = refusal._replace(run_state=RunState.UNKNOWN)
             await self._refuse(refusal, connection, call=call)
-            if call.is_guarded:
+            if call.is_guarded or not request.has_body:
                 await request.discard(max_bytes=_MAX_DISCARDED_BYTES)
 
     async def _run(
@@ -112,6 +112,8 @@
             await connection.aclose()
             return
         fields = refusal.headers()
+        if call is not None and call.is_guarded:
+            fields.extend(self.guarded.levels.fields())
         fields.append((_CALL_ID, call_id.encode()))
         body = refusal.body(call_id=call_id)
         await connection.answer(refusal.status, fields, body)
--- /dev/null
+++ b/packages/node/src/boragetrestle_node/fair_admission.py
@@ -0,0 +1,100 @@
+"""Fair admission of organisations where only a share is admitted."""
+
+from collections.abc import Callable, Mapping
+
+import trio
+
+from boragetrestle_kernel.ids import OrgId
+
+WINDOW_SECONDS = 0.5
+
+_SMOOTHING = 0.5
+_FORGOTTEN_CALLS = 0.01
+
+
+class FairAdmission:
+    """Admit a share of calls so that heavy organisations give way first.
+
+    Demand is counted in windows. The admitted part of it is divided by
+    weighted max-min fairness: an organisation within its fair share keeps all,
+    the others are cut to equal shares by weight.
+    """
+
+    def __init__(self, weight_of: Callable[[OrgId], float]) -> None:
+        self.weight_of = weight_of
+        self.counts: dict[OrgId, int] = {}
+        self.demand: dict[OrgId, float] = {}
+        self.chances: dict[OrgId, float] = {}
+        self.credits: dict[OrgId, float] = {}
+        self.share = 1.0
+        self.window_end = trio.current_time() + WINDOW_SECONDS
+
+    def admits(self, organisation: OrgId, share: float) -> bool:
+        """Count a call and return whether it is admitted."""
+        self.counts[organisation] = self.counts.get(organisation, 0) + 1
+        if trio.current_time() >= self.window_end:
+            self._end_window()
+            self._divide(share)
+        elif share != self.share:
+            self._divide(share)
+        if share >= 1:
+            return True
+        return self._spend(organisation, share)
+
+    def _spend(self, organisation: OrgId, share: float) -> bool:
+        chance = self.chances.get(organisation, share)
+        credit = self.credits.get(organisation, 0) + chance
+        is_admitted = credit >= 1
+        self.credits[organisation] = credit - is_admitted
+        return is_admitted
+
+    def _end_window(self) -> None:
+        names = self.counts.keys() | self.demand.keys()
+        smoothed = {
+            name: _SMOOTHING * self.demand.get(name, 0)
+            + (1 - _SMOOTHING) * self.counts.get(name, 0)
+            for name in names
+        }
+        self.demand = {
+            name: calls
+            for name, calls in smoothed.items()
+            if calls > _FORGOTTEN_CALLS
+        }
+        self.credits = {
+            name: credit
+            for name, credit in self.credits.items()
+            if name in self.demand
+        }
+        self.counts.clear()
+        self.window_end = trio.current_time() + WINDOW_SECONDS
+
+    def _divide(self, share: float) -> None:
+        self.share = share
+        weights = {name: self.weight_of(name) for name in self.demand}
+        capacity = share * sum(self.demand.values())
+        granted = max_min_shares(self.demand, weights, capacity)
+        self.chances = {
+            name: granted[name] / calls for name, calls in self.demand.items()
+        }
+
+
+def max_min_shares(
+    demand: Mapping[OrgId, float],
+    weights: Mapping[OrgId, float],
+    capacity: float,
+) -> dict[OrgId, float]:
+    """Divide a capacity by weighted max-min fairness.
+
+    >>> demand = {OrgId('a'): 1.0, OrgId('b'): 9.0}
+    >>> max_min_shares(demand, {OrgId('a'): 1, OrgId('b'): 1}, 5.0)
+    {'a': 1.0, 'b': 4.0}
+    """
+    granted: dict[OrgId, float] = {}
+    left, weight_left = capacity, sum(weights.values())
+    relative = {name: calls / weights[name] for name, calls in demand.items()}
+    for name in sorted(relative, key=relative.__getitem__):
+        fair = left * weights[name] / weight_left
+        granted[name] = min(demand[name], fair)
+        left -= granted[name]
+        weight_left -= weights[name]
+    return granted
--- a/packages/node/src/boragetrestle_node/forwarder.py
+++ b/packages/node/src/boragetrestle_node/forwarder.py
@@ -49,11 +49,13 @@
         body: ReplayableBody,
         is_guarded: bool = False,
         take_back: TakeBack = _pass_on,
+        extra: Fields | None = None,
     ) -> Forwarded:
         """Send a request to an address and its answer to the caller.
 
         ``take_back`` gets the status of an answer before any of it goes on
-        and tells whether to keep it from the caller.
+        and tells whether to keep it from the caller. ``extra`` fields go with
+        the answer.
 
         ``is_guarded`` tells that the address is the guard of a target, whose
         refusals are believed; a target is believed only where it sheds a call.
@@ -73,6 +75,7 @@
                 body=body,
                 is_guarded=is_guarded,
                 take_back=take_back,
+                extra=extra or [],
             )
         finally:
             with trio.CancelScope(shield=True):
@@ -89,6 +92,7 @@
         body: ReplayableBody,
         is_guarded: bool,
         take_back: TakeBack,
+        extra: Fields,
     ) -> Forwarded:
         try:
             response = await _send_request(upstream, request, fields, body)
@@ -104,7 +108,11 @@
         if take_back(status):
             await _read_rest(response)
             return Forwarded(Attempt.TAKEN_BACK, None, status, received)
-        answer = [*without_internal(received), (_CALL_ID, call_id.encode())]
+        answer = [
+            *without_internal(received),
+            *extra,
+            (_CALL_ID, call_id.encode()),
+        ]
         await connection.send_head(status, answer)
         try:
             await _copy_body(response, connection)
--- a/packages/node/src/boragetrestle_node/guard_signal.py
+++ b/packages/node/src/boragetrestle_node/guard_signal.py
@@ -7,7 +7,8 @@
     """Load of one target as its guard sees it.
 
     ``expected_wait`` is in seconds. ``shed`` is the share of calls shed over
-    the last seconds by class, in the order of ``CallClass``.
+    the last seconds by class, in the order of ``CallClass``. ``offered_total``
+    and ``shed_total`` count calls by class since the guard started.
     """
 
     queued: int
@@ -15,3 +16,5 @@
     shed: tuple[float, ...]
     limit: int
     in_use: int
+    offered_total: tuple[float, ...]
+    shed_total: tuple[float, ...]
--- a/packages/node/src/boragetrestle_node/guarded_calls.py
+++ b/packages/node/src/boragetrestle_node/guarded_calls.py
@@ -12,6 +12,7 @@
 from boragetrestle_node.forwarder import Forwarder
 from boragetrestle_node.guards import Guards
 from boragetrestle_node.identity import Identifier
+from boragetrestle_node.level_spread import LevelSpread
 from boragetrestle_node.replayable_body import ReplayableBody
 
 _REFUSALS: dict[Attempt, Refusal] = {
@@ -33,10 +34,12 @@
         guards: Guards,
         identifier: Identifier,
         forwarder: Forwarder,
+        levels: LevelSpread,
     ) -> None:
         self.guards = guards
         self.identifier = identifier
         self.forwarder = forwarder
+        self.levels = levels
 
     async def serve(
         self,
@@ -55,6 +58,7 @@
                 context=self.identifier.context_for(call),
                 call_id=call.call_id,
                 body=ReplayableBody(request),
+                extra=self.levels.fields(),
             )
             call.is_sent = forwarded.may_have_run
             slot.forwarded = forwarded
--- a/packages/node/src/boragetrestle_node/guards.py
+++ b/packages/node/src/boragetrestle_node/guards.py
@@ -12,6 +12,7 @@
 from boragetrestle_kernel.ids import NodeId, OrgId, ServiceName, TargetId
 from boragetrestle_kernel.refusal import Refusal, RefusalCode, RefusedError
 from boragetrestle_kernel.target_record import TargetRecord
+from boragetrestle_node.guard_signal import GuardSignal
 from boragetrestle_node.lease_message import (
     LeaseAsk,
     LeaseGrant,
@@ -96,6 +97,12 @@
         guard.policy.ceiling = _ceiling(record)
         return guard
 
+    def signals(self) -> dict[TargetId, GuardSignal]:
+        """Return the load of each own target that got calls."""
+        return {
+            target: guard.signal() for target, guard in self.by_target.items()
+        }
+
     def _build(self, record: TargetRecord) -> SlotGuard:
         build_limit = LIMIT_POLICIES[self.policies.limit]
         build_queue = QUEUE_ORDERS[self.policies.queue]
--- /dev/null
+++ b/packages/node/src/boragetrestle_node/level_control.py
@@ -0,0 +1,78 @@
+"""Control of the admission level of one target."""
+
+import math
+from collections.abc import Sequence
+
+from boragetrestle_kernel.call_class import CallClass
+from boragetrestle_node.admission_level import FULL_LEVEL, admitted_share
+from boragetrestle_node.guard_signal import GuardSignal
+
+LEAST_LEVEL = 0.02
+
+_SHED_SHARE = 0.02
+_REACTION_SECONDS = 0.5
+_WANTED_USE = 0.95
+_LEAST_GROWTH = 1.02
+_MOST_GROWTH = 2.0
+_LEAST_STEP = 0.02
+_USE_SMOOTHING = 0.5
+
+
+class LevelControl:
+    """Follow the signals of a guard: cut while it sheds, grow otherwise.
+
+    A cut lowers the share of the least important classes by as many calls as
+    were shed, and waits until callers have had time to react. Growth follows
+    the share of slots in use: a target that is half idle admits twice as much,
+    a full one a few percent more.
+    """
+
+    def __init__(self) -> None:
+        self.level = FULL_LEVEL
+        self.use = 0.0
+        self.react_until = -math.inf
+        self.offered: Sequence[float] = [0.0 for _ in CallClass]
+        self.shed: Sequence[float] = [0.0 for _ in CallClass]
+
+    def update(self, signal: GuardSignal, *, now: float) -> float:
+        """Return the level for the next interval."""
+        offered = _increase(signal.offered_total, self.offered)
+        shed = sum(_increase(signal.shed_total, self.shed))
+        self.offered = signal.offered_total
+        self.shed = signal.shed_total
+        in_use = signal.in_use / signal.limit
+        self.use += _USE_SMOOTHING * (in_use - self.use)
+        if now < self.react_until:
+            return self.level
+        if shed > _SHED_SHARE * sum(offered):
+            self._cut(offered, shed)
+            self.react_until = now + _REACTION_SECONDS
+        elif not signal.queued:
+            self._grow()
+        return self.level
+
+    def _cut(self, offered: Sequence[float], shed: float) -> None:
+        left = shed
+        for call_class in reversed(CallClass):
+            share = admitted_share(self.level, call_class)
+            if not share or not offered[call_class]:
+                continue
+            part = min(1.0, left / offered[call_class])
+            left -= part * offered[call_class]
+            level = call_class + share * (1 - part)
+            self.level = max(LEAST_LEVEL, level)
+            if left <= 0:
+                return
+
+    def _grow(self) -> None:
+        wanted = _WANTED_USE / max(self.use, _WANTED_USE / _MOST_GROWTH)
+        part = math.modf(self.level)[0] or 1.0
+        step = part * (max(_LEAST_GROWTH, wanted) - 1)
+        self.level = min(FULL_LEVEL, self.level + max(_LEAST_STEP, step))
+
+
+def _increase(
+    totals: Sequence[float],
+    before: Sequence[float],
+) -> list[float]:
+    return [total - known for total, known in zip(totals, before, strict=True)]
--- /dev/null
+++ b/packages/node/src/boragetrestle_node/level_report.py
@@ -0,0 +1,47 @@
+"""Admission levels on their way between nodes."""
+
+import msgspec
+
+from boragetrestle_kernel.errors import WireError
+from boragetrestle_kernel.peer_message import peer_message
+
+LEVELS_FIELD = b'boragetrestle-levels'
+MAX_REPORTS = 16
+
+
+class LevelReport(msgspec.Struct, frozen=True, array_like=True):
+    """The level that a target had ``age`` seconds ago.
+
+    ``number`` grows with each report of the target.
+    """
+
+    target: str
+    level: float
+    number: int
+    age: float
+
+
+@peer_message('levels')
+class LevelReports(msgspec.Struct, frozen=True):
+    """Reports that changed what the sender knows."""
+
+    reports: list[LevelReport]
+
+
+def encode_reports(reports: list[LevelReport]) -> bytes:
+    """Return the value of the header field that carries reports.
+
+    >>> decode_reports(encode_reports([LevelReport('n:walks', 1.5, 7, 0.2)]))
+    [LevelReport(target='n:walks', level=1.5, number=7, age=0.2)]
+    """
+    return msgspec.json.encode(reports[:MAX_REPORTS])
+
+
+def decode_reports(content: bytes) -> list[LevelReport]:
+    """Return the reports of a field; raise ``WireError`` for another shape."""
+    if not content:
+        return []
+    try:
+        return msgspec.json.decode(content, type=list[LevelReport])
+    except msgspec.DecodeError as error:
+        raise WireError(f'the levels have a wrong shape: {error}') from error
--- a/packages/node/src/boragetrestle_node/node.py
+++ b/packages/node/src/boragetrestle_node/node.py
@@ -24,6 +24,7 @@
 from boragetrestle_kernel.settings import NodeSettings
 from boragetrestle_kernel.timeline import Timeline
 from boragetrestle_node.admin import Admin
+from boragetrestle_node.admission_control import AdmissionControl
 from boragetrestle_node.connection_pool import ConnectionPool
 from boragetrestle_node.connection_warmer import ConnectionWarmer
 from boragetrestle_node.control import Control
@@ -34,6 +35,7 @@
 from boragetrestle_node.forwarder import Forwarder
 from boragetrestle_node.freshness_gate import FreshnessGate
 from boragetrestle_node.gate import RateGate
+from boragetrestle_node.gossip import Gossip
 from boragetrestle_node.guarded_calls import GuardedCalls
 from boragetrestle_node.guards import Guards
 from boragetrestle_node.identity import Identifier
@@ -56,6 +58,8 @@
 
 DEFAULT_POLICIES = Policies()
 
+_NUMBERS_PER_SECOND = 100
+
 
 class Node:
     """The process beside a target.
@@ -148,6 +152,21 @@
             self.directory,
             count_nodes=self.count_nodes,
         )
+        self.gossip = Gossip(
+            self.links,
+            self.control.neighbours.addresses,
+            self.rng,
+        )
+        self.admission = AdmissionControl(
+            policies.admission,
+            self.gossip,
+            state=self.state,
+            directory=self.directory,
+            guards=self.guards,
+            timeline=self.timeline,
+            rng=self.rng,
+            first_number=int(wall_clock.wall() * _NUMBERS_PER_SECOND),
+        )
         dispatching = Dispatching(
             identifier=self.identifier,
             directory=self.directory,
@@ -163,6 +182,7 @@
             slots=self.slots,
             forwarder=self.forwarder,
             retries=RETRY_POLICIES[policies.retries](self.state, self.rng),
+            levels=self.admission.spread,
             timeline=self.timeline,
         )
         self.dispatcher = Dispatcher(dispatching)
@@ -179,12 +199,14 @@
                 FreshnessGate(self.control.exchange),
                 KeyGate(),
                 RateGate(rates),
+                self.admission.gate,
             ],
             dispatcher=self.repeats.stage,
             guarded=GuardedCalls(
                 guards=self.guards,
                 identifier=self.identifier,
                 forwarder=self.forwarder,
+                levels=self.admission.spread,
             ),
             timeline=self.timeline,
             metrics=self.metrics,
@@ -220,6 +242,7 @@
             self.book.warm.update(self.directory.records)
             nursery.start_soon(self.warmer.run)
             nursery.start_soon(self.probe.run)
+            nursery.start_soon(self.admission.spread.run)
             await nursery.start(self.repeats.run)
             await nursery.start(
                 self._listen,
--- a/packages/node/src/boragetrestle_node/policies.py
+++ b/packages/node/src/boragetrestle_node/policies.py
@@ -12,6 +12,7 @@
     rates: str = 'even-split'
     choice: str = 'near-two-random'
     retries: str = 'chain-budget'
+    admission: str = 'call-graph'
     slots: str = 'leased'
     limit: str = 'fixed'
     queue: str = 'fifo'
--- a/packages/node/src/boragetrestle_node/slot_guard.py
+++ b/packages/node/src/boragetrestle_node/slot_guard.py
@@ -77,6 +77,8 @@
             ),
             limit=self.limit,
             in_use=self.in_use,
+            offered_total=tuple(count.total for count in self.offered),
+            shed_total=tuple(count.total for count in self.shed),
         )
 
     def expected_wait(self) -> float:
