--- a/packages/node/src/boragetrestle_node/guarded_calls.py
+++ b/packages/node/src/boragetrestle_node/guarded_calls.py
@@ -57,6 +57,7 @@
                 connection,
                 context=self.identifier.context_for(call),
                 call_id=call.call_id,
+                remaining=call.remaining,
                 body=ReplayableBody(request),
                 extra=self.levels.fields(),
             )
--- a/tests/test_slot_leases.py
+++ b/tests/test_slot_leases.py
@@ -76,6 +76,10 @@
             await trio.sleep(gap)
 
 
+async def _call_ten_at_once(run, host, answers):
+    await _call_often(run, host, count=10, gap=0, answers=answers)
+
+
 def _count_hops(host):
     """Count the calls that enter the node of a host."""
     counted = []
@@ -167,9 +171,11 @@
         _, first, second = run.fleet.hosts
         await _call_often(run, first, count=60, gap=0.015, answers=[])
         answers: list[Answer] = []
-        with trio.move_on_after(0.05):
-            await _call_often(run, second, count=10, gap=0, answers=answers)
-        running = run.fleet.hosts[0].target.running
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(_call_ten_at_once, run, second, answers)
+            await trio.sleep(0.05)
+            running = run.fleet.hosts[0].target.running
+            nursery.cancel_scope.cancel()
     assert running == 10
 
 
