--- a/packages/node/src/boragetrestle_node/node.py
+++ b/packages/node/src/boragetrestle_node/node.py
@@ -6,11 +6,9 @@
 import trio
 from eliot import log_message
 
-import boragetrestle_node.chain_budget  # noqa: F401
 import boragetrestle_node.even_split  # noqa: F401
 import boragetrestle_node.guarded_slots  # noqa: F401
 import boragetrestle_node.leased_slots  # noqa: F401
-import boragetrestle_node.near_choice  # noqa: F401
 from boragetrestle_kernel.address import Address
 from boragetrestle_kernel.clock import SystemClock, WallClock
 from boragetrestle_kernel.fleet_state import FleetState
@@ -24,42 +22,30 @@
 from boragetrestle_kernel.settings import NodeSettings
 from boragetrestle_kernel.timeline import Timeline
 from boragetrestle_node.admin import Admin
-from boragetrestle_node.admission_control import AdmissionControl
 from boragetrestle_node.connection_pool import ConnectionPool
-from boragetrestle_node.connection_warmer import ConnectionWarmer
 from boragetrestle_node.control import Control
 from boragetrestle_node.directory import Directory
-from boragetrestle_node.dispatcher import Dispatcher, Dispatching
-from boragetrestle_node.ejector import Ejector
 from boragetrestle_node.entry import Entry
 from boragetrestle_node.forwarder import Forwarder
 from boragetrestle_node.freshness_gate import FreshnessGate
 from boragetrestle_node.gate import RateGate
-from boragetrestle_node.gossip import Gossip
 from boragetrestle_node.guarded_calls import GuardedCalls
 from boragetrestle_node.guards import Guards
 from boragetrestle_node.identity import Identifier
 from boragetrestle_node.key_gate import KeyGate
 from boragetrestle_node.metrics import NodeMetrics
+from boragetrestle_node.outbound import Outbound, OutboundParts
 from boragetrestle_node.peer_links import PeerLinks
 from boragetrestle_node.peer_proof import PeerProver
 from boragetrestle_node.policies import Policies
 from boragetrestle_node.rate_policy import RATE_POLICIES
 from boragetrestle_node.repeats import Repeats
-from boragetrestle_node.retry_policy import RETRY_POLICIES
 from boragetrestle_node.slot_source import SLOT_SOURCES, SlotParts
-from boragetrestle_node.target_book import TargetBook
-from boragetrestle_node.target_choice import TARGET_CHOICES, ChoiceInputs
-from boragetrestle_node.target_probe import TargetProbe
-from boragetrestle_node.target_subset import TargetSubsets
-from boragetrestle_node.target_watch import TargetWatch
 from boragetrestle_platform.guarded_platform import guard_platform
 from boragetrestle_platform.platform import Platform
 
 DEFAULT_POLICIES = Policies()
 
-_NUMBERS_PER_SECOND = 100
-
 
 class Node:
     """The process beside a target.
@@ -134,61 +120,28 @@
         self.forwarder = Forwarder(self.pool)
         build_rates = RATE_POLICIES[policies.rates]
         rates = build_rates(self.state, self.count_nodes)
-        self.book = TargetBook()
-        self.watch = TargetWatch(
-            self.book,
-            Ejector(self.book, self.timeline, self.links, self.rng),
-            self.directory,
-        )
-        self.probe = TargetProbe(
-            self.membership,
-            self.links,
-            self.timeline,
-            network=network,
-        )
-        self.warmer = ConnectionWarmer(
-            self.pool,
-            self.book,
-            self.directory,
-            count_nodes=self.count_nodes,
-        )
-        self.gossip = Gossip(
-            self.links,
-            self.control.neighbours.addresses,
-            self.rng,
-        )
-        self.admission = AdmissionControl(
-            policies.admission,
-            self.gossip,
-            state=self.state,
-            directory=self.directory,
-            guards=self.guards,
-            timeline=self.timeline,
-            rng=self.rng,
-            first_number=int(wall_clock.wall() * _NUMBERS_PER_SECOND),
-        )
-        dispatching = Dispatching(
-            identifier=self.identifier,
-            directory=self.directory,
-            choice=TARGET_CHOICES[policies.choice](
-                ChoiceInputs(
-                    book=self.book,
-                    ejector=self.watch.ejector,
-                    subsets=TargetSubsets(settings.node, settings.domain),
-                    rng=self.rng,
-                ),
+        self.outbound = Outbound(
+            OutboundParts(
+                settings=settings,
+                policies=policies,
+                network=network,
+                clock=wall_clock,
+                state=self.state,
+                directory=self.directory,
+                control=self.control,
+                links=self.links,
+                guards=self.guards,
+                slots=self.slots,
+                forwarder=self.forwarder,
+                identifier=self.identifier,
+                timeline=self.timeline,
+                rng=self.rng,
             ),
-            watch=self.watch,
-            slots=self.slots,
-            forwarder=self.forwarder,
-            retries=RETRY_POLICIES[policies.retries](self.state, self.rng),
-            levels=self.admission.spread,
-            timeline=self.timeline,
         )
-        self.dispatcher = Dispatcher(dispatching)
+        admission = self.outbound.admission
         self.repeats = Repeats(
             store,
-            dispatcher=self.dispatcher,
+            dispatcher=self.outbound.dispatcher,
             timeline=self.timeline,
             node_count=self.count_nodes,
             rng=random.Random(seed),
@@ -199,14 +152,14 @@
                 FreshnessGate(self.control.exchange),
                 KeyGate(),
                 RateGate(rates),
-                self.admission.gate,
+                admission.gate,
             ],
             dispatcher=self.repeats.stage,
             guarded=GuardedCalls(
                 guards=self.guards,
                 identifier=self.identifier,
                 forwarder=self.forwarder,
-                levels=self.admission.spread,
+                levels=admission.spread,
             ),
             timeline=self.timeline,
             metrics=self.metrics,
@@ -239,10 +192,7 @@
             await nursery.start(self.guards.run)
             await nursery.start(self.slots.run)
             await nursery.start(self.control.run)
-            self.book.warm.update(self.directory.records)
-            nursery.start_soon(self.warmer.run)
-            nursery.start_soon(self.probe.run)
-            nursery.start_soon(self.admission.spread.run)
+            await nursery.start(self.outbound.run)
             await nursery.start(self.repeats.run)
             await nursery.start(
                 self._listen,
--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -295,16 +295,19 @@
     return answers
 
 
+def _level_at(host):
+    gate = host.node.outbound.admission.gate
+    assert isinstance(gate, CallGraphGate)
+    return gate.level_of(ServiceName('front'))
+
+
 async def test_levels_reach_nodes_that_never_called_the_service(
     autojump_clock,
 ):
     async with running_fleet(_PLANS, text=_TEXT) as run:
         run.nursery.start_soon(_overload, run)
         await trio.sleep(2.5)
-        levels = [
-            host.node.admission.gate.level_of(ServiceName('front'))
-            for host in run.fleet.hosts
-        ]
+        levels = [_level_at(host) for host in run.fleet.hosts]
     assert max(levels) < 2
 
 
@@ -327,7 +330,7 @@
             received.append(len(message.reports))
 
         far.links.on(LevelReports, receive)
-        near.admission.spread.take(
+        near.outbound.admission.spread.take(
             LevelReport(f'node-{number}:walks', 1, 1, 0)
             for number in range(100)
         )
--- a/tests/test_ejector.py
+++ b/tests/test_ejector.py
@@ -45,9 +45,9 @@
         await trio.sleep(2)
         before = dead.target.calls.total()
         statuses = await _call_many(run, caller, 200)
-        probes = dead.node.probe.count
+        probes = dead.node.outbound.probe.count
         await trio.sleep(5)
-        probes_later = dead.node.probe.count
+        probes_later = dead.node.outbound.probe.count
     assert statuses == [200] * 200
     assert dead.target.calls.total() - before > 20
     assert probes_later == probes
@@ -56,7 +56,7 @@
 async def test_no_probe_while_calls_get_through(autojump_clock):
     async with running_fleet([HostPlan('walks')] * 2) as run:
         await _call_many(run, run.fleet.hosts[0])
-        probes = [host.node.probe.count for host in run.fleet.hosts]
+        probes = [host.node.outbound.probe.count for host in run.fleet.hosts]
     assert probes == [0, 0]
 
 
--- a/tests/test_recovery.py
+++ b/tests/test_recovery.py
@@ -7,6 +7,7 @@
 
 from boragetrestle_bench.demand import Demand
 from boragetrestle_bench.load import Load
+from boragetrestle_bench.outcome import Outcome
 from boragetrestle_kernel.call_class import CallClass
 from boragetrestle_kernel.service_text import Route
 from boragetrestle_node.node import DEFAULT_POLICIES
@@ -46,7 +47,7 @@
 class Window(NamedTuple):
     """Good answers a second between two times of a load."""
 
-    outcomes: list
+    outcomes: list[Outcome]
     origin: float
 
     def goodput(self, start, stop, organisation=None):
--- a/tests/test_target_choice.py
+++ b/tests/test_target_choice.py
@@ -166,7 +166,7 @@
     plans = [HostPlan('walks', work=0.2, connections=4)] * 2
     async with running_fleet(plans) as run:
         caller = run.fleet.hosts[0]
-        book = caller.node.book
+        book = caller.node.outbound.book
         for record in caller.node.directory.ready(_WALKS):
             book.view(record.target).peak_in_flight = 40
             book.view(record.target).updated_at = trio.current_time()
