--- a/packages/node/src/boragetrestle_node/fair_admission.py
+++ b/packages/node/src/boragetrestle_node/fair_admission.py
@@ -8,7 +8,7 @@
 
 WINDOW_SECONDS = 0.5
 
-_SMOOTHING = 0.5
+_SMOOTHING = 0.8
 _FORGOTTEN_CALLS = 0.01
 
 
@@ -37,12 +37,12 @@
             self._divide(share)
         elif share != self.share:
             self._divide(share)
-        if share >= 1:
-            return True
-        return self._spend(organisation, share)
+        if share <= 0 or share >= 1:
+            return share >= 1
+        return self._spend(organisation)
 
-    def _spend(self, organisation: OrgId, share: float) -> bool:
-        chance = self.chances.get(organisation, share)
+    def _spend(self, organisation: OrgId) -> bool:
+        chance = self.chances.get(organisation, 1)
         credit = self.credits.get(organisation, 0) + chance
         is_admitted = credit >= 1
         self.credits[organisation] = credit - is_admitted
--- a/packages/node/src/boragetrestle_node/level_control.py
+++ b/packages/node/src/boragetrestle_node/level_control.py
@@ -9,9 +9,13 @@
 
 LEAST_LEVEL = 0.02
 
-_SHED_SHARE = 0.02
-_REACTION_SECONDS = 0.5
+_KEPT = 0.75
+_LEAST_SHED = 2.0
+_SHED_SHARE = 0.05
+_KEPT_SHED_SHARE = 0.02
+_REACTION_SECONDS = 0.75
 _WANTED_USE = 0.95
+_BUSY_USE = 0.5
 _LEAST_GROWTH = 1.02
 _MOST_GROWTH = 2.0
 _LEAST_STEP = 0.02
@@ -22,9 +26,11 @@
     """Follow the signals of a guard: cut while it sheds, grow otherwise.
 
     A cut lowers the share of the least important classes by as many calls as
-    were shed, and waits until callers have had time to react. Growth follows
-    the share of slots in use: a target that is half idle admits twice as much,
-    a full one a few percent more.
+    were shed, and waits until callers have had time to react. Calls that a
+    target sheds with idle slots, for their short deadline, cut nothing, and
+    neither do a few among many, which only show that the target is full.
+    Growth follows the share of slots in use: a target that is half idle admits
+    twice as much, a full one a few percent more.
     """
 
     def __init__(self) -> None:
@@ -33,26 +39,50 @@
         self.react_until = -math.inf
         self.offered: Sequence[float] = [0.0 for _ in CallClass]
         self.shed: Sequence[float] = [0.0 for _ in CallClass]
+        self.recent = [0.0 for _ in CallClass]
+        self.recent_shed = 0.0
 
     def update(self, signal: GuardSignal, *, now: float) -> float:
         """Return the level for the next interval."""
+        shed = self._count(signal)
+        if now < self.react_until:
+            self._forget(0)
+        elif self._is_overloaded(signal):
+            self._cut()
+            self._forget(0)
+            self.react_until = now + _REACTION_SECONDS
+        elif not signal.queued and not shed:
+            self._grow()
+        return self.level
+
+    def _count(self, signal: GuardSignal) -> float:
+        """Add what was offered and shed; return the shed of this interval."""
+        self._forget(_KEPT)
         offered = _increase(signal.offered_total, self.offered)
         shed = sum(_increase(signal.shed_total, self.shed))
         self.offered = signal.offered_total
         self.shed = signal.shed_total
+        self.recent = [
+            count + more
+            for count, more in zip(self.recent, offered, strict=True)
+        ]
+        self.recent_shed += shed
         in_use = signal.in_use / signal.limit
         self.use += _USE_SMOOTHING * (in_use - self.use)
-        if now < self.react_until:
-            return self.level
-        if shed > _SHED_SHARE * sum(offered):
-            self._cut(offered, shed)
-            self.react_until = now + _REACTION_SECONDS
-        elif not signal.queued:
-            self._grow()
-        return self.level
+        return shed
+
+    def _forget(self, kept: float) -> None:
+        self.recent = [kept * count for count in self.recent]
+        self.recent_shed *= kept
+
+    def _is_overloaded(self, signal: GuardSignal) -> bool:
+        is_busy = max(self.use, signal.in_use / signal.limit) >= _BUSY_USE
+        enough = max(_LEAST_SHED, _SHED_SHARE * sum(self.recent))
+        return is_busy and self.recent_shed >= enough
 
-    def _cut(self, offered: Sequence[float], shed: float) -> None:
-        left = shed
+    def _cut(self) -> None:
+        offered = self.recent
+        left = self.recent_shed - _KEPT_SHED_SHARE * sum(offered)
         for call_class in reversed(CallClass):
             share = admitted_share(self.level, call_class)
             if not share or not offered[call_class]:
--- a/packages/node/src/boragetrestle_node/policies.py
+++ b/packages/node/src/boragetrestle_node/policies.py
@@ -15,4 +15,4 @@
     admission: str = 'call-graph'
     slots: str = 'leased'
     limit: str = 'fixed'
-    queue: str = 'fifo'
+    queue: str = 'class-fair'
