--- a/packages/node/src/boragetrestle_node/admin.py
+++ b/packages/node/src/boragetrestle_node/admin.py
@@ -9,6 +9,9 @@
 import msgspec
 
 from boragetrestle_kernel.acks import ACKS_PATH, AcksQuestion
+from boragetrestle_kernel.address import Address
+from boragetrestle_kernel.errors import SettingsError
+from boragetrestle_kernel.event_filter import EventFilter
 from boragetrestle_kernel.fleet_state import FleetState
 from boragetrestle_kernel.http_limits import HttpLimits
 from boragetrestle_kernel.http_server import HttpRequest, HttpServerConnection
@@ -118,7 +121,7 @@
             return
         try:
             answer = await served.handler(self, body)
-        except msgspec.DecodeError as error:
+        except (msgspec.DecodeError, SettingsError) as error:
             reason = msgspec.json.encode({'error': str(error)})
             await connection.answer(
                 HTTPStatus.BAD_REQUEST.value,
@@ -150,6 +153,7 @@
 @_serves(b'POST', b'/v1/target', Access.TARGET)
 async def _announce(admin: Admin, body: bytes) -> bytes:
     announcement = msgspec.json.decode(body, type=Announcement)
+    Address.parse(announcement.address)
     admin.identifier.own_services.add(announcement.service)
     record = await admin.membership.announce(announcement)
     return msgspec.json.encode(record)
@@ -176,8 +180,14 @@
 
 
 @_serves(b'GET', b'/v1/timeline', Access.OPERATOR)
-async def _timeline(admin: Admin, _body: bytes) -> bytes:
-    return msgspec.json.encode(list(admin.timeline.ring))
+async def _whole_timeline(admin: Admin, _body: bytes) -> bytes:
+    return msgspec.json.encode(admin.timeline.events)
+
+
+@_serves(b'POST', b'/v1/timeline', Access.OPERATOR)
+async def _timeline(admin: Admin, body: bytes) -> bytes:
+    wanted = msgspec.json.decode(body, type=EventFilter)
+    return msgspec.json.encode(wanted.choose(admin.timeline.events))
 
 
 @_serves(b'POST', ACKS_PATH.encode())
