Bound the spread of levels below 8 KB a second

Cause: 16 reports to four peers four times a second are 12.9 KB a second (804 bytes a message, measured by packing one), over the 10 KB of control. Ruled out: a longer interval, which slows the spread of every change. Change: 12 reports to three peers: 608 bytes a message, 7.3 KB a second. Measured: as above; test_admission and test_recovery pass.

--- a/packages/node/src/boragetrestle_node/gossip.py
+++ b/packages/node/src/boragetrestle_node/gossip.py
@@ -7,7 +7,7 @@
 from boragetrestle_kernel.address import Address
 from boragetrestle_node.peer_links import PeerLinks
 
-FANOUT_PEERS = 4
+FANOUT_PEERS = 3
 
 
 class Gossip:
--- a/packages/node/src/boragetrestle_node/level_report.py
+++ b/packages/node/src/boragetrestle_node/level_report.py
@@ -6,7 +6,7 @@
 from boragetrestle_kernel.peer_message import peer_message
 
 LEVELS_FIELD = b'boragetrestle-levels'
-MAX_REPORTS = 16
+MAX_REPORTS = 12
 
 
 class LevelReport(msgspec.Struct, frozen=True, array_like=True):
