Quarantine requests that kill targets; tell how many targets are wanted

Cause: a request that crashes each target that runs it was retried and sent again without end: with the screen taken out, each call of test_killer_is_refused killed a further target until none was left. Nobody told which services need more or fewer targets. Ruled out for the quarantine: a count at the node beside the target (the second victim is another) and one home node a fingerprint (may die). For spare hosts: load endpoints (mislead) and one deciding node a service. Change: deaths are proved by a failed new connection, told to every node, and counted by fingerprint; suspects run one at a time at a target, are cleared by a whole answer and refused after the second death. The nodes of a service exchange their load and want targets with hysteresis, in /v1/status and as a gauge. Probe and quarantine share one function that dials.

--- a/packages/node/src/boragetrestle_node/admin.py
+++ b/packages/node/src/boragetrestle_node/admin.py
@@ -25,6 +25,7 @@
 from boragetrestle_node.identity import Identifier
 from boragetrestle_node.membership import Membership
 from boragetrestle_node.metrics import NodeMetrics
+from boragetrestle_node.service_load import ServiceLoad
 
 _MAX_CONNECTIONS = 64
 _MAX_BODY_BYTES = 65_536
@@ -84,6 +85,7 @@
         state: FleetState,
         timeline: Timeline,
         metrics: NodeMetrics,
+        loads: ServiceLoad,
         acks: AckWave,
         entry: Entry,
         network: Network,
@@ -103,6 +105,8 @@
         self.state = state
         self.timeline = timeline
         self.metrics = metrics
+        self.loads = loads
+        metrics.watch_wanted(loads.wanted)
         self.acks = acks
 
     async def handle(
@@ -176,6 +180,7 @@
         'node': admin.membership.settings.node,
         'version': admin.state.version,
         'targets': list(admin.membership.directory.records.values()),
+        'wanted_targets': admin.loads.wanted(),
     })
 
 
--- a/packages/node/src/boragetrestle_node/attempt.py
+++ b/packages/node/src/boragetrestle_node/attempt.py
@@ -4,7 +4,7 @@
 from typing import NamedTuple
 
 from boragetrestle_kernel.http_fields import Fields
-from boragetrestle_kernel.refusal import Refusal, RunState
+from boragetrestle_kernel.refusal import Refusal, RefusalCode, RunState
 
 
 class Attempt(Enum):
@@ -23,6 +23,9 @@
     TAKEN_BACK = 'taken-back'
 
 
+_BROKEN = frozenset((Attempt.NO_ANSWER, Attempt.CUT))
+
+
 class Forwarded(NamedTuple):
     """The end of an attempt with what the other side told.
 
@@ -43,6 +46,14 @@
             return self.refusal.run_state is not RunState.NOT_RUN
         return self.attempt is not Attempt.NOT_SENT
 
+    @property
+    def is_broken(self) -> bool:
+        """Whether the connection broke while the target had the call."""
+        if self.refusal is not None:
+            is_failed = self.refusal.code is RefusalCode.TARGET_FAILED
+            return is_failed and self.may_have_run
+        return self.attempt in _BROKEN
+
     @property
     def is_shed(self) -> bool:
         """Whether the target shed the call."""
--- a/packages/node/src/boragetrestle_node/dispatcher.py
+++ b/packages/node/src/boragetrestle_node/dispatcher.py
@@ -16,6 +16,7 @@
 from boragetrestle_node.forwarder import Forwarder
 from boragetrestle_node.identity import Identifier
 from boragetrestle_node.level_spread import LevelSpread
+from boragetrestle_node.quarantine import Quarantine
 from boragetrestle_node.replayable_body import ReplayableBody
 from boragetrestle_node.retry_policy import Failure, RetryPolicy
 from boragetrestle_node.slot_source import Slot, SlotSource
@@ -37,6 +38,7 @@
     forwarder: Forwarder
     retries: RetryPolicy
     levels: LevelSpread
+    quarantine: Quarantine
     timeline: Timeline
 
 
@@ -60,8 +62,9 @@
             target = self._choose(run)
             if target is None:
                 raise RefusedError(refusal_of(call, forwarded))
-            forwarded = await self._attempt(run, target)
+            forwarded = await self._attempt_apart(run, target)
             if forwarded.attempt is Attempt.ANSWERED:
+                self.parts.quarantine.ran(call, request, run.body)
                 return
             delay = self._next_delay(run, forwarded)
             if delay is None:
@@ -77,6 +80,37 @@
             run.tried.add(target.target)
         return target
 
+    async def _attempt_apart(
+        self,
+        run: CallRun,
+        target: TargetRecord,
+    ) -> Forwarded:
+        """Attempt a call, a suspect one apart from other suspects."""
+        call, request, body = run.call, run.request, run.body
+        quarantine = self.parts.quarantine
+        suspect = await quarantine.screen(call, request, body)
+        if suspect is None:
+            return await self._attempt_and_report(run, target)
+        async with quarantine.apart.hold(call, suspect, target) as may_run:
+            if not may_run:
+                return Forwarded(Attempt.NOT_SENT)
+            return await self._attempt_and_report(run, target)
+
+    async def _attempt_and_report(
+        self,
+        run: CallRun,
+        target: TargetRecord,
+    ) -> Forwarded:
+        forwarded = await self._attempt(run, target)
+        if forwarded.is_broken:
+            await self.parts.quarantine.broke(
+                run.call,
+                run.request,
+                run.body,
+                target=target,
+            )
+        return forwarded
+
     async def _attempt(
         self,
         run: CallRun,
--- /dev/null
+++ b/packages/node/src/boragetrestle_node/fingerprint.py
@@ -0,0 +1,40 @@
+"""Recognise a request that is sent again."""
+
+from typing import NamedTuple
+
+import xxhash
+
+from boragetrestle_kernel.http_server import HttpRequest
+from boragetrestle_kernel.ids import OrgId
+from boragetrestle_node.call import Call
+from boragetrestle_node.replayable_body import ReplayableBody
+
+Fingerprint = str
+
+
+class RequestHead(NamedTuple):
+    """What a fingerprint covers besides the body."""
+
+    organisation: OrgId
+    method: bytes
+    target: bytes
+
+    @classmethod
+    def of(cls, call: Call, request: HttpRequest) -> 'RequestHead':
+        """Return the head of the request of a call."""
+        return cls(call.organisation, request.method, request.target)
+
+    def digest(self) -> str:
+        """Return a short digest, equal for equal heads."""
+        digest = xxhash.xxh3_64()
+        digest.update(self.organisation.encode())
+        digest.update(b'\0%b\0%b' % (self.method, self.target))
+        return digest.hexdigest()
+
+
+def fingerprint_of(head: str, body: ReplayableBody) -> Fingerprint:
+    """Return the fingerprint of a request from the digest of its head.
+
+    The digest of the body covers its first ``MAX_KEPT_BYTES``.
+    """
+    return f'{head}-{body.digest()}'
--- a/packages/node/src/boragetrestle_node/guarded_calls.py
+++ b/packages/node/src/boragetrestle_node/guarded_calls.py
@@ -13,6 +13,7 @@
 from boragetrestle_node.guards import Guards
 from boragetrestle_node.identity import Identifier
 from boragetrestle_node.level_spread import LevelSpread
+from boragetrestle_node.quarantine import Quarantine
 from boragetrestle_node.replayable_body import ReplayableBody
 
 _REFUSALS: dict[Attempt, Refusal] = {
@@ -35,11 +36,13 @@
         identifier: Identifier,
         forwarder: Forwarder,
         levels: LevelSpread,
+        quarantine: Quarantine,
     ) -> None:
         self.guards = guards
         self.identifier = identifier
         self.forwarder = forwarder
         self.levels = levels
+        self.quarantine = quarantine
 
     async def serve(
         self,
@@ -49,6 +52,7 @@
     ) -> None:
         """Answer a call from the own target; raise ``RefusedError`` else."""
         guard = self.guards.of_service(call.service)
+        body = ReplayableBody(request)
         async with guard.hold(call) as slot:
             call.is_sent = True
             forwarded = await self.forwarder.forward(
@@ -58,11 +62,18 @@
                 context=self.identifier.context_for(call),
                 call_id=call.call_id,
                 remaining=call.remaining,
-                body=ReplayableBody(request),
+                body=body,
                 extra=self.levels.fields(),
             )
             call.is_sent = forwarded.may_have_run
             slot.forwarded = forwarded
+        if forwarded.is_broken:
+            await self.quarantine.broke(
+                call,
+                request,
+                body,
+                target=guard.target,
+            )
         refusal = forwarded.refusal or _REFUSALS.get(forwarded.attempt)
         if refusal is not None:
             raise RefusedError(refusal)
--- a/packages/node/src/boragetrestle_node/level_table.py
+++ b/packages/node/src/boragetrestle_node/level_table.py
@@ -74,6 +74,10 @@
             for record in self.directory.ready(service)
         ])
 
+    def is_limited(self, target: TargetId) -> bool:
+        """Return whether a target admits less than all."""
+        return self._of_target(target) < FULL_LEVEL
+
     def _of_target(self, target: TargetId) -> float:
         known = self.known.get(target)
         if known is None or known.expires_at <= trio.current_time():
--- a/packages/node/src/boragetrestle_node/metrics.py
+++ b/packages/node/src/boragetrestle_node/metrics.py
@@ -1,8 +1,12 @@
 """Metrics of a node through OpenTelemetry."""
 
+from collections.abc import Callable, Mapping
+
+from opentelemetry.metrics import CallbackOptions, Observation
 from opentelemetry.sdk.metrics import MeterProvider
 from opentelemetry.sdk.metrics.export import InMemoryMetricReader
 
+from boragetrestle_kernel.ids import ServiceName
 from boragetrestle_kernel.refusal import Refusal
 from boragetrestle_node.call import Call
 
@@ -17,6 +21,7 @@
             shutdown_on_exit=False,
         )
         meter = provider.get_meter('boragetrestle.node')
+        self.meter = meter
         self.calls = meter.create_counter(
             'boragetrestle.calls',
             unit='{call}',
@@ -33,6 +38,25 @@
             description='Calls that their callers broke off, by reason',
         )
 
+    def watch_wanted(
+        self,
+        wanted: Callable[[], Mapping[ServiceName, int]],
+    ) -> None:
+        """Show how many targets the services beside this node need."""
+
+        def observe(_options: CallbackOptions) -> list[Observation]:
+            return [
+                Observation(count, {'service': service})
+                for service, count in wanted().items()
+            ]
+
+        self.meter.create_observable_gauge(
+            'boragetrestle.targets.wanted',
+            [observe],
+            unit='{target}',
+            description='Targets that a service needs',
+        )
+
     def answered(self, call: Call) -> None:
         """Count a call that a target answered whole."""
         self.calls.add(1, {'service': call.service})
--- a/packages/node/src/boragetrestle_node/outbound.py
+++ b/packages/node/src/boragetrestle_node/outbound.py
@@ -24,7 +24,9 @@
 from boragetrestle_node.identity import Identifier
 from boragetrestle_node.peer_links import PeerLinks
 from boragetrestle_node.policies import Policies
+from boragetrestle_node.quarantine import Quarantine
 from boragetrestle_node.retry_policy import RETRY_POLICIES
+from boragetrestle_node.service_load import ServiceLoad
 from boragetrestle_node.slot_source import SlotSource
 from boragetrestle_node.target_book import TargetBook
 from boragetrestle_node.target_choice import (
@@ -86,6 +88,12 @@
             parts.control.neighbours.addresses,
             parts.rng,
         )
+        self.quarantine = Quarantine(
+            self.gossip,
+            parts.timeline,
+            clock=parts.clock,
+            network=parts.network,
+        )
         now = parts.clock.wall()
         self.admission = AdmissionControl(
             parts.policies.admission,
@@ -97,6 +105,13 @@
             rng=parts.rng,
             first_number=int(now * _NUMBERS_PER_SECOND),
         )
+        self.loads = ServiceLoad(
+            parts.control.membership.own,
+            parts.links,
+            parts.directory,
+            self.admission.levels,
+            signals=parts.guards.signals,
+        )
         build_retries = RETRY_POLICIES[parts.policies.retries]
         self.dispatcher = Dispatcher(
             Dispatching(
@@ -108,6 +123,7 @@
                 forwarder=parts.forwarder,
                 retries=build_retries(parts.state, parts.rng),
                 levels=self.admission.spread,
+                quarantine=self.quarantine,
                 timeline=parts.timeline,
             ),
         )
@@ -123,6 +139,8 @@
             nursery.start_soon(self.warmer.run)
             nursery.start_soon(self.probe.run)
             nursery.start_soon(self.admission.spread.run)
+            nursery.start_soon(self.quarantine.run)
+            nursery.start_soon(self.loads.run)
             task_status.started()
 
     def _choice(self, parts: OutboundParts) -> TargetChoice:
--- /dev/null
+++ b/packages/node/src/boragetrestle_node/quarantine.py
@@ -0,0 +1,210 @@
+"""Recognise and refuse requests that kill targets."""
+
+import trio
+
+from boragetrestle_kernel.clock import WallClock
+from boragetrestle_kernel.errors import CallerError
+from boragetrestle_kernel.http_server import HttpRequest
+from boragetrestle_kernel.ids import NodeId
+from boragetrestle_kernel.network import Network
+from boragetrestle_kernel.refusal import Refusal, RefusalCode, RefusedError
+from boragetrestle_kernel.target_record import TargetRecord
+from boragetrestle_kernel.timeline import EventKind, Timeline
+from boragetrestle_node.apart_leases import ApartLeases
+from boragetrestle_node.apart_runs import ApartRuns
+from boragetrestle_node.call import Call
+from boragetrestle_node.fingerprint import (
+    Fingerprint,
+    RequestHead,
+    fingerprint_of,
+)
+from boragetrestle_node.gossip import Gossip
+from boragetrestle_node.reachability import accepts
+from boragetrestle_node.replayable_body import ReplayableBody
+from boragetrestle_node.suspect import Death, SuspectState
+from boragetrestle_node.suspect_messages import (
+    SuspectCleared,
+    SuspectReport,
+    SuspectReports,
+)
+from boragetrestle_node.suspect_table import SuspectTable
+
+_REPORT_SECONDS = 2.0
+_FLUSH_SECONDS = 0.1
+_MAX_REPORTS = 64
+
+
+class Quarantine:
+    """Report requests that were running at a death, refuse those at two.
+
+    A broken connection counts as a death only if the target accepts no new
+    one. Every node learns of every death; deaths are rare.
+    """
+
+    def __init__(
+        self,
+        gossip: Gossip,
+        timeline: Timeline,
+        *,
+        clock: WallClock,
+        network: Network,
+    ) -> None:
+        self.gossip = gossip
+        self.links = gossip.links
+        self.timeline = timeline
+        self.clock = clock
+        self.network = network
+        self.table = SuspectTable()
+        self.leases = ApartLeases(self.links)
+        self.apart = ApartRuns(self.links)
+        self.pending: list[SuspectReport] = []
+        self.links.on(SuspectReports, self.receive)
+        self.links.on(SuspectCleared, self.receive_cleared)
+
+    async def run(self) -> None:
+        """Send reports until cancelled."""
+        while True:
+            await trio.sleep(_FLUSH_SECONDS)
+            if self.pending:
+                reports = self.pending[:_MAX_REPORTS]
+                self.pending = self.pending[_MAX_REPORTS:]
+                self.gossip.flood(SuspectReports(reports))
+
+    async def screen(
+        self,
+        call: Call,
+        request: HttpRequest,
+        body: ReplayableBody,
+    ) -> Fingerprint | None:
+        """Return the fingerprint of a suspect, ``None`` for other requests.
+
+        Raises ``RefusedError`` for a request in quarantine.
+        """
+        if not self.table.suspects:
+            return None
+        head = RequestHead.of(call, request).digest()
+        if not self.table.knows_head(head):
+            return None
+        await body.read_start()
+        fingerprint = fingerprint_of(head, body)
+        suspect = self.table.find(fingerprint)
+        if suspect is None:
+            return None
+        if self.table.state(suspect) is SuspectState.QUARANTINED:
+            wait = suspect.refused_until - trio.current_time()
+            raise RefusedError(
+                Refusal(RefusalCode.QUARANTINED, retry_after=wait),
+            )
+        return fingerprint
+
+    async def broke(
+        self,
+        call: Call,
+        request: HttpRequest,
+        body: ReplayableBody,
+        *,
+        target: TargetRecord,
+    ) -> None:
+        """Report a request whose connection broke, if the target is dead.
+
+        The report is made even if the caller has gone meanwhile.
+        """
+        with trio.move_on_after(_REPORT_SECONDS, shield=True):
+            await self._report(call, request, body, target)
+
+    async def _report(
+        self,
+        call: Call,
+        request: HttpRequest,
+        body: ReplayableBody,
+        target: TargetRecord,
+    ) -> None:
+        died_at = self.clock.wall()
+        if await accepts(self.network, target.target_address):
+            return
+        try:
+            await body.read_start()
+        except CallerError:
+            return
+        head = RequestHead.of(call, request).digest()
+        fingerprint = fingerprint_of(head, body)
+        self._take(
+            SuspectReport(
+                fingerprint,
+                Death(target.target, died_at),
+                ran_apart=self._ran_apart(fingerprint, target),
+            ),
+        )
+
+    def ran(
+        self,
+        call: Call,
+        request: HttpRequest,
+        body: ReplayableBody,
+    ) -> None:
+        """Clear a request that ran to its end."""
+        if not self.table.suspects:
+            return
+        head = RequestHead.of(call, request).digest()
+        if not self.table.knows_head(head):
+            return
+        fingerprint = fingerprint_of(head, body)
+        if self._clear(fingerprint):
+            self.gossip.flood(SuspectCleared(fingerprint))
+
+    async def receive(self, _sender: NodeId, message: SuspectReports) -> None:
+        """Take reports of another node."""
+        for report in message.reports:
+            self._take(report)
+        await trio.lowlevel.checkpoint()
+
+    async def receive_cleared(
+        self,
+        _sender: NodeId,
+        message: SuspectCleared,
+    ) -> None:
+        """Take over that a suspect ran to its end elsewhere."""
+        if self._clear(message.fingerprint):
+            self.gossip.flood(message)
+        await trio.lowlevel.checkpoint()
+
+    def _ran_apart(
+        self,
+        fingerprint: Fingerprint,
+        target: TargetRecord,
+    ) -> bool:
+        """Return whether a request was the only suspect at a target."""
+        held = (fingerprint, target.target)
+        is_lent = self.leases.holds(fingerprint, target.target)
+        return is_lent or held in self.apart.held
+
+    def _take(self, report: SuspectReport) -> None:
+        is_news = self.table.add_death(
+            report.fingerprint,
+            report.death,
+            ran_apart=report.ran_apart,
+        )
+        if not is_news:
+            return
+        self.pending.append(report)
+        suspect = self.table.find(report.fingerprint)
+        kinds = {
+            SuspectState.SUSPECTED: EventKind.REQUEST_SUSPECTED,
+            SuspectState.QUARANTINED: EventKind.REQUEST_QUARANTINED,
+        }
+        assert suspect is not None
+        self.timeline.record(
+            kinds[self.table.state(suspect)],
+            reason=f'running when {report.death.target} died',
+            subject=report.fingerprint,
+        )
+
+    def _clear(self, fingerprint: Fingerprint) -> bool:
+        is_cleared = self.table.clear(fingerprint)
+        if is_cleared:
+            self.timeline.record(
+                EventKind.REQUEST_CLEARED,
+                reason='ran to its end',
+                subject=fingerprint,
+            )
+        return is_cleared
--- a/packages/node/src/boragetrestle_node/target_probe.py
+++ b/packages/node/src/boragetrestle_node/target_probe.py
@@ -3,7 +3,6 @@
 import msgspec
 import trio
 
-from boragetrestle_kernel.errors import DialError
 from boragetrestle_kernel.ids import NodeId, TargetId
 from boragetrestle_kernel.network import Network
 from boragetrestle_kernel.peer_message import peer_message
@@ -11,6 +10,7 @@
 from boragetrestle_kernel.timeline import EventKind, Timeline
 from boragetrestle_node.membership import Membership
 from boragetrestle_node.peer_links import PeerLinks
+from boragetrestle_node.reachability import accepts
 
 PROBE_SECONDS = 0.5
 
@@ -72,7 +72,8 @@
         good, failed = 0, 0
         while good < _GOOD_PROBES and target in self.membership.own:
             record = self.membership.own[target]
-            if await self._accepts(record):
+            self.count += 1
+            if await accepts(self.network, record.target_address):
                 good, failed = good + 1, 0
                 self._mark(record, TargetState.READY)
             else:
@@ -82,17 +83,6 @@
             await trio.sleep(PROBE_SECONDS)
         self.probed.discard(target)
 
-    async def _accepts(self, record: TargetRecord) -> bool:
-        self.count += 1
-        with trio.move_on_after(PROBE_SECONDS):
-            try:
-                stream = await self.network.dial(record.target_address)
-            except DialError:
-                return False
-            await trio.aclose_forcefully(stream)
-            return True
-        return False
-
     def _mark(self, record: TargetRecord, state: TargetState) -> None:
         if record.state not in _PROBED_STATES or record.state is state:
             return
