--- a/packages/node/src/boragetrestle_node/guard_signal.py
+++ b/packages/node/src/boragetrestle_node/guard_signal.py
@@ -8,7 +8,8 @@
 
     ``expected_wait`` is in seconds. ``shed`` is the share of calls shed over
     the last seconds by class, in the order of ``CallClass``. ``offered_total``
-    and ``shed_total`` count calls by class since the guard started.
+    and ``shed_total`` count calls by class since the guard started,
+    ``ended_total`` those that ran.
     """
 
     queued: int
@@ -18,3 +19,4 @@
     in_use: int
     offered_total: tuple[float, ...]
     shed_total: tuple[float, ...]
+    ended_total: float
--- a/packages/node/src/boragetrestle_node/level_control.py
+++ b/packages/node/src/boragetrestle_node/level_control.py
@@ -26,7 +26,8 @@
     """Follow the signals of a guard: cut while it sheds, grow otherwise.
 
     A cut lowers the share of the least important classes by as many calls as
-    were shed, and waits until callers have had time to react. Calls that a
+    were shed, or as were offered more than ended where that is less, since a
+    queue also sheds calls of earlier seconds. It waits until callers have had time to react. Calls that a
     target sheds with idle slots, for their short deadline, cut nothing, and
     neither do a few among many, which only show that the target is full.
     Growth follows the share of slots in use: a target that is half idle admits
@@ -41,6 +42,8 @@
         self.shed: Sequence[float] = [0.0 for _ in CallClass]
         self.recent = [0.0 for _ in CallClass]
         self.recent_shed = 0.0
+        self.ended = 0.0
+        self.recent_ended = 0.0
 
     def update(self, signal: GuardSignal, *, now: float) -> float:
         """Return the level for the next interval."""
@@ -67,6 +70,8 @@
             for count, more in zip(self.recent, offered, strict=True)
         ]
         self.recent_shed += shed
+        self.recent_ended += signal.ended_total - self.ended
+        self.ended = signal.ended_total
         in_use = signal.in_use / signal.limit
         self.use += _USE_SMOOTHING * (in_use - self.use)
         return shed
@@ -74,6 +79,7 @@
     def _forget(self, kept: float) -> None:
         self.recent = [kept * count for count in self.recent]
         self.recent_shed *= kept
+        self.recent_ended *= kept
 
     def _is_overloaded(self, signal: GuardSignal) -> bool:
         is_busy = max(self.use, signal.in_use / signal.limit) >= _BUSY_USE
@@ -82,8 +88,12 @@
 
     def _cut(self) -> None:
         offered = self.recent
-        left = self.recent_shed - _KEPT_SHED_SHARE * sum(offered)
+        excess = max(0.0, sum(offered) - self.recent_ended)
+        left = min(self.recent_shed, excess)
+        left -= _KEPT_SHED_SHARE * sum(offered)
         for call_class in reversed(CallClass):
+            if left <= 0:
+                return
             share = admitted_share(self.level, call_class)
             if not share or not offered[call_class]:
                 continue
@@ -91,8 +101,6 @@
             left -= part * offered[call_class]
             level = call_class + share * (1 - part)
             self.level = max(LEAST_LEVEL, level)
-            if left <= 0:
-                return
 
     def _grow(self) -> None:
         wanted = _WANTED_USE / max(self.use, _WANTED_USE / _MOST_GROWTH)
--- a/packages/node/src/boragetrestle_node/slot_guard.py
+++ b/packages/node/src/boragetrestle_node/slot_guard.py
@@ -76,6 +76,7 @@
             in_use=self.in_use,
             offered_total=tuple(count.total for count in self.load.offered),
             shed_total=tuple(count.total for count in self.load.shed),
+            ended_total=self.load.ended.total,
         )
 
     @asynccontextmanager
--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -227,7 +227,7 @@
     assert 1.8 < shares[_BAOBAB] / shares[_ACACIA] < 2.2
 
 
-def _signal(*, offered, shed, queued=0, in_use=5):
+def _signal(*, offered, shed, ended=0, queued=0, in_use=5):
     return GuardSignal(
         queued=queued,
         expected_wait=0,
@@ -236,6 +236,7 @@
         in_use=in_use,
         offered_total=offered,
         shed_total=shed,
+        ended_total=ended,
     )
 
 
@@ -245,6 +246,12 @@
     assert control.update(signal, now=1) == pytest.approx(1.642)
 
 
+def test_old_calls_that_a_queue_sheds_cut_nothing():
+    control = LevelControl()
+    signal = _signal(offered=(0, 40, 0), shed=(0, 16, 0), ended=41, queued=9)
+    assert control.update(signal, now=1) == FULL_LEVEL
+
+
 def test_control_waits_for_callers_to_react():
     control = LevelControl()
     first = _signal(offered=(0, 100, 0), shed=(0, 50, 0), queued=5)
