--- a/packages/kernel/src/boragetrestle_kernel/timeline.py
+++ b/packages/kernel/src/boragetrestle_kernel/timeline.py
@@ -34,10 +34,13 @@
     REQUEST_QUARANTINED = 'request-quarantined'
     REQUEST_CLEARED = 'request-cleared'
     LEVEL_CHANGED = 'level-changed'
+    LEASE_LAPSED = 'lease-lapsed'
+    LIMIT_LOWERED = 'limit-lowered'
     SHARE_LAPSED = 'share-lapsed'
     SHARE_GRANTED = 'share-granted'
     STORE_LOST = 'store-lost'
     STORE_BACK = 'store-back'
+    STORE_VIEW = 'store-view'
     LINK_REJECTED = 'link-rejected'
     FAULT = 'fault'
 
