--- a/packages/node/src/boragetrestle_node/node.py
+++ b/packages/node/src/boragetrestle_node/node.py
@@ -6,7 +6,6 @@
 import trio
 from eliot import log_message
 
-import boragetrestle_node.even_split  # noqa: F401
 import boragetrestle_node.guarded_slots  # noqa: F401
 import boragetrestle_node.leased_slots  # noqa: F401
 from boragetrestle_kernel.address import Address
@@ -25,7 +24,7 @@
 from boragetrestle_node.entry import Entry
 from boragetrestle_node.forwarder import Forwarder
 from boragetrestle_node.freshness_gate import FreshnessGate
-from boragetrestle_node.gate import RateGate
+from boragetrestle_node.gate import RateStage
 from boragetrestle_node.graceful_stop import GracefulStop
 from boragetrestle_node.guarded_calls import GuardedCalls
 from boragetrestle_node.guards import Guards
@@ -36,7 +35,8 @@
 from boragetrestle_node.peer_links import PeerLinks
 from boragetrestle_node.peer_proof import PeerProver
 from boragetrestle_node.policies import Policies
-from boragetrestle_node.rate_policy import RATE_POLICIES
+from boragetrestle_node.rate_policies import build_rates
+from boragetrestle_node.rate_policy import RateParts
 from boragetrestle_node.repeats import Repeats
 from boragetrestle_node.service_times import ServiceTimes
 from boragetrestle_node.slot_source import SLOT_SOURCES, SlotParts
@@ -45,6 +45,8 @@
 
 DEFAULT_POLICIES = Policies()
 
+_FLUSH_SECONDS = 5.0
+
 
 class Node:
     """The process beside a target.
@@ -126,8 +128,6 @@
             ),
         )
         self.forwarder = Forwarder(self.pool)
-        build_rates = RATE_POLICIES[policies.rates]
-        rates = build_rates(self.state, self.count_nodes)
         self.outbound = Outbound(
             OutboundParts(
                 settings=settings,
@@ -154,14 +154,28 @@
             node_count=self.count_nodes,
             rng=random.Random(seed),
         )
+        rates = build_rates(
+            policies.rates,
+            RateParts(
+                node=NodeId(settings.node),
+                address=settings.listen.peers,
+                state=self.state,
+                members=self.control.members,
+                links=self.links,
+                table=store.table,
+                combiner=self.repeats.combiner,
+                timeline=self.timeline,
+                rng=random.Random(seed),
+            ),
+        )
         self.entry = Entry(
             identifier=self.identifier,
             gates=[
                 FreshnessGate(self.control.exchange),
                 KeyGate(),
-                RateGate(rates),
                 admission.gate,
             ],
+            rates=RateStage(rates),
             dispatcher=self.repeats.stage,
             guarded=GuardedCalls(
                 guards=self.guards,
@@ -199,6 +213,7 @@
         stopping = GracefulStop(
             membership=self.membership,
             entry=self.entry,
+            give_back=self.give_back,
             timeline=self.timeline,
             timeout=self.settings.drain_timeout,
         )
@@ -220,6 +235,7 @@
             await nursery.start(self.control.run)
             await nursery.start(self.outbound.run)
             await nursery.start(self.repeats.run)
+            await nursery.start(self.entry.rates.policy.run)
             await nursery.start(
                 self.entry.connections.serve,
                 Address.parse(self.settings.listen.calls),
@@ -232,3 +248,9 @@
             )
             log_message(message_type='node:started', node=self.settings.node)
             task_status.started()
+
+    async def give_back(self) -> None:
+        """Write what is left to record and give up shares, before the end."""
+        await self.entry.rates.policy.stop()
+        with trio.move_on_after(_FLUSH_SECONDS):
+            await self.repeats.outcomes.flush()
--- a/tests/test_slot_guard.py
+++ b/tests/test_slot_guard.py
@@ -259,10 +259,10 @@
     plans = [HostPlan('walks', work=2, slots=1), HostPlan('gate')]
     async with running_fleet(plans, text=_TEXT) as run:
         walks, gate = run.fleet.hosts
-        connections = [
-            await _open_call(run, host) for host in (gate, gate, walks)
-        ]
-        await trio.sleep(0.5)
+        connections = [await _open_call(run, gate)]
+        await trio.sleep(0.1)
+        connections += [await _open_call(run, host) for host in (gate, walks)]
+        await trio.sleep(0.4)
         guard = next(iter(walks.node.guards.by_target.values()))
         queued = len(guard.queue)
         for connection in connections[1:]:
