--- a/packages/node/src/boragetrestle_node/dispatcher.py
+++ b/packages/node/src/boragetrestle_node/dispatcher.py
@@ -15,6 +15,8 @@
 from boragetrestle_node.directory import Directory
 from boragetrestle_node.forwarder import Forwarder
 from boragetrestle_node.identity import Identifier
+from boragetrestle_node.level_spread import LevelSpread
+from boragetrestle_node.quarantine import Quarantine
 from boragetrestle_node.replayable_body import ReplayableBody
 from boragetrestle_node.retry_policy import Failure, RetryPolicy
 from boragetrestle_node.slot_source import Slot, SlotSource
@@ -35,6 +37,8 @@
     slots: SlotSource
     forwarder: Forwarder
     retries: RetryPolicy
+    levels: LevelSpread
+    quarantine: Quarantine
     timeline: Timeline
 
 
@@ -58,8 +62,9 @@
             target = self._choose(run)
             if target is None:
                 raise RefusedError(refusal_of(call, forwarded))
-            forwarded = await self._attempt(run, target)
+            forwarded = await self._attempt_apart(run, target)
             if forwarded.attempt is Attempt.ANSWERED:
+                self.parts.quarantine.ran(call, request, run.body)
                 return
             delay = self._next_delay(run, forwarded)
             if delay is None:
@@ -75,6 +80,37 @@
             run.tried.add(target.target)
         return target
 
+    async def _attempt_apart(
+        self,
+        run: CallRun,
+        target: TargetRecord,
+    ) -> Forwarded:
+        """Attempt a call, a suspect one apart from other suspects."""
+        call, request, body = run.call, run.request, run.body
+        quarantine = self.parts.quarantine
+        suspect = await quarantine.screen(call, request, body)
+        if suspect is None:
+            return await self._attempt_and_report(run, target)
+        async with quarantine.apart.hold(call, suspect, target) as may_run:
+            if not may_run:
+                return Forwarded(Attempt.NOT_SENT)
+            return await self._attempt_and_report(run, target)
+
+    async def _attempt_and_report(
+        self,
+        run: CallRun,
+        target: TargetRecord,
+    ) -> Forwarded:
+        forwarded = await self._attempt(run, target)
+        if forwarded.is_broken:
+            await self.parts.quarantine.broke(
+                run.call,
+                run.request,
+                run.body,
+                target=target,
+            )
+        return forwarded
+
     async def _attempt(
         self,
         run: CallRun,
@@ -83,23 +119,35 @@
         run.delay = None
         was_sent = run.call.is_sent
         with self.parts.watch.attempt(run.call, target) as attempt:
-            try:
-                async with self.parts.slots.hold(run.call, target) as slot:
-                    run.call.is_sent = True
-                    way = _THROUGH_GUARD if slot.is_guarded else _DIRECT
-                    self._record(EventKind.CALL_SENT, run.call, target, way)
-                    slot.forwarded = await self._forward(
-                        run,
-                        slot,
-                        on_head=attempt.head,
-                    )
-                    attempt.forwarded = slot.forwarded
-            except RefusedError as error:
-                attempt.forwarded = Forwarded(Attempt.REFUSED, error.refusal)
+            attempt.forwarded = await self._hold_and_forward(
+                run,
+                target,
+                on_head=attempt.head,
+            )
         if not attempt.forwarded.may_have_run:
             run.call.is_sent = was_sent
         return attempt.forwarded
 
+    async def _hold_and_forward(
+        self,
+        run: CallRun,
+        target: TargetRecord,
+        *,
+        on_head: Callable[[], None],
+    ) -> Forwarded:
+        try:
+            async with self.parts.slots.hold(run.call, target) as slot:
+                run.call.is_sent = True
+                way = _THROUGH_GUARD if slot.is_guarded else _DIRECT
+                self._record(EventKind.CALL_SENT, run.call, target, way)
+                forwarded = await self._forward(run, slot, on_head=on_head)
+                slot.forwarded = forwarded
+        except RefusedError as error:
+            return Forwarded(Attempt.REFUSED, error.refusal)
+        if slot.is_guarded:
+            self.parts.levels.learn(forwarded.fields or [])
+        return forwarded
+
     async def _forward(
         self,
         run: CallRun,
--- a/packages/node/src/boragetrestle_node/entry.py
+++ b/packages/node/src/boragetrestle_node/entry.py
@@ -199,6 +199,8 @@
             await connection.aclose()
             return
         fields = refusal.headers()
+        if call is not None and call.is_guarded:
+            fields.extend(self.guarded.levels.fields())
         fields.append((_CALL_ID, call_id.encode()))
         body = refusal.body(call_id=call_id)
         await connection.answer(refusal.status, fields, body)
--- a/packages/node/src/boragetrestle_node/exchange.py
+++ b/packages/node/src/boragetrestle_node/exchange.py
@@ -55,6 +55,7 @@
         body: ReplayableBody,
         is_guarded: bool,
         take_back: TakeBack,
+        extra: Fields,
     ) -> None:
         self.upstream = upstream
         self.request = request
@@ -63,6 +64,7 @@
         self.body = body
         self.is_guarded = is_guarded
         self.take_back = take_back
+        self.extra = extra
         self.caller_error: CallerError | None = None
 
     async def run(self, fields: Fields) -> Forwarded:
@@ -133,7 +135,7 @@
         return Forwarded(attempt, None, status, fields)
 
     async def _pass_answer(self, response: HttpResponse) -> Attempt:
-        fields = without_internal(response.fields)
+        fields = without_internal(response.fields) + self.extra
         fields.append((CALL_ID, self.call_id.encode()))
         self.connection.queue_head(response.status, fields)
         try:
--- a/packages/node/src/boragetrestle_node/forwarder.py
+++ b/packages/node/src/boragetrestle_node/forwarder.py
@@ -41,13 +41,15 @@
         body: ReplayableBody,
         is_guarded: bool = False,
         take_back: TakeBack = pass_on,
+        extra: Fields | None = None,
     ) -> Forwarded:
         """Send a request to an address and its answer to the caller.
 
         ``remaining`` are the seconds that the call may still take.
 
         ``take_back`` gets the status of an answer before any of it goes on
-        and tells whether to keep it from the caller.
+        and tells whether to keep it from the caller. ``extra`` fields go with
+        the answer.
 
         ``is_guarded`` tells that the address is the guard of a target, whose
         refusals are believed; a target is believed only where it sheds a call.
@@ -65,6 +67,7 @@
             body=body,
             is_guarded=is_guarded,
             take_back=take_back,
+            extra=extra or [],
         )
         try:
             return await exchange.run(fields)
--- a/packages/node/src/boragetrestle_node/guards.py
+++ b/packages/node/src/boragetrestle_node/guards.py
@@ -17,6 +17,7 @@
 from boragetrestle_kernel.refusal import Refusal, RefusalCode, RefusedError
 from boragetrestle_kernel.target_record import TargetRecord
 from boragetrestle_kernel.timeline import Timeline
+from boragetrestle_node.guard_signal import GuardSignal
 from boragetrestle_node.lease_message import (
     LeaseAsk,
     LeaseGrant,
@@ -114,6 +115,12 @@
         guard.policy.ceiling = _ceiling(record)
         return guard
 
+    def signals(self) -> dict[TargetId, GuardSignal]:
+        """Return the load of each own target that got calls."""
+        return {
+            target: guard.signal() for target, guard in self.by_target.items()
+        }
+
     def _recall(self, guard: SlotGuard) -> None:
         self.queued.set()
         recall = LeaseRecall(guard.target.target)
--- a/packages/node/src/boragetrestle_node/node.py
+++ b/packages/node/src/boragetrestle_node/node.py
@@ -6,10 +6,8 @@
 import trio
 from eliot import log_message
 
-import boragetrestle_node.chain_budget  # noqa: F401
 import boragetrestle_node.guarded_slots  # noqa: F401
 import boragetrestle_node.leased_slots  # noqa: F401
-import boragetrestle_node.near_choice  # noqa: F401
 from boragetrestle_kernel.address import Address
 from boragetrestle_kernel.clock import SystemClock, WallClock
 from boragetrestle_kernel.fleet_state import FleetState
@@ -21,11 +19,8 @@
 from boragetrestle_node.admin import Admin
 from boragetrestle_node.caller_connections import CallerConnections
 from boragetrestle_node.connection_pool import ConnectionPool
-from boragetrestle_node.connection_warmer import ConnectionWarmer
 from boragetrestle_node.control import Control
 from boragetrestle_node.directory import Directory
-from boragetrestle_node.dispatcher import Dispatcher, Dispatching
-from boragetrestle_node.ejector import Ejector
 from boragetrestle_node.entry import Entry
 from boragetrestle_node.forwarder import Forwarder
 from boragetrestle_node.freshness_gate import FreshnessGate
@@ -36,20 +31,15 @@
 from boragetrestle_node.identity import Identifier
 from boragetrestle_node.key_gate import KeyGate
 from boragetrestle_node.metrics import NodeMetrics
+from boragetrestle_node.outbound import Outbound, OutboundParts
 from boragetrestle_node.peer_links import PeerLinks
 from boragetrestle_node.peer_proof import PeerProver
 from boragetrestle_node.policies import Policies
 from boragetrestle_node.rate_policies import build_rates
 from boragetrestle_node.rate_policy import RateParts
 from boragetrestle_node.repeats import Repeats
-from boragetrestle_node.retry_policy import RETRY_POLICIES
 from boragetrestle_node.service_times import ServiceTimes
 from boragetrestle_node.slot_source import SLOT_SOURCES, SlotParts
-from boragetrestle_node.target_book import TargetBook
-from boragetrestle_node.target_choice import TARGET_CHOICES, ChoiceInputs
-from boragetrestle_node.target_probe import TargetProbe
-from boragetrestle_node.target_subset import TargetSubsets
-from boragetrestle_node.target_watch import TargetWatch
 from boragetrestle_platform.guarded_platform import guard_platform
 from boragetrestle_platform.platform import Platform
 
@@ -138,45 +128,28 @@
             ),
         )
         self.forwarder = Forwarder(self.pool)
-        self.book = TargetBook()
-        self.watch = TargetWatch(
-            self.book,
-            Ejector(self.book, self.timeline, self.links, self.rng),
-            self.directory,
-        )
-        self.probe = TargetProbe(
-            self.membership,
-            self.links,
-            self.timeline,
-            network=network,
-        )
-        self.warmer = ConnectionWarmer(
-            self.pool,
-            self.book,
-            self.directory,
-            count_nodes=self.count_nodes,
-        )
-        dispatching = Dispatching(
-            identifier=self.identifier,
-            directory=self.directory,
-            choice=TARGET_CHOICES[policies.choice](
-                ChoiceInputs(
-                    book=self.book,
-                    ejector=self.watch.ejector,
-                    subsets=TargetSubsets(settings.node, settings.domain),
-                    rng=self.rng,
-                ),
+        self.outbound = Outbound(
+            OutboundParts(
+                settings=settings,
+                policies=policies,
+                network=network,
+                clock=wall_clock,
+                state=self.state,
+                directory=self.directory,
+                control=self.control,
+                links=self.links,
+                guards=self.guards,
+                slots=self.slots,
+                forwarder=self.forwarder,
+                identifier=self.identifier,
+                timeline=self.timeline,
+                rng=self.rng,
             ),
-            watch=self.watch,
-            slots=self.slots,
-            forwarder=self.forwarder,
-            retries=RETRY_POLICIES[policies.retries](self.state, self.rng),
-            timeline=self.timeline,
         )
-        self.dispatcher = Dispatcher(dispatching)
+        admission = self.outbound.admission
         self.repeats = Repeats(
             store,
-            dispatcher=self.dispatcher,
+            dispatcher=self.outbound.dispatcher,
             timeline=self.timeline,
             node_count=self.count_nodes,
             rng=random.Random(seed),
@@ -200,6 +173,7 @@
             gates=[
                 FreshnessGate(self.control.exchange),
                 KeyGate(),
+                admission.gate,
             ],
             rates=RateStage(rates),
             dispatcher=self.repeats.stage,
@@ -207,6 +181,8 @@
                 guards=self.guards,
                 identifier=self.identifier,
                 forwarder=self.forwarder,
+                levels=admission.spread,
+                quarantine=self.outbound.quarantine,
             ),
             timeline=self.timeline,
             metrics=self.metrics,
@@ -222,6 +198,7 @@
             state=self.state,
             timeline=self.timeline,
             metrics=self.metrics,
+            loads=self.outbound.loads,
             acks=self.control.acks,
             entry=self.entry,
             network=network,
@@ -256,9 +233,7 @@
             await nursery.start(self.guards.run)
             await nursery.start(self.slots.run)
             await nursery.start(self.control.run)
-            self.book.warm.update(self.directory.records)
-            nursery.start_soon(self.warmer.run)
-            nursery.start_soon(self.probe.run)
+            await nursery.start(self.outbound.run)
             await nursery.start(self.repeats.run)
             await nursery.start(self.entry.rates.policy.run)
             await nursery.start(
--- a/packages/node/src/boragetrestle_node/slot_guard.py
+++ b/packages/node/src/boragetrestle_node/slot_guard.py
@@ -79,6 +79,9 @@
             shed=self.load.shed_shares(),
             limit=self.limit,
             in_use=self.in_use,
+            offered_total=tuple(count.total for count in self.load.offered),
+            shed_total=tuple(count.total for count in self.load.shed),
+            ended_total=self.load.ended.total,
         )
 
     @asynccontextmanager
