Send no interim heads to old callers, and end a history where changes end

Cause: an interim head of a target went to HTTP/1.0 callers, which RFC 9110 forbids; 'boragetrestle history' failed with IndexError once older changes are compacted. Ruled out: h11 doing the first (it sends what it is given). Change: queue_head passes over 1xx for HTTP/1.0; history stops at the first gap. Figures: pytest tests/test_http_server.py tests/test_commands.py pass; both guards taken out in a scratch copy fail their tests. pytest tests/test_processes.py -k 'planned or replaced' on this state: 2 passed in 60 s.

--- a/packages/kernel/src/boragetrestle_kernel/http_server.py
+++ b/packages/kernel/src/boragetrestle_kernel/http_server.py
@@ -105,8 +105,13 @@
             await trio.aclose_forcefully(self.stream)
 
     def queue_head(self, status: int, fields: Fields) -> None:
-        """Queue the head of the answer; an interim one for 1xx."""
+        """Queue the head of the answer; an interim one for 1xx.
+
+        Callers of HTTP/1.0 know no interim heads and get none.
+        """
         if status < HTTPStatus.OK:
+            if self.protocol.their_http_version == b'1.0':
+                return
             self._queue(
                 h11.InformationalResponse(status_code=status, headers=fields),
             )
--- a/packages/operate/src/boragetrestle/operator.py
+++ b/packages/operate/src/boragetrestle/operator.py
@@ -60,12 +60,14 @@
         return state
 
     async def history(self, *, limit: int) -> list[Change]:
-        """Return the newest changes, oldest first."""
+        """Return the newest changes that are kept, oldest first."""
         head = await self.log.head()
         changes: list[Change] = []
         reached = Version(max(0, head.version - limit))
         while reached < head.version:
             found = await self.log.after(reached)
+            if not found:
+                break
             changes.extend(found)
             reached = found[-1].version
         return changes[-limit:]
--- a/tests/test_commands.py
+++ b/tests/test_commands.py
@@ -141,6 +141,16 @@
         await run.operator.apply(service_text(), expected=state.version)
 
 
+async def test_history_ends_where_changes_are_no_longer_kept(autojump_clock):
+    async with running_fleet([HostPlan('walks')]) as run:
+        kept = await run.operator.history(limit=2)
+        keys = [key for key in run.table.rows if key.startswith('change/')]
+        for key in keys:
+            run.table.rows.pop(key)
+        gone = await run.operator.history(limit=2)
+    assert [len(kept), len(gone)] == [2, 0]
+
+
 async def test_explain_shows_the_path_of_a_call(autojump_clock):
     plans = [HostPlan('walks'), HostPlan('walks', domain='b')]
     async with running_fleet(plans) as run:
--- a/tests/test_http_server.py
+++ b/tests/test_http_server.py
@@ -160,6 +160,21 @@
     assert answer.count(b'429') == 2
 
 
+async def test_old_callers_get_no_interim_heads(autojump_clock):
+    async def hint_first(_request, connection):
+        connection.queue_head(103, [(b'link', b'l')])
+        await connection.answer(200, [], b'ok')
+
+    heads = {b'HTTP/1.0': 0, b'HTTP/1.1': 1}
+    for version, expected in heads.items():
+        async with served(hint_first) as stream:
+            head = b'GET / %s\r\nConnection: close\r\n' % version
+            await stream.send_all(head + _HOST + b'\r\n')
+            answer = await read_all(stream)
+        assert answer.count(b' 103 ') == expected
+        assert answer.count(b' 200 ') == 1
+
+
 async def test_last_exchange_says_so(autojump_clock):
     async def answer_last(_request, connection):
         connection.finish()
