--- a/packages/node/src/boragetrestle_node/graceful_stop.py
+++ b/packages/node/src/boragetrestle_node/graceful_stop.py
@@ -1,5 +1,7 @@
 """Stop a node without cutting a call."""
 
+from collections.abc import Awaitable, Callable
+
 import trio
 from eliot import log_message
 
@@ -18,7 +20,8 @@
 
     While the fleet learns of it, new calls are still served, so that no caller
     is turned away needlessly. Onward calls of the own target are served until
-    the end, since they belong to calls that run already.
+    the end, since they belong to calls that run already. ``give_back`` hands
+    over what the node holds for the fleet, once no call can need it.
     """
 
     def __init__(
@@ -26,11 +29,13 @@
         *,
         membership: Membership,
         entry: Entry,
+        give_back: Callable[[], Awaitable[None]],
         timeline: Timeline,
         timeout: float,
     ) -> None:
         self.membership = membership
         self.entry = entry
+        self.give_back = give_back
         self.connections = entry.connections
         self.timeline = timeline
         self.timeout = timeout
@@ -50,6 +55,7 @@
                 EventKind.FAULT,
                 reason=f'{self.entry.running} calls outlast the drain timeout',
             )
+        await self.give_back()
         await self.membership.leave()
         log_message(
             message_type='node:stopped',
--- a/packages/node/src/boragetrestle_node/node.py
+++ b/packages/node/src/boragetrestle_node/node.py
@@ -7,7 +7,6 @@
 from eliot import log_message
 
 import boragetrestle_node.chain_budget  # noqa: F401
-import boragetrestle_node.even_split  # noqa: F401
 import boragetrestle_node.guarded_slots  # noqa: F401
 import boragetrestle_node.leased_slots  # noqa: F401
 import boragetrestle_node.near_choice  # noqa: F401
@@ -30,7 +29,7 @@
 from boragetrestle_node.entry import Entry
 from boragetrestle_node.forwarder import Forwarder
 from boragetrestle_node.freshness_gate import FreshnessGate
-from boragetrestle_node.gate import RateGate
+from boragetrestle_node.gate import RateStage
 from boragetrestle_node.graceful_stop import GracefulStop
 from boragetrestle_node.guarded_calls import GuardedCalls
 from boragetrestle_node.guards import Guards
@@ -40,7 +39,8 @@
 from boragetrestle_node.peer_links import PeerLinks
 from boragetrestle_node.peer_proof import PeerProver
 from boragetrestle_node.policies import Policies
-from boragetrestle_node.rate_policy import RATE_POLICIES
+from boragetrestle_node.rate_policies import build_rates
+from boragetrestle_node.rate_policy import RateParts
 from boragetrestle_node.repeats import Repeats
 from boragetrestle_node.retry_policy import RETRY_POLICIES
 from boragetrestle_node.service_times import ServiceTimes
@@ -55,6 +55,8 @@
 
 DEFAULT_POLICIES = Policies()
 
+_FLUSH_SECONDS = 5.0
+
 
 class Node:
     """The process beside a target.
@@ -136,8 +138,6 @@
             ),
         )
         self.forwarder = Forwarder(self.pool)
-        build_rates = RATE_POLICIES[policies.rates]
-        rates = build_rates(self.state, self.count_nodes)
         self.book = TargetBook()
         self.watch = TargetWatch(
             self.book,
@@ -181,13 +181,27 @@
             node_count=self.count_nodes,
             rng=random.Random(seed),
         )
+        rates = build_rates(
+            policies.rates,
+            RateParts(
+                node=NodeId(settings.node),
+                address=settings.listen.peers,
+                state=self.state,
+                members=self.control.members,
+                links=self.links,
+                table=store.table,
+                combiner=self.repeats.combiner,
+                timeline=self.timeline,
+                rng=random.Random(seed),
+            ),
+        )
         self.entry = Entry(
             identifier=self.identifier,
             gates=[
                 FreshnessGate(self.control.exchange),
                 KeyGate(),
-                RateGate(rates),
             ],
+            rates=RateStage(rates),
             dispatcher=self.repeats.stage,
             guarded=GuardedCalls(
                 guards=self.guards,
@@ -222,6 +236,7 @@
         stopping = GracefulStop(
             membership=self.membership,
             entry=self.entry,
+            give_back=self.give_back,
             timeline=self.timeline,
             timeout=self.settings.drain_timeout,
         )
@@ -245,6 +260,7 @@
             nursery.start_soon(self.warmer.run)
             nursery.start_soon(self.probe.run)
             await nursery.start(self.repeats.run)
+            await nursery.start(self.entry.rates.policy.run)
             await nursery.start(
                 self.entry.connections.serve,
                 Address.parse(self.settings.listen.calls),
@@ -257,3 +273,9 @@
             )
             log_message(message_type='node:started', node=self.settings.node)
             task_status.started()
+
+    async def give_back(self) -> None:
+        """Write what is left to record and give up shares, before the end."""
+        await self.entry.rates.policy.stop()
+        with trio.move_on_after(_FLUSH_SECONDS):
+            await self.repeats.outcomes.flush()
