Warm the bound of a target's guard with time, not with calls only

Ruled out: rates (no call was refused for its rate). Change: the bound also grows by a tenth of the ceiling a second.

--- a/packages/node/src/boragetrestle_node/slot_guard.py
+++ b/packages/node/src/boragetrestle_node/slot_guard.py
@@ -55,7 +55,7 @@
         self.timeline = timeline
         self.lowered_at = -_RECORD_GAP_SECONDS
         self.on_queued = on_queued
-        self.slow_start = SlowStart(limit.ceiling)
+        self.slow_start = SlowStart(limit.ceiling, now=trio.current_time())
         self.lender = Lender(self)
         self.load = GuardLoad()
         self.running = 0
@@ -63,7 +63,8 @@
     @property
     def limit(self) -> int:
         """The calls that may run at once."""
-        return max(1, int(min(self.policy.limit, self.slow_start.bound)))
+        bound = self.slow_start.bound_at(trio.current_time())
+        return max(1, int(min(self.policy.limit, bound)))
 
     @property
     def in_use(self) -> int:
