--- a/packages/bench/src/boragetrestle_bench/capacity.py
+++ b/packages/bench/src/boragetrestle_bench/capacity.py
@@ -82,14 +82,18 @@
 
 
 def work_out(results: Iterable[Result]) -> Result:
-    """Return each slope's figure at the size to design for."""
+    """Return each slope's figure at the size to design for.
+
+    None is less than the largest that was measured.
+    """
     found = list(results)
     figures: list[Figure] = []
     for slope in _SLOPES:
         points = slope.points(found)
         if len(points) >= _MIN_POINTS:
-            amount = extrapolate(points, UPSTREAMS, growth=slope.growth)
-            figures.append(Figure(slope.name, amount))
+            worked_out = extrapolate(points, UPSTREAMS, growth=slope.growth)
+            measured = max(amount for _, amount in points)
+            figures.append(Figure(slope.name, max(worked_out, measured)))
     return Result(
         benchmark=CAPACITY,
         policies=CURRENT,
