--- a/packages/sidecar/src/boragetrestle_sidecar/entry.py
+++ b/packages/sidecar/src/boragetrestle_sidecar/entry.py
@@ -36,8 +36,10 @@
 
 # Placements of one request: guards that refuse without sending cost only time.
 MAX_PLACEMENTS = 4
-# A guard answers at the time limit; after this it counts as silent.
-ANSWER_GRACE_SECONDS = 0.12
+# A guard answers at the time limit; this much later it counts as silent.
+ANSWER_GRACE_SECONDS = 0.03
+# Kept of a caller's time for the way back of the last answer.
+RETURN_SECONDS = 0.04
 LEAST_RETRY_SECONDS = 0.02  # less than that is not enough for another run
 _REPEATED_STATUSES = frozenset((
     HTTPStatus.INTERNAL_SERVER_ERROR,
@@ -171,7 +173,7 @@
             self.split.choose(route),
             organisation,
             arrived_at=now,
-            expires_at=now + min(left, route.time_limit),
+            expires_at=now + min(left - RETURN_SECONDS, route.time_limit),
             goal_at=now + route.goal,
             returns=self.admission.is_returning(route, left),
         )
@@ -236,16 +238,16 @@
         now: float,
     ) -> None:
         route = request.route
-        organisation = request.organisation
         order = RunOrder(
             service=request.service,
             route=route.name,
-            organisation=organisation.terms.name if organisation else '',
+            organisation=_name_of(request.organisation),
             request_id=request.request_id,
             priority=route.priority,
             is_call=not route.needs_key,
             may_repeat=route.may_repeat,
             returns=request.returns,
+            sent_at=now,
             time_left=request.expires_at - now,
             goal_left=request.goal_at - now,
             head=request.head,
@@ -379,6 +381,7 @@
             request=request.shown_id,
             route=request.route.name,
             service=request.service,
+            organisation=_name_of(request.organisation),
             reason=reason.value,
             may_have_run=request.may_have_run,
             attempts=request.attempts,
@@ -470,5 +473,9 @@
         return b'\r\n'.join(lines)
 
 
+def _name_of(organisation: 'OrganisationPolicy | None') -> str:
+    return organisation.terms.name if organisation else ''
+
+
 NO_TARGET_RETRY_SECONDS = 0.4  # targets that crash are back after some seconds
 _NEEDED_HEADERS = frozenset((b'host', b'close', b'keep-alive'))
--- a/packages/sidecar/src/boragetrestle_sidecar/guard.py
+++ b/packages/sidecar/src/boragetrestle_sidecar/guard.py
@@ -7,7 +7,7 @@
 from boragetrestle_sidecar.answer_head import answer_head
 from boragetrestle_sidecar.call_attribution import CallAttribution
 from boragetrestle_sidecar.guard_job import GuardJob, JobState
-from boragetrestle_sidecar.guard_queue import LEAST_TIME_SHARE, GuardQueue
+from boragetrestle_sidecar.guard_queue import GuardQueue
 from boragetrestle_sidecar.outcome import (
     GuardLoad,
     Outcome,
@@ -97,7 +97,7 @@
             self.running,
             len(self.queue),
             self.limit,
-            self.meter.run_seconds,
+            self.meter.known_run_seconds,
         )
 
     def report(self, report: 'TargetReport') -> None:
@@ -131,22 +131,29 @@
         self,
         order: 'RunOrder',
         reply: Callable[[Outcome], None],
+        *,
+        held_up: float = 0.0,
     ) -> GuardJob:
-        """Run a request, let it wait, or turn it away at once."""
+        """Run a request, let it wait, or turn it away at once.
+
+        ``held_up`` is how many seconds it was late on its way here.
+        """
         now = self.clock()
         job = GuardJob(
             order,
             reply,
             arrived_at=now,
-            expires_at=now + order.time_left,
-            goal_at=now + order.goal_left,
+            expires_at=now + order.time_left - held_up,
+            goal_at=now + order.goal_left - held_up,
         )
         report = self.book.report
-        if report is None or not self.is_open:
+        if job.expires_at - now < LEAST_LEFT_SECONDS:
+            self._end(job, _not_sent(Reason.EXPIRED))
+        elif report is None or not self.is_open:
             self._end(job, _not_sent(Reason.NO_TARGET))
         elif report.service != order.service:
             self._end(job, _not_sent(Reason.NO_TARGET))
-        elif self.running < self.limit and not self.queue.count:
+        elif self.running < self.limit and not self.queue:
             self.jobs.add(job)
             self._start(job, now)
         else:
@@ -170,8 +177,7 @@
     def sweep(self) -> None:
         """Give up runs whose time is up; called every few milliseconds."""
         now = self.clock()
-        least = self.meter.run_seconds * LEAST_TIME_SHARE
-        for job in self.queue.take_expired(now, min(least, 0.05)):
+        for job in self.queue.take_expired(now + LEAST_LEFT_SECONDS):
             self._end(job, _not_sent(Reason.EXPIRED))
         for job in list(self.jobs):
             is_over = now > job.expires_at + EXPIRY_GRACE_SECONDS
@@ -195,11 +201,11 @@
 
     def expected_wait(self, job: GuardJob) -> float:
         """Return the seconds until a run that is queued now would start."""
-        ahead = self.queue.ahead_of(job) + 1
+        ahead = self.queue.ahead_of(job.goal_at) + 1
         return ahead * self.meter.run_seconds / max(1, self.limit)
 
     def _dispatch(self) -> None:
-        while self.queue.count and self.running < self.limit:
+        while self.queue and self.running < self.limit:
             now = self.clock()
             job = self.queue.pop()
             if job is None:
@@ -350,7 +356,7 @@
 
 
 # After its time limit a run gets this long for the target's own answer.
-EXPIRY_GRACE_SECONDS = 0.06
+EXPIRY_GRACE_SECONDS = 0.015
 LEAST_LEFT_SECONDS = 0.01  # less than a run of the shortest kind takes
 MISDIRECTED = 421
 
--- a/packages/sidecar/src/boragetrestle_sidecar/guard_queue.py
+++ b/packages/sidecar/src/boragetrestle_sidecar/guard_queue.py
@@ -1,100 +1,82 @@
 """The order in which a guard runs what waits for a slot.
 
-The load this answers: more runs arrive than the target's slots serve. Work that
-is under way comes first, since turning a call away wastes all that was done
-above it; then the more urgent routes. A run whose time is nearly up is not
-started, since its caller would not get the answer.
+The load this answers: more runs arrive than the target's slots serve, requests
+of callers beside the onward calls of runs under way. What must be answered
+first goes first, by the response-time goal: short requests with a near goal pass
+the long ones, and nothing waits for ever behind a stream of others.
 """
 
-from collections import deque
+from bisect import insort
 from collections.abc import Iterator
 from typing import TYPE_CHECKING, NamedTuple
 
 if TYPE_CHECKING:
     from boragetrestle_sidecar.guard_job import GuardJob
 
-# A run with less time left than this share of a mean run is not worth a slot.
-LEAST_TIME_SHARE = 0.5
 
-
-class Rank(NamedTuple):
-    """What decides which run goes first; the lowest goes first."""
-
-    is_root: bool
-    priority: int
-    is_new: bool
-
-
-def rank_of(job: 'GuardJob') -> Rank:
-    """Return the rank of a run."""
-    order = job.order
-    return Rank(not order.is_call, order.priority, not order.returns)
+class _Place(NamedTuple):
+    goal_at: float
+    number: int
+    job: 'GuardJob'
 
 
 class GuardQueue:
-    """Runs that wait, by rank and then by arrival."""
+    """Runs that wait, the one with the nearest goal first."""
 
     def __init__(self) -> None:
-        self.by_rank: dict[Rank, deque[GuardJob]] = {}
-        self.count = 0
+        self.places: list[_Place] = []
+        self.number = 0
 
     def __len__(self) -> int:
         """Return how many runs wait."""
-        return self.count
+        return len(self.places)
 
     def __iter__(self) -> 'Iterator[GuardJob]':
-        """Iterate over the runs that wait, in no useful order."""
-        for waiting in list(self.by_rank.values()):
-            yield from list(waiting)
+        """Iterate over the runs that wait, in their order."""
+        return (place.job for place in list(self.places))
 
     def push(self, job: 'GuardJob') -> None:
         """Add a run."""
-        rank = rank_of(job)
-        waiting = self.by_rank.get(rank)
-        if waiting is None:
-            self.by_rank[rank] = deque((job,))
-            self.by_rank = dict(sorted(self.by_rank.items()))
-        else:
-            waiting.append(job)
-        self.count += 1
+        self.number += 1
+        insort(self.places, _Place(job.goal_at, self.number, job))
 
     def pop(self) -> 'GuardJob | None':
         """Remove and return the run that goes next."""
-        for waiting in self.by_rank.values():
-            if waiting:
-                self.count -= 1
-                return waiting.popleft()
-        return None
+        return self.places.pop(0).job if self.places else None
 
     def remove(self, job: 'GuardJob') -> None:
         """Remove a run that no longer waits."""
-        self.by_rank[rank_of(job)].remove(job)
-        self.count -= 1
+        self.places = [place for place in self.places if place.job is not job]
 
-    def ahead_of(self, job: 'GuardJob') -> int:
+    def ahead_of(self, goal_at: float) -> int:
         """Return how many runs go before a new one."""
-        rank = rank_of(job)
-        return sum(
-            len(waiting)
-            for known, waiting in self.by_rank.items()
-            if known <= rank
-        )
-
-    def take_expired(self, now: float, least_left: float) -> 'list[GuardJob]':
-        """Remove and return runs with less than ``least_left`` seconds."""
+        low = 0
+        high = len(self.places)
+        while low < high:
+            middle = (low + high) // 2
+            if self.places[middle].goal_at <= goal_at:
+                low = middle + 1
+            else:
+                high = middle
+        return low
+
+    def take_expired(self, latest: float) -> 'list[GuardJob]':
+        """Remove and return runs whose time is up by ``latest``."""
         expired = [
-            job
-            for waiting in self.by_rank.values()
-            for job in waiting
-            if job.expires_at - now < least_left
+            place.job
+            for place in self.places
+            if place.job.expires_at < latest
         ]
-        for job in expired:
-            self.remove(job)
+        if expired:
+            self.places = [
+                place
+                for place in self.places
+                if place.job.expires_at >= latest
+            ]
         return expired
 
     def take_all(self) -> 'list[GuardJob]':
         """Remove and return all runs."""
         jobs = list(self)
-        self.by_rank.clear()
-        self.count = 0
+        self.places.clear()
         return jobs
--- a/packages/sidecar/src/boragetrestle_sidecar/peer_link.py
+++ b/packages/sidecar/src/boragetrestle_sidecar/peer_link.py
@@ -191,7 +191,7 @@
                 )
                 self.drop()
             else:
-                self.writer.send(FrameKind.PING, 0, ())
+                self.writer.send(FrameKind.PING, 0, [steady_now()])
             try:
                 async with asyncio.timeout(PING_SECONDS):
                     await self.lost.wait()
--- a/packages/sidecar/src/boragetrestle_sidecar/peer_server.py
+++ b/packages/sidecar/src/boragetrestle_sidecar/peer_server.py
@@ -1,6 +1,7 @@
 """The guard's side of connections between nodes."""
 
 import asyncio
+import math
 from typing import TYPE_CHECKING, cast
 
 from boragetrestle_kernel.errors import WireError
@@ -57,6 +58,7 @@
         self.writer: FrameWriter | None = None
         self.jobs: dict[int, GuardJob] = {}
         self.heard_at = steady_now()
+        self.least_offset = math.inf
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Note the connection."""
@@ -104,9 +106,21 @@
             job = self.jobs.pop(frame.number, None)
             if job is not None:
                 self.server.guard.cancel(job)
-        elif frame.kind is not FrameKind.PING:
+        elif frame.kind is FrameKind.PING:
+            self._held_up(frame.fields[0])
+        else:
             self.server.messages.take(frame, self.send, None)
 
+    def _held_up(self, sent_at: float) -> float:
+        """Return how much later than the quickest message this one came.
+
+        The clocks of two nodes differ by a constant; a cut link or a host that
+        stood still delivers late what was sent in time.
+        """
+        offset = steady_now() - sent_at
+        self.least_offset = min(self.least_offset, offset)
+        return offset - self.least_offset
+
     def _run(self, frame: Frame) -> None:
         number = frame.number
 
@@ -114,6 +128,11 @@
             self.jobs.pop(number, None)
             self.send(FrameKind.OUTCOME, number, outcome)
 
-        job = self.server.guard.submit(RunOrder(*frame.fields), reply)
+        order = RunOrder(*frame.fields)
+        job = self.server.guard.submit(
+            order,
+            reply,
+            held_up=self._held_up(order.sent_at),
+        )
         if job.state is not JobState.ENDED:
             self.jobs[number] = job
--- a/packages/sidecar/src/boragetrestle_sidecar/placement.py
+++ b/packages/sidecar/src/boragetrestle_sidecar/placement.py
@@ -6,16 +6,24 @@
 costs time and bytes.
 """
 
+import math
 import random
 from collections.abc import Sequence
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
+from boragetrestle_sidecar.run_meter import FIRST_RUN_SECONDS
+
 if TYPE_CHECKING:
     from boragetrestle_sidecar.hop import Hop
 
 # A guard in another domain must be expected to end this much earlier.
 CROSSING_SECONDS = 0.02
+# A guard that has served nothing yet is expected to be this much quicker than
+# the quickest other one, so that a new target gets work.
+UNKNOWN_SHARE = 0.9
+# Runs that go to any guard, so that one that was slow gets another chance.
+EXPLORED_SHARE = 0.03
 MAX_COMPARED = 6  # guards looked at; more gain little and cost time
 SILENT_SECONDS = 0.7  # a link that is silent for longer is avoided
 
@@ -36,17 +44,16 @@
     limit: int = 1
     running: int = 0
     waiting: int = 0
-    run_seconds: float = 0.05
+    run_seconds: float = 0.0
     unconfirmed: int = 0
     heard_at: float = 0.0
     is_local: bool = False
 
-    def expected_seconds(self) -> float:
+    def expected_seconds(self, run_seconds: float) -> float:
         """Return the time until a run that is sent now has ended."""
         held = self.running + self.waiting + self.unconfirmed
         ahead = max(0, held + 1 - self.limit)
-        wait = ahead * self.run_seconds / max(1, self.limit)
-        return wait + self.run_seconds
+        return run_seconds + ahead * run_seconds / max(1, self.limit)
 
 
 def choose_guard(
@@ -71,18 +78,23 @@
     candidates = lively or open_guards
     if not candidates:
         return None
+    if chance.random() < EXPLORED_SHARE:
+        return chance.choice(candidates)
     if len(candidates) > MAX_COMPARED:
         candidates = chance.sample(candidates, MAX_COMPARED)
-    best = candidates[0]
-    least = _cost(best, domain)
-    for guard in candidates[1:]:
-        cost = _cost(guard, domain)
+    return _quickest(candidates, domain)
+
+
+def _quickest(guards: Sequence[GuardView], domain: str) -> GuardView:
+    known = [guard.run_seconds for guard in guards if guard.run_seconds]
+    assumed = min(known, default=FIRST_RUN_SECONDS) * UNKNOWN_SHARE
+    best = guards[0]
+    least = math.inf
+    for guard in guards:
+        cost = guard.expected_seconds(guard.run_seconds or assumed)
+        if guard.domain != domain:
+            cost += CROSSING_SECONDS
         if cost < least:
             best = guard
             least = cost
     return best
-
-
-def _cost(guard: GuardView, domain: str) -> float:
-    crossing = 0.0 if guard.domain == domain else CROSSING_SECONDS
-    return guard.expected_seconds() + crossing
--- a/packages/sidecar/src/boragetrestle_sidecar/run_meter.py
+++ b/packages/sidecar/src/boragetrestle_sidecar/run_meter.py
@@ -23,6 +23,11 @@
         self.has_ended = False
         self.waited_seconds = 0.0
 
+    @property
+    def known_run_seconds(self) -> float:
+        """The mean time of a run, 0 before the first has ended."""
+        return self.run_seconds if self.has_ended else 0.0
+
     def start(self, route: str, *, waited: float = 0.0) -> None:
         """Count a run that the target is sent after a wait for a slot."""
         self.started[route] += 1
--- a/packages/sidecar/src/boragetrestle_sidecar/run_order.py
+++ b/packages/sidecar/src/boragetrestle_sidecar/run_order.py
@@ -6,6 +6,8 @@
 class RunOrder(NamedTuple):
     """One request on its way to a target.
 
+    ``sent_at`` is on the clock of the entry; it tells how long a run was held
+    up on its way.
     ``time_left`` and ``goal_left`` are seconds until the caller's time is up
     and until the response-time goal. ``head`` is the request line with the
     headers, without those that the guard adds. ``is_call`` marks the onward
@@ -21,6 +23,7 @@
     is_call: bool
     may_repeat: bool
     returns: bool
+    sent_at: float
     time_left: float
     goal_left: float
     head: bytes
--- a/packages/sidecar/src/boragetrestle_sidecar/sidecar.py
+++ b/packages/sidecar/src/boragetrestle_sidecar/sidecar.py
@@ -48,7 +48,7 @@
 IDLE_MARGIN_SECONDS = 1.0  # callers reuse connections up to their idle limit
 # Two readiness probes, one a second, are missed before callers go elsewhere.
 LEAST_STOP_SECONDS = 2.3
-STOP_MARGIN_SECONDS = 0.7  # kept from the grace period for closing
+STOP_MARGIN_SECONDS = 1.2  # kept from the grace period for closing
 BACKLOG = 1024  # connections of all callers at once after a restart
 UNSENT_STATUS = 503
 TRACE_LINES = 6  # of a traceback in a log line
