--- a/packages/sidecar/src/boragetrestle_sidecar/admission.py
+++ b/packages/sidecar/src/boragetrestle_sidecar/admission.py
@@ -12,16 +12,15 @@
 
 if TYPE_CHECKING:
     from boragetrestle_sidecar.configuration import Configuration
+    from boragetrestle_sidecar.decision_log import DecisionLog
     from boragetrestle_sidecar.entry_request import EntryRequest
     from boragetrestle_sidecar.outcome import Outcome
     from boragetrestle_sidecar.route_policy import RoutePolicy
 
-USED_SHARE = 0.92  # of slots that the plan fills: arrivals come in clumps
-LONG_WAIT_SECONDS = 0.03  # a mean queueing time above this shows a shortage
-CUT_FACTOR = 0.9  # of a service's planned room, each tick with long waits
-GROWTH_FACTOR = 1.03  # each tick without
-LEAST_FACTOR = 0.3
-MOST_FACTOR = 1.1
+USED_SHARE = 0.97  # of slots that the plan fills: arrivals come in clumps
+# What waits in queues is worked off in this time, beside what is admitted.
+DRAIN_SECONDS = 0.5
+LEAST_SHARE = 0.3  # of slots, planned for however long the queues are
 # A caller that comes back has less time left than the first attempts have.
 RETURNING_SHARE = 0.97
 RETURNING_BONUS = 2.0  # times the share of new requests is admitted
@@ -33,11 +32,11 @@
 class Admission:
     """Hold the share of each route's requests that is admitted."""
 
-    def __init__(self, chance: random.Random) -> None:
+    def __init__(self, chance: random.Random, log: 'DecisionLog') -> None:
         self.chance = chance
+        self.log = log
         self.graph = CallGraph(())
         self.shares: dict[str, float] = {}
-        self.factors: dict[ServiceName, float] = {}
         self.longest_left: dict[str, float] = {}
 
     def configure(self, configuration: 'Configuration') -> None:
@@ -109,6 +108,18 @@
             if route in self.graph.routes
         ]
         self.shares = plan_admission(demands, capacity)
+        self.log.line(
+            'admission-planned',
+            shares={
+                route: round(share, 3)
+                for route, share in self.shares.items()
+                if share < 1
+            },
+            arrivals=arrivals,
+            capacity=capacity,
+            usage={demand.route: demand.slot_seconds for demand in demands},
+            nodes=len(statuses),
+        )
 
     def _demand(self, route: str, rate: float) -> RouteDemand:
         policy = self.graph.routes[route]  # type: ignore[index]
@@ -122,21 +133,19 @@
         self,
         statuses: list[NodeStatus],
     ) -> dict[ServiceName, float]:
+        """Return the slots that new requests may fill, by service."""
         slots: dict[ServiceName, float] = {}
-        waits: dict[ServiceName, list[float]] = {}
+        queued: dict[ServiceName, float] = {}
         for status in statuses:
             if status.is_open:
                 service = ServiceName(status.service)
                 slots[service] = slots.get(service, 0.0) + status.limit
-                waits.setdefault(service, []).append(status.waited_seconds)
-        for service, waited in waits.items():
-            self._adjust(service, sum(waited) / len(waited))
+                waiting = status.waiting * status.run_seconds
+                queued[service] = queued.get(service, 0.0) + waiting
         return {
-            service: count * USED_SHARE * self.factors[service]
+            service: max(
+                count * LEAST_SHARE,
+                count * USED_SHARE - queued[service] / DRAIN_SECONDS,
+            )
             for service, count in slots.items()
         }
-
-    def _adjust(self, service: ServiceName, waited: float) -> None:
-        factor = self.factors.get(service, 1.0)
-        factor *= CUT_FACTOR if waited > LONG_WAIT_SECONDS else GROWTH_FACTOR
-        self.factors[service] = min(MOST_FACTOR, max(LEAST_FACTOR, factor))
--- a/packages/sidecar/src/boragetrestle_sidecar/config_keeper.py
+++ b/packages/sidecar/src/boragetrestle_sidecar/config_keeper.py
@@ -61,11 +61,6 @@
             version=configuration.version,
             before=self.version,
             routes=len(configuration.routes),
-            organisations={
-                name: [policy.terms.rate, policy.terms.burst, policy.priority]
-                for name, policy in configuration.organisations.items()
-            },
-            priorities={r.name: [r.priority, r.needs_key, r.time_limit, r.goal, r.max_attempts] for r in configuration.routes},
         )
         self.configuration = configuration
         self.applied_at = self.clock()
--- a/packages/sidecar/src/boragetrestle_sidecar/sidecar.py
+++ b/packages/sidecar/src/boragetrestle_sidecar/sidecar.py
@@ -77,7 +77,7 @@
         self.fleet = Fleet(address)
         self.keeper = ConfigKeeper(adapter.decode_configuration, log)
         self.suspects = Suspects()
-        self.admission = Admission(self.chance)
+        self.admission = Admission(self.chance, log)
         self.rates = RateGate(
             RateShares(address),
             link_of=self.links.get,
