--- a/packages/sidecar/src/boragetrestle_sidecar/answer_reader.py
+++ b/packages/sidecar/src/boragetrestle_sidecar/answer_reader.py
@@ -30,7 +30,10 @@
         """Parse bytes; raise ``HttpError`` for bytes that are no answer."""
         try:
             self.parser.feed_data(received)
-        except (httptools.HttpParserError, httptools.HttpParserUpgrade) as error:
+        except (
+            httptools.HttpParserError,
+            httptools.HttpParserUpgrade,
+        ) as error:
             raise HttpError(
                 f'the bytes are no HTTP/1.1 answer: {error}',
                 remedy='look for a fault of the server',
--- a/packages/sidecar/src/boragetrestle_sidecar/call_graph.py
+++ b/packages/sidecar/src/boragetrestle_sidecar/call_graph.py
@@ -32,8 +32,7 @@
             for cost in costs:
                 by_route.setdefault(cost.route, []).append(cost)
         self.costs = {
-            route: _mean_cost(route, costs)
-            for route, costs in by_route.items()
+            route: _mean_cost(route, costs) for route, costs in by_route.items()
         }
         self.known.clear()
 
--- a/packages/sidecar/src/boragetrestle_sidecar/entry.py
+++ b/packages/sidecar/src/boragetrestle_sidecar/entry.py
@@ -466,8 +466,7 @@
                 )
             )
         lines.append(
-            b'%s: %s'
-            % (self.names.caller_service, self.own_service().encode())
+            b'%s: %s' % (self.names.caller_service, self.own_service().encode())
         )
         lines.append(b'')
         return b'\r\n'.join(lines)
--- a/packages/sidecar/src/boragetrestle_sidecar/guard.py
+++ b/packages/sidecar/src/boragetrestle_sidecar/guard.py
@@ -296,7 +296,9 @@
         self._release(job)
         if self._is_rejection(answer):
             self._end(job, self._rejected(answer))
-        elif answer.is_success and answer.header(self.names.answer_seal) is None:
+        elif (
+            answer.is_success and answer.header(self.names.answer_seal) is None
+        ):
             self._end(job, Outcome(OutcomeKind.UNKNOWN, Reason.ANSWER_GARBLED))
         else:
             self.meter.end(job.order.route, now - job.started_at)
--- a/packages/sidecar/src/boragetrestle_sidecar/guard_queue.py
+++ b/packages/sidecar/src/boragetrestle_sidecar/guard_queue.py
@@ -63,15 +63,11 @@
     def take_expired(self, latest: float) -> 'list[GuardJob]':
         """Remove and return runs whose time is up by ``latest``."""
         expired = [
-            place.job
-            for place in self.places
-            if place.job.expires_at < latest
+            place.job for place in self.places if place.job.expires_at < latest
         ]
         if expired:
             self.places = [
-                place
-                for place in self.places
-                if place.job.expires_at >= latest
+                place for place in self.places if place.job.expires_at >= latest
             ]
         return expired
 
--- a/packages/sidecar/src/boragetrestle_sidecar/rate_shares.py
+++ b/packages/sidecar/src/boragetrestle_sidecar/rate_shares.py
@@ -38,7 +38,9 @@
     count = max(1, min(len(nodes), int(terms.burst / BURST_PER_PART)))
     ranked = sorted(
         nodes,
-        key=lambda node: xxhash.xxh64_intdigest(f'{terms.name} {node}'.encode()),
+        key=lambda node: xxhash.xxh64_intdigest(
+            f'{terms.name} {node}'.encode()
+        ),
     )
     return tuple(ranked[:count])
 
--- a/packages/sidecar/src/boragetrestle_sidecar/service_split.py
+++ b/packages/sidecar/src/boragetrestle_sidecar/service_split.py
@@ -31,7 +31,9 @@
         total = sum(weights) or 1.0
         credit = self.credits.get((route.name, weights))
         if credit is None:
-            credit = [self.chance.random() * weight / total for weight in weights]
+            credit = [
+                self.chance.random() * weight / total for weight in weights
+            ]
             self.credits[route.name, weights] = credit
         for place, weight in enumerate(weights):
             credit[place] += weight / total
