Notice silent targets, tell crashes from lost answers, give up shares at a stop

Causes: a run whose connection broke alone counted as a crash, so that paths with lost answers would have been refused for a minute; a silent target kept getting runs; a stopping node kept its part of all rates while the others took it over; a target that fails quickly looked like the quickest one.

--- a/packages/sidecar/src/boragetrestle_sidecar/admission.py
+++ b/packages/sidecar/src/boragetrestle_sidecar/admission.py
@@ -8,13 +8,11 @@
 from boragetrestle_sidecar.admission_plan import RouteDemand, plan_admission
 from boragetrestle_sidecar.call_graph import CallGraph
 from boragetrestle_sidecar.node_status import NodeStatus
-from boragetrestle_sidecar.outcome import Reason
 
 if TYPE_CHECKING:
     from boragetrestle_sidecar.configuration import Configuration
     from boragetrestle_sidecar.decision_log import DecisionLog
     from boragetrestle_sidecar.entry_request import EntryRequest
-    from boragetrestle_sidecar.outcome import Outcome
     from boragetrestle_sidecar.route_policy import RoutePolicy
 
 USED_SHARE = 0.97  # of slots that the plan fills: arrivals come in clumps
@@ -26,6 +24,8 @@
 RETURNING_BONUS = 2.0  # times the share of new requests is admitted
 # Callers wait for up to a third of the time that they have left.
 LONGEST_WAIT_SHARE = 0.33
+LEAST_SPREAD = 0.3  # of the longest wait: callers don't come back at once
+LEAST_RETRY_SECONDS = 0.05  # a few times a mean run
 LONGEST_RETRY_SECONDS = 1.2  # a few times the usual swing of demand
 
 
@@ -71,18 +71,8 @@
     def retry_after(self, left: float) -> float:
         """Return when a refused caller may come back, spread at random."""
         longest = min(LONGEST_RETRY_SECONDS, left * LONGEST_WAIT_SHARE)
-        return max(0.05, self.chance.uniform(0.3, 1.0) * longest)
-
-    def note_answer(
-        self,
-        request: 'EntryRequest',
-        outcome: 'Outcome',
-        seconds: float,
-    ) -> None:
-        """Learn of an answer."""
-
-    def note_refusal(self, request: 'EntryRequest', reason: Reason) -> None:
-        """Learn of a refusal."""
+        spread = self.chance.uniform(LEAST_SPREAD, 1.0)
+        return max(LEAST_RETRY_SECONDS, spread * longest)
 
     def repeat_costs(
         self,
--- a/packages/sidecar/src/boragetrestle_sidecar/admission_plan.py
+++ b/packages/sidecar/src/boragetrestle_sidecar/admission_plan.py
@@ -51,12 +51,21 @@
                 default=1.0,
             )
             shares[demand.route] = share
-            for service, seconds in demand.slot_seconds.items():
-                if service in left:
-                    left[service] -= demand.arrivals * seconds * share
+            _fill(left, demand, share)
     return shares
 
 
+def _fill(
+    left: dict[ServiceName, float],
+    demand: RouteDemand,
+    share: float,
+) -> None:
+    """Take the room of what is admitted."""
+    for service in left.keys() & demand.slot_seconds.keys():
+        taken = demand.arrivals * demand.slot_seconds[service] * share
+        left[service] -= taken
+
+
 def _fitting_shares(
     demands: list[RouteDemand],
     left: Mapping[ServiceName, float],
--- a/packages/sidecar/src/boragetrestle_sidecar/answer_reader.py
+++ b/packages/sidecar/src/boragetrestle_sidecar/answer_reader.py
@@ -9,7 +9,7 @@
 from boragetrestle_sidecar.target_answer import TargetAnswer
 
 # Larger answers are refused, since a node holds each answer until it is whole.
-MAX_ANSWER_BYTES = 16 * 1024 * 1024
+MAX_ANSWER_BYTES = 16_000_000
 _BODILESS = frozenset((HTTPStatus.NO_CONTENT, HTTPStatus.NOT_MODIFIED))
 
 
--- a/packages/sidecar/src/boragetrestle_sidecar/config_keeper.py
+++ b/packages/sidecar/src/boragetrestle_sidecar/config_keeper.py
@@ -30,7 +30,7 @@
         self.clock = clock
         self.configuration: Configuration | None = None
         self.applied_at = 0.0
-        self.users: 'list[Callable[[Configuration], None]]' = []
+        self.users: list[Callable[[Configuration], None]] = []
         self.missed = Version(0)
         self.missed_since = 0.0
 
@@ -41,6 +41,13 @@
             return Version(0)
         return self.configuration.version
 
+    @property
+    def age(self) -> float:
+        """Seconds since the configuration in force was applied."""
+        if self.configuration is None:
+            return 0.0
+        return self.clock() - self.applied_at
+
     def offer(self, document: bytes, *, source: str) -> bool:
         """Apply a configuration if it is newer; return whether it was."""
         try:
--- a/packages/sidecar/src/boragetrestle_sidecar/decision_log.py
+++ b/packages/sidecar/src/boragetrestle_sidecar/decision_log.py
@@ -12,7 +12,7 @@
 from boragetrestle_sidecar.steady_clock import steady_now
 
 LINES_PER_SECOND = 20  # per kind; 40 kinds at 60 us a line stay under 5% CPU
-_BUFFER_BYTES = 256 * 1024  # lines held for a slow reader, about a second's
+_BUFFER_BYTES = 256_000  # lines held for a slow reader, about a second's
 
 
 class DecisionLog:
@@ -76,8 +76,11 @@
             if self.dropped:
                 message = {**message, 'lines_dropped_before': self.dropped}
                 self.dropped = 0
-            self.buffer += orjson.dumps(message, default=str)
-            self.buffer += b'\n'
+            self.buffer += orjson.dumps(
+                message,
+                default=str,
+                option=orjson.OPT_APPEND_NEWLINE,
+            )
         self.flush()
 
     def flush(self) -> None:
--- a/packages/sidecar/src/boragetrestle_sidecar/entry.py
+++ b/packages/sidecar/src/boragetrestle_sidecar/entry.py
@@ -1,11 +1,11 @@
 """Take the requests of callers and bring each to an end."""
 
-import random
 from collections import Counter
 from collections.abc import Callable
 from http import HTTPStatus
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, NamedTuple
 
+from boragetrestle_kernel.ids import RequestId
 from boragetrestle_sidecar.connection_headers import (
     HOP_HEADERS,
     listed_headers,
@@ -16,22 +16,17 @@
 from boragetrestle_sidecar.run_order import RunOrder
 from boragetrestle_sidecar.service_split import ServiceSplit
 from boragetrestle_sidecar.steady_clock import steady_now
+from boragetrestle_sidecar.suspects import fingerprint
 
 if TYPE_CHECKING:
-    from boragetrestle_sidecar.admission import Admission
     from boragetrestle_sidecar.caller_connection import CallerConnection
     from boragetrestle_sidecar.caller_request import CallerRequest
     from boragetrestle_sidecar.configuration import Configuration
-    from boragetrestle_sidecar.decision_log import DecisionLog
-    from boragetrestle_sidecar.fleet import Fleet
+    from boragetrestle_sidecar.entry_parts import EntryParts
     from boragetrestle_sidecar.organisation_policy import OrganisationPolicy
     from boragetrestle_sidecar.path_settings import PathSettings
     from boragetrestle_sidecar.placement import GuardView
-    from boragetrestle_sidecar.rate_gate import RateGate
-    from boragetrestle_sidecar.retry_budget import RetryBudget
     from boragetrestle_sidecar.route_policy import RoutePolicy
-    from boragetrestle_sidecar.suspects import Suspects
-    from boragetrestle_sidecar.telemetry import Telemetry
     from boragetrestle_sidecar.wire_names import WireNames
 
 # Placements of one request: guards that refuse without sending cost only time.
@@ -48,6 +43,12 @@
 ))
 
 
+class _Resolved(NamedTuple):
+    request_id: RequestId
+    route: 'RoutePolicy'
+    organisation: 'OrganisationPolicy | None'
+
+
 class Entry:
     """Decide on each request: refuse it, place it, repeat it, answer it."""
 
@@ -55,33 +56,21 @@
         self,
         settings: 'PathSettings',
         names: 'WireNames',
+        parts: 'EntryParts',
         *,
-        fleet: 'Fleet',
-        admission: 'Admission',
-        rates: 'RateGate',
-        budget: 'RetryBudget',
-        suspects: 'Suspects',
-        log: 'DecisionLog',
-        telemetry: 'Telemetry',
-        own_service: 'Callable[[], str]',
-        note_call: Callable[[str], None],
-        chance: random.Random,
         clock: Callable[[], float] = steady_now,
     ) -> None:
         self.settings = settings
         self.names = names
-        self.fleet = fleet
-        self.admission = admission
-        self.rates = rates
-        self.budget = budget
-        self.suspects = suspects
-        self.log = log
-        self.telemetry = telemetry
-        self.own_service = own_service
-        self.note_call = note_call
-        self.chance = chance
+        self.parts = parts
+        self.log = parts.log
+        self.fleet = parts.fleet
+        self.admission = parts.admission
+        self.rates = parts.rates
+        self.suspects = parts.suspects
+        self.telemetry = parts.telemetry
         self.clock = clock
-        self.split = ServiceSplit(chance)
+        self.split = ServiceSplit(parts.chance)
         self.configuration: Configuration | None = None
         self.connections: set[CallerConnection] = set()
         self.requests: set[EntryRequest] = set()
@@ -101,32 +90,12 @@
         request: 'CallerRequest',
     ) -> EntryRequest | None:
         """Start a request; return it unless it was refused at once."""
-        configuration = self.configuration
-        if configuration is None:
-            return self._refuse_early(connection, Reason.NO_CONFIGURATION)
-        request_id = request.header(self.names.request_id)
-        if not request_id:
-            return self._refuse_early(connection, Reason.MALFORMED)
-        route = configuration.find_route(request.host, request.path)
-        if route is None:
-            return self._refuse_early(connection, Reason.NO_ROUTE, request_id)
-        organisation = None
-        if route.needs_key and configuration.organisations:
-            key = self._key(request)
-            organisation = configuration.find_organisation(key)
-            if organisation is None:
-                return self._refuse_early(
-                    connection,
-                    Reason.KEY_UNKNOWN,
-                    request_id,
-                )
-        started = self._start(
-            connection,
-            request,
-            request_id,
-            route,
-            organisation,
-        )
+        found = self._resolve(request)
+        if isinstance(found, Reason):
+            request_id = request.header(self.names.request_id) or b''
+            self._refuse_early(connection, found, request_id)
+            return None
+        started = self._start(connection, request, found)
         self._admit(started)
         return None if started.is_over else started
 
@@ -155,23 +124,40 @@
                     request.hop.cancel(request.token)
                 self._give_up(request, Reason.TIME_LIMIT)
 
+    def _resolve(self, request: 'CallerRequest') -> '_Resolved | Reason':
+        """Find the route and the organisation of a request."""
+        configuration = self.configuration
+        if configuration is None:
+            return Reason.NO_CONFIGURATION
+        request_id = request.header(self.names.request_id)
+        if not request_id:
+            return Reason.MALFORMED
+        route = configuration.find_route(request.host, request.path)
+        if route is None:
+            return Reason.NO_ROUTE
+        organisation = None
+        if route.needs_key and configuration.organisations:
+            organisation = configuration.find_organisation(self._key(request))
+            if organisation is None:
+                return Reason.KEY_UNKNOWN
+        return _Resolved(RequestId(request_id), route, organisation)
+
     def _start(
         self,
         connection: 'CallerConnection',
         request: 'CallerRequest',
-        request_id: bytes,
-        route: 'RoutePolicy',
-        organisation: 'OrganisationPolicy | None',
+        found: '_Resolved',
     ) -> EntryRequest:
+        route = found.route
         now = self.clock()
         left = self._time_left(request, route)
         started = EntryRequest(
             connection,
             request,
-            request_id,
+            found.request_id,
             route,
             self.split.choose(route),
-            organisation,
+            found.organisation,
             arrived_at=now,
             expires_at=now + min(left - RETURN_SECONDS, route.time_limit),
             goal_at=now + route.goal,
@@ -180,13 +166,13 @@
         self.requests.add(started)
         if route.needs_key:
             self.arrivals[route.name] += 1
-            self.budget.earn(started.service)
+            self.parts.budget.earn(started.service)
         else:
-            self.note_call(route.name)
+            self.parts.note_call(route.name)
         return started
 
     def _admit(self, request: EntryRequest) -> None:
-        if self.suspects.blocks(request.request):
+        if self.suspects.crashes and self.suspects.blocks(_print_of(request)):
             self._give_up(request, Reason.SUSPECT, retry_after=1.0)
             return
         refused = self.admission.refuse_for(request)
@@ -220,7 +206,7 @@
             domain=self.settings.domain,
             avoided=request.avoided,
             now=now,
-            chance=self.chance,
+            chance=self.parts.chance,
         )
         if guard is None:
             reason = request.last_reason or Reason.NO_TARGET
@@ -311,7 +297,8 @@
                 status=outcome.status,
                 after=seconds,
             )
-        self.admission.note_answer(request, outcome, seconds)
+        if self.suspects.crashes and not is_failure:
+            self.suspects.answered(_print_of(request), is_own=True)
         self._finish(request)
         request.connection.answer(outcome.head, outcome.body)
 
@@ -347,7 +334,7 @@
         if not is_safe or request.attempts >= request.route.max_attempts:
             return False
         costs = self.admission.repeat_costs(request)
-        return self.budget.spend(costs, now=now)
+        return self.parts.budget.spend(costs, now=now)
 
     def _log_retry(
         self,
@@ -392,7 +379,6 @@
             version=self.configuration.version if self.configuration else 0,
         )
         self.telemetry.count(request.route.name, 'refused', reason)
-        self.admission.note_refusal(request, reason)
         self._finish(request)
         request.connection.refuse(
             reason,
@@ -466,12 +452,21 @@
                 )
             )
         lines.append(
-            b'%s: %s' % (self.names.caller_service, self.own_service().encode())
+            b'%s: %s'
+            % (self.names.caller_service, self.parts.own_service().encode())
         )
         lines.append(b'')
         return b'\r\n'.join(lines)
 
 
+def _print_of(request: EntryRequest) -> str:
+    return fingerprint(
+        _name_of(request.organisation),
+        request.request.target,
+        request.request.body,
+    )
+
+
 def _name_of(organisation: 'OrganisationPolicy | None') -> str:
     return organisation.terms.name if organisation else ''
 
--- /dev/null
+++ b/packages/sidecar/src/boragetrestle_sidecar/entry_parts.py
@@ -0,0 +1,36 @@
+"""What an entry decides with."""
+
+from collections.abc import Callable
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    import random
+
+    from boragetrestle_sidecar.admission import Admission
+    from boragetrestle_sidecar.decision_log import DecisionLog
+    from boragetrestle_sidecar.fleet import Fleet
+    from boragetrestle_sidecar.rate_gate import RateGate
+    from boragetrestle_sidecar.retry_budget import RetryBudget
+    from boragetrestle_sidecar.suspects import Suspects
+    from boragetrestle_sidecar.telemetry import Telemetry
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class EntryParts:
+    """The policies and state that an entry shares with its node.
+
+    ``own_service`` names the service on this host, ``note_call`` is told the
+    route of each onward call.
+    """
+
+    fleet: 'Fleet'
+    admission: 'Admission'
+    rates: 'RateGate'
+    budget: 'RetryBudget'
+    suspects: 'Suspects'
+    log: 'DecisionLog'
+    telemetry: 'Telemetry'
+    chance: 'random.Random'
+    own_service: Callable[[], str]
+    note_call: Callable[[str], None]
--- a/packages/sidecar/src/boragetrestle_sidecar/entry_request.py
+++ b/packages/sidecar/src/boragetrestle_sidecar/entry_request.py
@@ -4,7 +4,7 @@
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
-    from boragetrestle_kernel.ids import ServiceName
+    from boragetrestle_kernel.ids import RequestId, ServiceName
     from boragetrestle_sidecar.caller_connection import CallerConnection
     from boragetrestle_sidecar.caller_request import CallerRequest
     from boragetrestle_sidecar.hop import Hop
@@ -24,7 +24,7 @@
 
     connection: 'CallerConnection'
     request: 'CallerRequest'
-    request_id: bytes
+    request_id: 'RequestId'
     route: 'RoutePolicy'
     service: 'ServiceName'
     organisation: 'OrganisationPolicy | None'
--- a/packages/sidecar/src/boragetrestle_sidecar/fleet.py
+++ b/packages/sidecar/src/boragetrestle_sidecar/fleet.py
@@ -76,6 +76,7 @@
         view.running = status.running
         view.waiting = status.waiting
         view.run_seconds = status.run_seconds
+        view.failing_share = status.failing_share
         if known is None or known.service != status.service:
             view.service = status.service
             self._index()
@@ -90,6 +91,7 @@
             view.waiting = load.waiting
             view.limit = load.limit
             view.run_seconds = load.run_seconds
+            view.failing_share = load.failing_share
 
     def lost(self, address: str) -> None:
         """Note that a node is out of reach."""
@@ -112,7 +114,7 @@
         ]
 
     def _replace(self, members: Iterable[str]) -> None:
-        known = tuple(sorted({*members}))
+        known = tuple(sorted(set(members)))
         if known == self.members:
             return
         self.members = known
--- a/packages/sidecar/src/boragetrestle_sidecar/guard.py
+++ b/packages/sidecar/src/boragetrestle_sidecar/guard.py
@@ -6,6 +6,7 @@
 
 from boragetrestle_sidecar.answer_head import answer_head
 from boragetrestle_sidecar.call_attribution import CallAttribution
+from boragetrestle_sidecar.crash_watch import CrashWatch
 from boragetrestle_sidecar.guard_job import GuardJob, JobState
 from boragetrestle_sidecar.guard_queue import GuardQueue
 from boragetrestle_sidecar.outcome import (
@@ -19,6 +20,7 @@
 from boragetrestle_sidecar.steady_clock import steady_now
 from boragetrestle_sidecar.target_book import TargetBook
 from boragetrestle_sidecar.target_pool import TargetPool
+from boragetrestle_sidecar.target_silence import TargetSilence
 
 if TYPE_CHECKING:
     from boragetrestle_kernel.ids import TargetId
@@ -70,7 +72,8 @@
         self.jobs: set[GuardJob] = set()
         self.running = 0
         self.unreachable_until = 0.0
-        self.crash_suspects: Callable[[list[RunOrder]], None] | None = None
+        self.silence = TargetSilence()
+        self.crashes = CrashWatch()
         self.tasks: set[asyncio.Task[None]] = set()
         self.is_stopping = False
 
@@ -88,6 +91,8 @@
         now = self.clock()
         if self.is_stopping or now < self.unreachable_until:
             return False
+        if self.silence.is_stuck(now, self.meter.run_seconds):
+            return False
         return self.book.takes_work(now)
 
     @property
@@ -98,12 +103,15 @@
             len(self.queue),
             self.limit,
             self.meter.known_run_seconds,
+            round(self.meter.failing_share, 3),
         )
 
     def report(self, report: 'TargetReport') -> None:
         """Take a heartbeat of the target."""
         is_new = self.book.accept(report, self.clock())
+        self.silence.is_suspected = False
         if is_new:
+            self.crashes.target_restarted(self.clock())
             self.pool.close()
             self.unreachable_until = 0.0
             self.log.always(
@@ -171,6 +179,7 @@
             self._end(job, _not_sent(Reason.CALLER_GONE))
         elif job.state is JobState.CONNECTING:
             job.state = JobState.ENDED
+            self.jobs.discard(job)
         elif job.state is JobState.RUNNING and job.order.may_repeat:
             self._break_off(job, Reason.CALLER_GONE)
 
@@ -245,7 +254,9 @@
             self._send(job, connection, now)
 
     def _refuse_unreachable(self, job: GuardJob, error: Exception) -> None:
-        self.unreachable_until = self.clock() + UNREACHABLE_SECONDS
+        now = self.clock()
+        self.unreachable_until = now + UNREACHABLE_SECONDS
+        self.crashes.target_restarted(now)
         self.log.line(
             'target-unreachable',
             request=job.order.request_id.decode('latin-1'),
@@ -266,6 +277,7 @@
         report = self.book.report
         assert report is not None
         job.state = JobState.RUNNING
+        self.silence.started(now)
         job.started_at = now
         job.connection = connection
         order = job.order
@@ -294,7 +306,11 @@
         assert connection is not None
         self.pool.give_back(connection)
         self._release(job)
-        if self._is_rejection(answer):
+        self.silence.answered(now, is_idle=not self.running)
+        is_rejection = self._is_rejection(answer)
+        is_failure = is_rejection or answer.status in FAILURE_STATUSES
+        self.meter.note_failure(is_failure=is_failure)
+        if is_rejection:
             self._end(job, self._rejected(answer))
         elif (
             answer.is_success and answer.header(self.names.answer_seal) is None
@@ -316,8 +332,9 @@
     def take_loss(self, job: GuardJob, loss: Loss) -> None:
         """End a run whose connection broke."""
         self._release(job)
-        if loss is Loss.CLOSED and self.crash_suspects is not None:
-            self.crash_suspects([job.order])
+        self.meter.note_failure(is_failure=True)
+        if loss is Loss.CLOSED:
+            self.crashes.lost(job.order, self.clock())
         self._end(job, Outcome(OutcomeKind.UNKNOWN, _LOSS_REASON[loss]))
         self._dispatch()
 
@@ -361,6 +378,8 @@
 EXPIRY_GRACE_SECONDS = 0.015
 LEAST_LEFT_SECONDS = 0.01  # less than a run of the shortest kind takes
 MISDIRECTED = 421
+# Failures that a target causes; 504 is the end of the request's time.
+FAILURE_STATUSES = frozenset((500, 502, 503))
 
 
 class RunListener:
--- /dev/null
+++ b/packages/sidecar/src/boragetrestle_sidecar/member_links.py
@@ -0,0 +1,67 @@
+"""Keep a link to every other node of the fleet."""
+
+import asyncio
+from collections.abc import Sequence
+from typing import TYPE_CHECKING
+
+from boragetrestle_kernel.address import Address
+from boragetrestle_sidecar.peer_frames import FrameKind
+from boragetrestle_sidecar.peer_link import PeerLink
+
+if TYPE_CHECKING:
+    from boragetrestle_sidecar.decision_log import DecisionLog
+    from boragetrestle_sidecar.fleet import Fleet
+    from boragetrestle_sidecar.peer_messages import PeerMessages
+
+
+class MemberLinks:
+    """Open links to nodes that join and let those of leaving nodes end."""
+
+    def __init__(
+        self, address: str, fleet: 'Fleet', log: 'DecisionLog'
+    ) -> None:
+        self.address = address
+        self.fleet = fleet
+        self.log = log
+        self.links: dict[str, PeerLink] = {}
+        self.tasks: dict[str, asyncio.Task[None]] = {}
+        self.messages: PeerMessages | None = None
+
+    def get(self, address: str) -> PeerLink | None:
+        """Return the link to a node."""
+        return self.links.get(address)
+
+    @property
+    def are_up(self) -> bool:
+        """Whether all links are open."""
+        return all(link.is_up for link in self.links.values())
+
+    def follow(self, members: Sequence[str]) -> None:
+        """Take the nodes of the fleet."""
+        for address in members:
+            if address != self.address and address not in self.links:
+                self._open(address)
+        for address in list(self.links):
+            if address not in members:
+                self._retire(address)
+
+    def tell_suspect(self, found: str, has_crashed: bool) -> None:
+        """Tell all nodes of a request that crashed a target, or didn't."""
+        for link in self.links.values():
+            link.send(FrameKind.SUSPECT, 0, [found, has_crashed])
+
+    def _open(self, address: str) -> None:
+        assert self.messages is not None
+        link = PeerLink(Address.parse(address), self.messages, self.log)
+        self.links[address] = link
+        self.fleet.add(address, link)
+        loop = asyncio.get_running_loop()
+        self.tasks[address] = loop.create_task(link.keep())
+
+    def _retire(self, address: str) -> None:
+        """Let the runs of a node that has left end on its open connection."""
+        link = self.links.pop(address)
+        self.tasks.pop(address).cancel()
+        self.fleet.remove(address)
+        if not link.replies:
+            link.drop()
--- a/packages/sidecar/src/boragetrestle_sidecar/node_status.py
+++ b/packages/sidecar/src/boragetrestle_sidecar/node_status.py
@@ -17,8 +17,7 @@
     ``service`` and ``target`` are those beside it; ``is_open`` tells whether
     its guard takes runs. ``arrivals`` holds requests of callers a second by
     route, ``costs`` what was learnt of the runs at its target. ``limit`` is
-    how many runs the guard holds at once. ``has_answered`` is false while a
-    new target has not served yet.
+    how many runs the guard holds at once.
     """
 
     address: str
@@ -32,6 +31,7 @@
     running: int
     waiting: int
     run_seconds: float
+    failing_share: float
     arrivals: dict[str, float]
     costs: list[RouteCost]
     waited_seconds: float
--- a/packages/sidecar/src/boragetrestle_sidecar/outcome.py
+++ b/packages/sidecar/src/boragetrestle_sidecar/outcome.py
@@ -47,13 +47,15 @@
 class GuardLoad(NamedTuple):
     """Load of a guard when it sent an outcome.
 
-    ``run_seconds`` is the mean time that a run holds a slot.
+    ``run_seconds`` is the mean time that a run holds a slot, and
+    ``failing_share`` the share of runs that the target rejected or failed.
     """
 
     running: int = 0
     waiting: int = 0
     limit: int = 0
     run_seconds: float = 0.0
+    failing_share: float = 0.0
 
 
 class Outcome(NamedTuple):
--- a/packages/sidecar/src/boragetrestle_sidecar/own_answer.py
+++ b/packages/sidecar/src/boragetrestle_sidecar/own_answer.py
@@ -65,7 +65,7 @@
     that promises nothing. ``retry_after`` is seconds, stated for refusals
     after which a caller may come again.
 
-    >>> refusal_bytes(Reason.SHORTAGE, retry_after=0.5).split(b'\\r\\n')[0]
+    >>> refusal_bytes(Reason.SHORTAGE, retry_after=0.5).splitlines()[0]
     b'HTTP/1.1 503 Service Unavailable'
     """
     refusal = REFUSALS[reason]
--- a/packages/sidecar/src/boragetrestle_sidecar/peer_frames.py
+++ b/packages/sidecar/src/boragetrestle_sidecar/peer_frames.py
@@ -9,7 +9,7 @@
 from boragetrestle_kernel.errors import WireError
 
 _LENGTH = Struct('>I')
-MAX_FRAME_BYTES = 80 * 1024 * 1024  # a body of the largest size, with its head
+MAX_FRAME_BYTES = 80_000_000  # a body of the largest size, with its head
 
 
 class FrameKind(IntEnum):
@@ -39,8 +39,8 @@
 def encode_frame(kind: FrameKind, number: int, fields: object) -> bytes:
     """Return the bytes of a frame.
 
-    >>> encode_frame(FrameKind.CANCEL, 7, ())
-    b'\\x00\\x00\\x00\\x04\\x83\\x02\\x07\\x80'
+    >>> encode_frame(FrameKind.CANCEL, 7, ()).hex()
+    '0000000483020780'
     """
     payload = cbor2.dumps((int(kind), number, fields))
     return _LENGTH.pack(len(payload)) + payload
--- a/packages/sidecar/src/boragetrestle_sidecar/peer_link.py
+++ b/packages/sidecar/src/boragetrestle_sidecar/peer_link.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections.abc import Callable
+from contextlib import suppress
 from typing import TYPE_CHECKING, cast
 
 from boragetrestle_kernel.errors import WireError
@@ -149,16 +150,12 @@
         reply = self.replies.pop(frame.number, None)
         if reply is None:
             return
-        kind, reason, status, head, body, retry_after, load = frame.fields
+        outcome = Outcome(*frame.fields)
         reply(
-            Outcome(
-                OutcomeKind(kind),
-                Reason(reason),
-                status,
-                head,
-                body,
-                retry_after,
-                GuardLoad(*load),
+            outcome._replace(
+                kind=OutcomeKind(outcome.kind),
+                reason=Reason(outcome.reason),
+                load=GuardLoad(*outcome.load),
             )
         )
 
@@ -192,8 +189,9 @@
                 self.drop()
             else:
                 self.writer.send(FrameKind.PING, 0, [steady_now()])
-            try:
-                async with asyncio.timeout(PING_SECONDS):
-                    await self.lost.wait()
-            except TimeoutError:
-                continue
+            await self._wait_for_loss()
+
+    async def _wait_for_loss(self) -> None:
+        with suppress(TimeoutError):  # the usual end of the wait
+            async with asyncio.timeout(PING_SECONDS):
+                await self.lost.wait()
--- a/packages/sidecar/src/boragetrestle_sidecar/peer_messages.py
+++ b/packages/sidecar/src/boragetrestle_sidecar/peer_messages.py
@@ -95,13 +95,9 @@
     answer: SendFrame,
     peer: 'Address | None',
 ) -> None:
-    *first, arrivals, costs, waited = frame.fields
-    status = NodeStatus(
-        *first,
-        arrivals,
-        [RouteCost(*cost) for cost in costs],
-        waited,
-    )
+    told = NodeStatus(*frame.fields)
+    costs = [RouteCost(*cost) for cost in told.costs]
+    status = told._replace(costs=costs)
     messages.fleet.take_status(status)
     if messages.keeper.misses(status.version):
         answer(FrameKind.ASK_CONFIGURATION, 0, [messages.keeper.version])
@@ -159,4 +155,8 @@
     answer: SendFrame,
     peer: 'Address | None',
 ) -> None:
-    messages.suspects.crashed(frame.fields[0], is_own=False)
+    found, has_crashed = frame.fields
+    if has_crashed:
+        messages.suspects.crashed(found, is_own=False)
+    else:
+        messages.suspects.answered(found, is_own=False)
--- a/packages/sidecar/src/boragetrestle_sidecar/placement.py
+++ b/packages/sidecar/src/boragetrestle_sidecar/placement.py
@@ -1,7 +1,8 @@
 """Choose the guard that runs a request.
 
 The load this answers: targets of one service differ in speed by three times,
-turn slow or silent, start cold and fill up. A request goes where it is expected
+turn slow or silent, start cold, fill up, or fail quickly
+while they seem healthy. A request goes where it is expected
 to end first; another failure domain must be better by a margin, since crossing
 costs time and bytes.
 """
@@ -22,6 +23,8 @@
 # A guard that has served nothing yet is expected to be this much quicker than
 # the quickest other one, so that a new target gets work.
 UNKNOWN_SHARE = 0.9
+# A failure costs a caller about as much as an answer this much later.
+FAILURE_SECONDS = 0.5
 # Runs that go to any guard, so that one that was slow gets another chance.
 EXPLORED_SHARE = 0.03
 MAX_COMPARED = 6  # guards looked at; more gain little and cost time
@@ -45,6 +48,7 @@
     running: int = 0
     waiting: int = 0
     run_seconds: float = 0.0
+    failing_share: float = 0.0
     unconfirmed: int = 0
     heard_at: float = 0.0
     is_local: bool = False
@@ -94,6 +98,7 @@
         cost = guard.expected_seconds(guard.run_seconds or assumed)
         if guard.domain != domain:
             cost += CROSSING_SECONDS
+        cost += guard.failing_share * FAILURE_SECONDS
         if cost < least:
             best = guard
             least = cost
--- a/packages/sidecar/src/boragetrestle_sidecar/rate_gate.py
+++ b/packages/sidecar/src/boragetrestle_sidecar/rate_gate.py
@@ -17,6 +17,7 @@
 
 ASKED_NODES = 3  # at once: one or two may have no tokens or be out of reach
 ANSWER_SECONDS = 0.05  # some round trips between domains
+RETRY_SPREAD = (0.5, 1.5)  # so that callers don't come back together
 SPARE_TOKENS = 2.0  # asked for beyond the requests that wait
 
 
@@ -61,7 +62,8 @@
 
     def retry_after(self, policy: 'OrganisationPolicy') -> float:
         """Return when a refused caller may come back, in seconds."""
-        return self.shares.retry_after(policy) * self.chance.uniform(0.5, 1.5)
+        spread = self.chance.uniform(*RETRY_SPREAD)
+        return self.shares.retry_after(policy) * spread
 
     def ask(
         self,
@@ -107,9 +109,10 @@
             return
         ongoing.got += tokens
         ongoing.answers_due -= 1
-        for _token in range(int(tokens)):
-            if ongoing.waiting:
-                ongoing.waiting.pop(0)()
+        served = ongoing.waiting[: int(tokens)]
+        ongoing.waiting = ongoing.waiting[int(tokens) :]
+        for then in served:
+            then()
         if not ongoing.waiting or ongoing.answers_due <= 0:
             self._end(ongoing)
 
--- a/packages/sidecar/src/boragetrestle_sidecar/rate_shares.py
+++ b/packages/sidecar/src/boragetrestle_sidecar/rate_shares.py
@@ -23,6 +23,8 @@
 # Granted tokens lapse, so that those in the hands of all nodes stay few beside
 # what the rate allows in a window.
 GRANT_SECONDS = 0.5
+TOKENS_AWAITED = 5.0  # so many come free before a caller is asked back
+LEAST_RETRY_SECONDS = 0.1  # some round trips of a caller
 DRY_SECONDS = 0.1  # holders that had no tokens aren't asked again sooner
 
 
@@ -52,6 +54,7 @@
         self.node = node
         self.nodes: tuple[str, ...] = (node,)
         self.is_known = False
+        self.is_leaving = False
         self.shares: dict[str, TokenShare] = {}
         self.granted: dict[str, tuple[float, float]] = {}
         self.holders: dict[str, tuple[str, ...]] = {}
@@ -60,7 +63,7 @@
     def resize(self, nodes: Sequence[str]) -> None:
         """Take the nodes among which rates are divided."""
         self.nodes = tuple(sorted({*nodes, self.node}))
-        self.is_known = True
+        self.is_known = not self.is_leaving
         self.holders.clear()
 
     def refill(
@@ -73,6 +76,15 @@
             if policy.is_limited:
                 self._refill(policy, now)
 
+    def surrender(self) -> None:
+        """Give up this node's parts before it leaves.
+
+        The other nodes divide the rates among themselves from then on.
+        """
+        self.is_known = False
+        self.is_leaving = True
+        self.shares.clear()
+
     def take(self, policy: 'OrganisationPolicy', now: float) -> bool:
         """Take one token."""
         if not policy.is_limited:
@@ -120,8 +132,8 @@
 
     def retry_after(self, policy: 'OrganisationPolicy') -> float:
         """Return the seconds in which the whole rate gives a few tokens."""
-        rate = policy.terms.rate
-        return min(1.0, max(0.1, 5.0 / rate)) if rate > 0 else 1.0
+        rate = max(policy.terms.rate, TOKENS_AWAITED)
+        return max(LEAST_RETRY_SECONDS, TOKENS_AWAITED / rate)
 
     def _refill(
         self,
--- a/packages/sidecar/src/boragetrestle_sidecar/run_meter.py
+++ b/packages/sidecar/src/boragetrestle_sidecar/run_meter.py
@@ -22,6 +22,7 @@
         self.started: Counter[str] = Counter()
         self.has_ended = False
         self.waited_seconds = 0.0
+        self.failing_share = 0.0
 
     @property
     def known_run_seconds(self) -> float:
@@ -33,6 +34,11 @@
         self.started[route] += 1
         self.waited_seconds += RUN_WEIGHT * (waited - self.waited_seconds)
 
+    def note_failure(self, *, is_failure: bool) -> None:
+        """Take whether a run failed at the target."""
+        change = float(is_failure) - self.failing_share
+        self.failing_share += RUN_WEIGHT * change
+
     def end(self, route: str, seconds: float) -> None:
         """Take the time that a run held its slot."""
         if self.has_ended:
--- a/packages/sidecar/src/boragetrestle_sidecar/run_order.py
+++ b/packages/sidecar/src/boragetrestle_sidecar/run_order.py
@@ -2,6 +2,8 @@
 
 from typing import NamedTuple
 
+from boragetrestle_kernel.ids import RequestId
+
 
 class RunOrder(NamedTuple):
     """One request on its way to a target.
@@ -18,7 +20,7 @@
     service: str
     route: str
     organisation: str
-    request_id: bytes
+    request_id: RequestId
     priority: int
     is_call: bool
     may_repeat: bool
--- a/packages/sidecar/src/boragetrestle_sidecar/sidecar.py
+++ b/packages/sidecar/src/boragetrestle_sidecar/sidecar.py
@@ -7,37 +7,36 @@
 import signal
 import traceback
 from collections.abc import Sequence
+from functools import partial
 from typing import TYPE_CHECKING, Any
 
-from boragetrestle_kernel.address import Address
-from boragetrestle_kernel.errors import SettingsError, WireError
+from boragetrestle_kernel.errors import SettingsError
 from boragetrestle_sidecar.admission import Admission
 from boragetrestle_sidecar.caller_connection import CallerConnection
 from boragetrestle_sidecar.config_keeper import ConfigKeeper
 from boragetrestle_sidecar.entry import Entry
+from boragetrestle_sidecar.entry_parts import EntryParts
 from boragetrestle_sidecar.fleet import Fleet
 from boragetrestle_sidecar.guard import Guard
 from boragetrestle_sidecar.hop import LocalHop
 from boragetrestle_sidecar.http_caller import HttpCaller
-from boragetrestle_sidecar.peer_frames import FrameKind
-from boragetrestle_sidecar.peer_link import PeerLink
+from boragetrestle_sidecar.member_links import MemberLinks
+from boragetrestle_sidecar.node_calls import NodeCalls
 from boragetrestle_sidecar.peer_messages import PeerMessages
 from boragetrestle_sidecar.peer_server import PeerConnection, PeerServer
-from boragetrestle_sidecar.platform_adapter import TargetLeave
 from boragetrestle_sidecar.rate_gate import RateGate
 from boragetrestle_sidecar.rate_shares import RateShares
 from boragetrestle_sidecar.registration import NODES_TABLE, Registration
 from boragetrestle_sidecar.retry_budget import RetryBudget
-from boragetrestle_sidecar.small_server import SmallAnswer, SmallConnection
+from boragetrestle_sidecar.small_server import SmallConnection
 from boragetrestle_sidecar.status_reporter import StatusReporter
 from boragetrestle_sidecar.steady_clock import steady_now
-from boragetrestle_sidecar.suspects import Suspects, fingerprint
+from boragetrestle_sidecar.suspects import Suspects, fingerprint_of
 from boragetrestle_sidecar.table_watch import TableWatch
 from boragetrestle_sidecar.telemetry import Telemetry
 
 if TYPE_CHECKING:
     from boragetrestle_platform.table import Row
-    from boragetrestle_sidecar.caller_request import CallerRequest
     from boragetrestle_sidecar.configuration import Configuration
     from boragetrestle_sidecar.decision_log import DecisionLog
     from boragetrestle_sidecar.platform_adapter import PlatformAdapter
@@ -49,9 +48,11 @@
 # Two readiness probes, one a second, are missed before callers go elsewhere.
 LEAST_STOP_SECONDS = 2.3
 STOP_MARGIN_SECONDS = 1.2  # kept from the grace period for closing
+# A node that has just started waits this long for its links before it is ready.
+LINKS_SECONDS = 1.0
 BACKLOG = 1024  # connections of all callers at once after a restart
-UNSENT_STATUS = 503
 TRACE_LINES = 6  # of a traceback in a log line
+_INCARNATION_BITS = 48  # two starts of one node get the same one never
 
 
 class Sidecar:
@@ -66,20 +67,16 @@
         self.log = log
         self.settings = adapter.load_settings()
         self.chance = random.Random()
-        self.incarnation = random.SystemRandom().getrandbits(48)
-        address = str(self.settings.peers)
-        self.address = address
+        self.address = str(self.settings.peers)
         self.telemetry = Telemetry()
-        self.links: dict[str, PeerLink] = {}
-        self.tasks: dict[str, asyncio.Task[None]] = {}
-        self.background: set[asyncio.Task[None]] = set()
         self.guard = Guard(self.settings, adapter.names, log)
-        self.fleet = Fleet(address)
+        self.fleet = Fleet(self.address)
+        self.links = MemberLinks(self.address, self.fleet, log)
         self.keeper = ConfigKeeper(adapter.decode_configuration, log)
         self.suspects = Suspects()
         self.admission = Admission(self.chance, log)
         self.rates = RateGate(
-            RateShares(address),
+            RateShares(self.address),
             link_of=self.links.get,
             chance=self.chance,
         )
@@ -88,31 +85,19 @@
             slack=self.settings.retry_slack,
             window=self.settings.retry_window,
         )
-        self.entry = Entry(
-            self.settings,
-            adapter.names,
-            fleet=self.fleet,
-            admission=self.admission,
-            rates=self.rates,
-            budget=self.budget,
-            suspects=self.suspects,
-            log=log,
-            telemetry=self.telemetry,
-            own_service=self.own_service,
-            note_call=self.guard.attribution.called,
-            chance=self.chance,
-        )
-        self.messages = PeerMessages(
-            address=address,
+        self.entry = self._new_entry()
+        messages = PeerMessages(
+            address=self.address,
             fleet=self.fleet,
             keeper=self.keeper,
             rates=self.rates,
             suspects=self.suspects,
         )
-        self.server = PeerServer(self.guard, self.messages, log)
+        self.links.messages = messages
+        self.server = PeerServer(self.guard, messages, log)
         self.reporter = StatusReporter(
             self.settings,
-            incarnation=self.incarnation,
+            incarnation=random.SystemRandom().getrandbits(_INCARNATION_BITS),
             guard=self.guard,
             entry=self.entry,
             fleet=self.fleet,
@@ -121,16 +106,24 @@
         )
         self.store = adapter.open_store(HttpCaller(self.settings.store))
         self.registration = Registration(
-            address,
+            self.address,
             self.settings.domain,
             self.store,
             log,
         )
-        self.listeners: list[asyncio.Server] = []
-        self.is_stopping = False
+        self.tasks: set[asyncio.Task[None]] = set()
+        self.started_at = steady_now()
         self.stop_asked = asyncio.Event()
         self._connect_parts()
 
+    @property
+    def is_ready(self) -> bool:
+        """Whether callers may be sent here."""
+        if self.entry.is_stopping or self.keeper.configuration is None:
+            return False
+        waited = steady_now() - self.started_at
+        return self.links.are_up or waited > LINKS_SECONDS
+
     def own_service(self) -> str:
         """Return the service of the target on this host."""
         report = self.guard.book.report
@@ -151,7 +144,7 @@
             address=self.address,
             domain=self.settings.domain,
             service=self.settings.service,
-            incarnation=self.incarnation,
+            incarnation=self.reporter.incarnation,
             process=os.getpid(),
         )
         gc.freeze()
@@ -165,70 +158,74 @@
         except SettingsError as error:
             self.log.always('settings-refused', error=str(error))
             return
-        self.log.always('settings-reloaded', changed=settings != self.settings)
+        is_changed = settings != self.settings
+        self.log.always('settings-reloaded', is_changed=is_changed)
 
-    def _log_fault(
-        self,
-        loop: asyncio.AbstractEventLoop,
-        context: dict[str, Any],
-    ) -> None:
-        """Write an error that ended a callback of the loop."""
-        error = context.get('exception')
-        trace = traceback.format_exception(error) if error else []
-        self.log.line(
-            'callback-failed',
-            message=context.get('message', ''),
-            error=repr(error),
-            trace=trace[-TRACE_LINES:],
+    def _new_entry(self) -> Entry:
+        parts = EntryParts(
+            fleet=self.fleet,
+            admission=self.admission,
+            rates=self.rates,
+            budget=self.budget,
+            suspects=self.suspects,
+            log=self.log,
+            telemetry=self.telemetry,
+            own_service=self.own_service,
+            note_call=self.guard.attribution.called,
+            chance=self.chance,
         )
+        return Entry(self.settings, self.adapter.names, parts)
 
     def _connect_parts(self) -> None:
         self.fleet.add(self.address, LocalHop(self.guard), is_local=True)
         self.fleet.on_members = self._use_members
         self.keeper.users.append(self._use_configuration)
-        self.suspects.tell = self._tell_suspect
-        self.guard.crash_suspects = self._note_crash
+        self.suspects.tell = self.links.tell_suspect
+        self.guard.crashes.tell = self._note_crash
         self.telemetry.gauges.update({
             'guard_running': lambda: self.guard.running,
             'guard_waiting': lambda: len(self.guard.queue),
             'configuration_version': lambda: self.keeper.version,
-            'configuration_age_seconds': self._configuration_age,
+            'configuration_age_seconds': lambda: self.keeper.age,
             'members': lambda: len(self.fleet.members),
         })
 
     async def _listen(self) -> None:
+        calls = NodeCalls(
+            self.adapter,
+            self.guard,
+            self.telemetry,
+            self.log,
+            is_ready=lambda: self.is_ready,
+            turned=self.reporter.send,
+        )
         settings = self.settings
-        loop = asyncio.get_running_loop()
         for factory, address in (
-            (lambda: SmallConnection(self._answer_ready), settings.ready),
-            (lambda: SmallConnection(self._answer_control), settings.control),
-            (lambda: SmallConnection(self._answer_metrics), settings.metrics),
-            (lambda: PeerConnection(self.server), settings.peers),
-            (lambda: CallerConnection(self.entry), settings.callers),
+            (partial(SmallConnection, calls.ready), settings.ready),
+            (partial(SmallConnection, calls.control), settings.control),
+            (partial(SmallConnection, calls.metrics), settings.metrics),
+            (partial(PeerConnection, self.server), settings.peers),
+            (partial(CallerConnection, self.entry), settings.callers),
         ):
-            listener = await loop.create_server(
+            await asyncio.get_running_loop().create_server(
                 factory,
                 address.host,
                 address.port,
                 backlog=BACKLOG,
                 reuse_address=True,
             )
-            self.listeners.append(listener)
 
     def _start_tasks(self) -> None:
-        nodes = TableWatch(
-            NODES_TABLE,
-            self.store,
-            self.log,
-            changed=self._use_nodes,
+        watch = partial(
+            TableWatch,
+            store=self.store,
+            log=self.log,
             chance=self.chance,
         )
-        operators = TableWatch(
+        nodes = watch(NODES_TABLE, changed=self._use_nodes)
+        operators = watch(
             self.adapter.config_table,
-            self.store,
-            self.log,
             changed=self._use_operators_rows,
-            chance=self.chance,
         )
         for job in (
             operators.run(),
@@ -240,15 +237,29 @@
         ):
             task = asyncio.get_running_loop().create_task(job)
             task.add_done_callback(self._note_task_end)
-            self.background.add(task)
+            self.tasks.add(task)
 
     def _note_task_end(self, task: asyncio.Task[None]) -> None:
         if task.cancelled():
             return
-        error = task.exception()
-        self.log.always('task-failed', error=repr(error))
+        self.log.always('task-failed', error=repr(task.exception()))
         self.stop_asked.set()
 
+    def _log_fault(
+        self,
+        _loop: asyncio.AbstractEventLoop,
+        context: dict[str, Any],
+    ) -> None:
+        """Write an error that ended a callback of the loop."""
+        error = context.get('exception')
+        trace = traceback.format_exception(error) if error else []
+        self.log.line(
+            'callback-failed',
+            message=context.get('message', ''),
+            error=repr(error),
+            trace=trace[-TRACE_LINES:],
+        )
+
     async def _sweep_quickly(self) -> None:
         while True:
             await asyncio.sleep(SWEEP_SECONDS)
@@ -265,8 +276,8 @@
                 for connection in list(self.entry.connections):
                     connection.close_if_idle(now, longest + IDLE_MARGIN_SECONDS)
             self.guard.pool.close_stale(now)
-            self.rates.refill()
             self.server.drop_silent()
+            self.rates.refill()
 
     async def _report(self) -> None:
         last = steady_now()
@@ -279,15 +290,15 @@
             self.admission.plan(self.fleet.current_statuses())
 
     async def _stop(self) -> None:
-        self.is_stopping = True
+        """Let callers go elsewhere, then end what is under way."""
+        began = steady_now()
         self.entry.is_stopping = True
         self.log.always('stopping', requests=len(self.entry.requests))
         self.guard.stop()
+        self.rates.shares.surrender()
         self.reporter.send()
-        removal = asyncio.get_running_loop().create_task(
-            self.registration.remove(),
-        )
-        began = steady_now()
+        loop = asyncio.get_running_loop()
+        removal = loop.create_task(self.registration.remove())
         longest = self.settings.stop_seconds - STOP_MARGIN_SECONDS
         while steady_now() - began < longest:
             is_idle = not self.entry.requests and not self.guard.running
@@ -301,32 +312,6 @@
             after=steady_now() - began,
         )
 
-    def _answer_ready(self, request: 'CallerRequest') -> SmallAnswer:
-        is_ready = self.keeper.configuration is not None
-        if is_ready and not self.is_stopping:
-            return SmallAnswer(200)
-        return SmallAnswer(UNSENT_STATUS)
-
-    def _answer_control(self, request: 'CallerRequest') -> SmallAnswer:
-        try:
-            call = self.adapter.decode_target_call(request)
-        except WireError as error:
-            self.log.line('heartbeat-refused', error=str(error))
-            return SmallAnswer(400)
-        before = self.guard.is_open
-        if isinstance(call, TargetLeave):
-            self.guard.leave(call.target)
-        else:
-            self.guard.report(call)
-        if before != self.guard.is_open:
-            self.log.always('guard-turned', is_open=self.guard.is_open)
-            self.reporter.send()
-        return SmallAnswer(200, b'{}')
-
-    def _answer_metrics(self, request: 'CallerRequest') -> SmallAnswer:
-        text = self.telemetry.render().encode()
-        return SmallAnswer(200, text, b'text/plain; version=0.0.4')
-
     def _use_configuration(self, configuration: 'Configuration') -> None:
         self.entry.configuration = configuration
         self.rates.configuration = configuration
@@ -345,38 +330,8 @@
         self.rates.shares.resize(members)
         self.budget.resize(nodes=len(members), now=steady_now())
         self.log.always('members-changed', members=list(members))
-        for address in members:
-            if address != self.address and address not in self.links:
-                self._add_link(address)
-        for address in list(self.links):
-            if address not in members:
-                self._retire_link(address)
-
-    def _add_link(self, address: str) -> None:
-        link = PeerLink(Address.parse(address), self.messages, self.log)
-        self.links[address] = link
-        self.fleet.add(address, link)
-        task = asyncio.get_running_loop().create_task(link.keep())
-        self.tasks[address] = task
-
-    def _retire_link(self, address: str) -> None:
-        """Let the runs of a node that has left end on its open connection."""
-        link = self.links.pop(address)
-        self.tasks.pop(address).cancel()
-        self.fleet.remove(address)
-        if not link.replies:
-            link.drop()
-
-    def _tell_suspect(self, print_: str) -> None:
-        for link in self.links.values():
-            link.send(FrameKind.SUSPECT, 0, [print_])
+        self.links.follow(members)
 
     def _note_crash(self, orders: 'list[RunOrder]') -> None:
         for order in orders:
-            target = order.head.split(b' ', 2)[1]
-            self.suspects.crashed(fingerprint(target, order.body), is_own=True)
-
-    def _configuration_age(self) -> float:
-        if self.keeper.configuration is None:
-            return 0.0
-        return steady_now() - self.keeper.applied_at
+            self.suspects.crashed(fingerprint_of(order), is_own=True)
--- a/packages/sidecar/src/boragetrestle_sidecar/small_server.py
+++ b/packages/sidecar/src/boragetrestle_sidecar/small_server.py
@@ -2,18 +2,17 @@
 
 import asyncio
 from collections.abc import Callable
-from typing import TYPE_CHECKING, NamedTuple, cast
+from http import HTTPStatus
+from typing import NamedTuple, cast
 
 from boragetrestle_kernel.errors import CallerError
 from boragetrestle_sidecar.answer_head import phrase_of
 from boragetrestle_sidecar.caller_limits import CallerLimits
+from boragetrestle_sidecar.caller_request import CallerRequest
 from boragetrestle_sidecar.request_reader import RequestReader
 
-if TYPE_CHECKING:
-    from boragetrestle_sidecar.caller_request import CallerRequest
-
-# A report or a probe is far below this.
-LIMITS = CallerLimits(body_bytes=65536)
+_BODY_BYTES = 65536  # the settings of the largest report are a tenth of it
+LIMITS = CallerLimits(body_bytes=_BODY_BYTES)
 
 
 class SmallAnswer(NamedTuple):
@@ -24,7 +23,7 @@
     content_type: bytes = b'application/json'
 
 
-SmallHandler = Callable[['CallerRequest'], SmallAnswer]
+SmallHandler = Callable[[CallerRequest], SmallAnswer]
 
 
 class SmallConnection(asyncio.Protocol):
@@ -45,7 +44,7 @@
         try:
             self.reader.feed(received)
         except CallerError:
-            self._write(SmallAnswer(400), keeps_open=False)
+            self._write(SmallAnswer(HTTPStatus.BAD_REQUEST), keeps_open=False)
             return
         while self.reader.ready and not self.transport.is_closing():
             request = self.reader.ready.popleft()
--- a/packages/sidecar/src/boragetrestle_sidecar/status_reporter.py
+++ b/packages/sidecar/src/boragetrestle_sidecar/status_reporter.py
@@ -18,6 +18,7 @@
 LEAST_INTERVAL_SECONDS = 0.25
 # Each status costs about 0.1 ms at both ends: 1 in 100 of a core at most.
 SECONDS_PER_NODE = 0.008
+LEAST_RATE = 0.01  # requests a second below which a route is left out
 RATE_WEIGHT = 0.4  # of the newest interval in the rate of arrivals
 
 
@@ -89,10 +90,11 @@
             running=load.running,
             waiting=load.waiting,
             run_seconds=round(load.run_seconds, 4),
+            failing_share=load.failing_share,
             arrivals={
                 route: round(rate, 2)
                 for route, rate in self.rates.items()
-                if rate > 0.01
+                if rate > LEAST_RATE
             },
             costs=[
                 RouteCost(
--- a/packages/sidecar/src/boragetrestle_sidecar/table_watch.py
+++ b/packages/sidecar/src/boragetrestle_sidecar/table_watch.py
@@ -13,6 +13,7 @@
     from boragetrestle_sidecar.store_client import StoreClient, TableChanges
 
 POLL_SECONDS = 25.0  # calls are priced; the store holds a poll for 30 s at most
+SPREAD = (0.7, 1.3)  # so that nodes don't return together
 FIRST_PAUSE_SECONDS = 0.2
 LONGEST_PAUSE_SECONDS = 0.8  # entries are due back 2 s after the store's return
 
@@ -56,7 +57,7 @@
                 )
             except StoreError as error:
                 self._note_lost(error)
-                await asyncio.sleep(pause * self.chance.uniform(0.7, 1.3))
+                await asyncio.sleep(pause * self.chance.uniform(*SPREAD))
                 pause = min(LONGEST_PAUSE_SECONDS, pause * 2)
             else:
                 pause = FIRST_PAUSE_SECONDS
--- a/packages/sidecar/src/boragetrestle_sidecar/telemetry.py
+++ b/packages/sidecar/src/boragetrestle_sidecar/telemetry.py
@@ -1,5 +1,6 @@
 """Counters and latency histograms of a node, as text."""
 
+import math
 from bisect import bisect_left
 from collections import Counter
 from collections.abc import Callable, Iterator
@@ -12,7 +13,7 @@
     """Count values by upper bound."""
 
     def __init__(self) -> None:
-        self.counts = [0] * (len(BOUNDS) + 1)
+        self.counts = [0 for _bound in (*BOUNDS, math.inf)]
         self.total = 0.0
 
     def add(self, seconds: float) -> None:
