--- a/packages/sidecar/src/boragetrestle_sidecar/entry.py
+++ b/packages/sidecar/src/boragetrestle_sidecar/entry.py
@@ -334,7 +334,7 @@
         if not is_safe or request.attempts >= request.route.max_attempts:
             return False
         costs = self.admission.repeat_costs(request)
-        return self.parts.budget.spend(costs, now=now)
+        return self.parts.budget.spend(costs)
 
     def _log_retry(
         self,
--- a/packages/sidecar/src/boragetrestle_sidecar/sidecar.py
+++ b/packages/sidecar/src/boragetrestle_sidecar/sidecar.py
@@ -328,7 +328,7 @@
 
     def _use_members(self, members: Sequence[str]) -> None:
         self.rates.shares.resize(members)
-        self.budget.resize(nodes=len(members), now=steady_now())
+        self.budget.nodes = len(members)
         self.log.always('members-changed', members=list(members))
         self.links.follow(members)
 
--- /dev/null
+++ b/tests/entry_builders.py
@@ -0,0 +1,192 @@
+"""An entry whose guards and callers tests play."""
+
+from collections.abc import Callable
+from typing import Any, NamedTuple
+
+from path_builders import (
+    NAMES,
+    FakeTransport,
+    LineLog,
+    ManualClock,
+    chance,
+    configuration,
+    settings,
+)
+
+from boragetrestle_sidecar.admission import Admission
+from boragetrestle_sidecar.caller_connection import CallerConnection
+from boragetrestle_sidecar.entry import Entry
+from boragetrestle_sidecar.entry_parts import EntryParts
+from boragetrestle_sidecar.fleet import Fleet
+from boragetrestle_sidecar.node_status import NodeStatus
+from boragetrestle_sidecar.outcome import (
+    GuardLoad,
+    Outcome,
+    OutcomeKind,
+    Reason,
+)
+from boragetrestle_sidecar.rate_gate import RateGate
+from boragetrestle_sidecar.rate_shares import RateShares
+from boragetrestle_sidecar.retry_budget import RetryBudget
+from boragetrestle_sidecar.run_order import RunOrder
+from boragetrestle_sidecar.suspects import Suspects
+from boragetrestle_sidecar.telemetry import Telemetry
+
+LOAD = GuardLoad(0, 0, 10, 0.01)
+
+
+class SentRun(NamedTuple):
+    """A run that a guard was sent, with the way to answer it."""
+
+    order: RunOrder
+    reply: Callable[[Outcome], None]
+
+    def answer(self, status: int = 200, body: bytes = b'whole') -> None:
+        """Let the target answer."""
+        head = b'HTTP/1.1 %d Some\r\nseal: s\r\ncontent-length: %d\r\n' % (
+            status,
+            len(body),
+        )
+        self.reply(
+            Outcome(
+                OutcomeKind.ANSWERED,
+                status=status,
+                head=head,
+                body=body,
+                load=LOAD,
+            )
+        )
+
+    def end(self, kind: OutcomeKind, reason: Reason) -> None:
+        """Let the guard report another outcome."""
+        self.reply(Outcome(kind, reason, load=LOAD))
+
+
+class PlayedHop:
+    """A guard that tests play."""
+
+    def __init__(self) -> None:
+        self.sent: list[SentRun] = []
+        self.cancelled: list[int] = []
+
+    def run(
+        self,
+        order: RunOrder,
+        reply: Callable[[Outcome], None],
+    ) -> int:
+        """Keep a run."""
+        self.sent.append(SentRun(order, reply))
+        return len(self.sent)
+
+    def cancel(self, number: int) -> None:
+        """Keep a cancellation."""
+        self.cancelled.append(number)
+
+
+class EntryBench:
+    """An entry with guards a and b of the service walks."""
+
+    def __init__(self, *routes: Any, **options: Any) -> None:
+        self.clock = ManualClock()
+        self.log = LineLog(self.clock)
+        self.fleet = Fleet('a', clock=self.clock)
+        self.hops = {name: PlayedHop() for name in ('a', 'b')}
+        for name, hop in self.hops.items():
+            self.fleet.add(name, hop)
+            self.fleet.take_status(status(name))
+        self.budget = RetryBudget(
+            ratio=0.2,
+            slack=50,
+            window=10,
+            clock=self.clock,
+        )
+        self.suspects = Suspects(clock=self.clock)
+        self.calls: list[str] = []
+        shares = RateShares('a')
+        shares.resize(['a'])
+        self.rates = RateGate(
+            shares,
+            link_of=lambda _name: None,
+            chance=chance(),
+            clock=self.clock,
+        )
+        self.admission = Admission(chance(), self.log)
+        parts = EntryParts(
+            fleet=self.fleet,
+            admission=self.admission,
+            rates=self.rates,
+            budget=self.budget,
+            suspects=self.suspects,
+            log=self.log,
+            telemetry=Telemetry(),
+            chance=chance(),
+            own_service=lambda: 'shop',
+            note_call=self.calls.append,
+        )
+        self.entry = Entry(settings(), NAMES, parts, clock=self.clock)
+        self.use(configuration(*routes, **options))
+
+    def use(self, new: Any) -> None:
+        """Apply a configuration and let rates accrue a second."""
+        self.entry.configuration = new
+        self.rates.configuration = new
+        self.admission.configure(new)
+        self.rates.refill()
+        self.clock.now += 1
+        self.rates.refill()
+
+    def connect(self) -> tuple[CallerConnection, Any]:
+        """Return a caller's connection and its transport."""
+        connection = CallerConnection(self.entry)
+        transport: Any = FakeTransport()
+        connection.connection_made(transport)
+        return connection, transport
+
+    def sent(self) -> list[SentRun]:
+        """Return the runs that both guards were sent."""
+        return [run for hop in self.hops.values() for run in hop.sent]
+
+    def sent_for(self, request_id: str) -> list[SentRun]:
+        """Return the runs of one request."""
+        known = request_id.encode()
+        return [run for run in self.sent() if run.order.request_id == known]
+
+
+def status(name: str, service: str = 'walks', **fields: Any) -> NodeStatus:
+    """Return a status of an open guard."""
+    known: dict[str, Any] = {
+        'address': name,
+        'domain': 'a',
+        'incarnation': 1,
+        'version': 1,
+        'service': service,
+        'target': f't-{name}',
+        'is_open': True,
+        'limit': 10,
+        'running': 0,
+        'waiting': 0,
+        'run_seconds': 0.01,
+        'failing_share': 0.0,
+        'arrivals': {},
+        'costs': [],
+        'waited_seconds': 0.0,
+    }
+    return NodeStatus(**{**known, **fields})
+
+
+def request_bytes(
+    request_id: str = 'r-1',
+    *,
+    method: str = 'GET',
+    path: str = '/walks/1',
+    key: str = 'secret',
+    time_left: int = 1000,
+    extra: str = '',
+    body: str = '',
+) -> bytes:
+    """Return a caller's request."""
+    return (
+        f'{method} {path} HTTP/1.1\r\nHost: example\r\n'
+        f'Call-Id: {request_id}\r\nTime-Left: {time_left}\r\n'
+        f'Authorization: Bearer {key}\r\n{extra}\r\n{body}'
+    ).encode()
--- /dev/null
+++ b/tests/test_path_entry.py
@@ -0,0 +1,293 @@
+"""The entry: what a caller gets for each end of a request."""
+
+import re
+
+import pytest
+from entry_builders import EntryBench, request_bytes
+from path_builders import configuration, route
+
+from boragetrestle_sidecar.outcome import OutcomeKind, Reason
+from boragetrestle_sidecar.suspects import fingerprint
+
+
+def answers(transport) -> list[bytes]:
+    """Return the status codes that a caller got."""
+    return re.findall(rb'HTTP/1.1 (\d+) ', transport.written)
+
+
+def test_answer_of_the_target_reaches_its_caller() -> None:
+    """Status, seal and body go through unchanged."""
+    bench = EntryBench()
+    connection, transport = bench.connect()
+    connection.data_received(request_bytes())
+    bench.sent()[0].answer(body=b'all of it')
+    assert transport.written.endswith(b'\r\n\r\nall of it')
+    assert b'seal: s\r\n' in transport.written
+
+
+def test_run_carries_the_systems_headers_in_place_of_the_callers() -> None:
+    """A caller can't pass for another organisation or service."""
+    bench = EntryBench()
+    connection, _transport = bench.connect()
+    forged = 'Organisation: rich\r\nCaller: bank\r\nTarget: t-9\r\n'
+    connection.data_received(request_bytes(extra=forged))
+    head = bench.sent()[0].order.head.lower()
+    assert b'organisation: acacia\r\n' in head
+    assert b'caller: shop\r\n' in head
+    assert b'rich' not in head
+    assert b't-9' not in head
+    assert b'secret' not in head
+
+
+def test_chunked_body_goes_on_whole_with_a_length() -> None:
+    """The target gets the same bytes, framed once."""
+    bench = EntryBench()
+    connection, _transport = bench.connect()
+    chunks = '3\r\nabc\r\n2\r\nde\r\n0\r\n\r\n'
+    connection.data_received(
+        request_bytes(
+            method='POST',
+            extra='Transfer-Encoding: chunked\r\n',
+            body=chunks,
+        )
+    )
+    order = bench.sent()[0].order
+    assert order.body == b'abcde'
+    assert b'content-length: 5' in order.head
+    assert b'transfer-encoding' not in order.head
+
+
+@pytest.mark.parametrize(
+    'framing',
+    [
+        'Transfer-Encoding: chunked\r\nContent-Length: 5\r\n',
+        'Content-Length: 5\r\nContent-Length: 6\r\n',
+        'Transfer-Encoding: xchunked\r\n',
+        'Content-Length: +5\r\n',
+    ],
+)
+def test_ambiguous_framing_is_refused(framing: str) -> None:
+    """No request is smuggled inside another."""
+    bench = EntryBench()
+    connection, transport = bench.connect()
+    connection.data_received(
+        request_bytes(method='POST', extra=framing, body='0\r\n\r\nGET /x')
+    )
+    assert not bench.sent()
+    assert transport.is_closed
+
+
+@pytest.mark.parametrize(
+    ('wrong', 'expected'),
+    [
+        ({'path': '/none/1'}, [b'404']),
+        ({'key': 'other'}, [b'401']),
+        ({'request_id': ''}, [b'400']),
+    ],
+)
+def test_what_no_configuration_allows_is_refused(wrong, expected) -> None:
+    """Route and key are checked at each request."""
+    bench = EntryBench()
+    connection, transport = bench.connect()
+    connection.data_received(request_bytes(**wrong))
+    assert answers(transport) == expected
+    assert not bench.sent()
+
+
+def test_without_a_configuration_callers_are_told_to_come_back() -> None:
+    """A node that knows no routes denies none."""
+    bench = EntryBench()
+    bench.entry.configuration = None
+    connection, transport = bench.connect()
+    connection.data_received(request_bytes())
+    assert answers(transport) == [b'503']
+    assert b'retry-after' in transport.written
+
+
+def test_withdrawn_key_is_refused_on_an_open_connection() -> None:
+    """A key counts at each request, not at connection time."""
+    bench = EntryBench()
+    connection, transport = bench.connect()
+    connection.data_received(request_bytes('r-1'))
+    bench.sent()[0].answer()
+    bench.use(configuration(version=2, organisations=()))
+    bench.use(configuration(version=3))
+    connection.data_received(request_bytes('r-2', key='gone'))
+    assert answers(transport) == [b'200', b'401']
+
+
+def test_guard_that_did_not_send_costs_nothing() -> None:
+    """Another guard runs the request, whatever its kind."""
+    bench = EntryBench(route(may_repeat=False, max_attempts=1))
+    connection, transport = bench.connect()
+    connection.data_received(request_bytes())
+    first = bench.sent()[0]
+    first.end(OutcomeKind.NOT_SENT, Reason.DRAINING)
+    second = next(run for run in bench.sent() if run is not first)
+    second.answer()
+    assert answers(transport) == [b'200']
+
+
+def test_unknown_outcome_is_repeated_only_where_allowed() -> None:
+    """A request that must run once is not sent again."""
+    for may_repeat, runs in ((True, 2), (False, 1)):
+        bench = EntryBench(route(may_repeat=may_repeat))
+        connection, _transport = bench.connect()
+        connection.data_received(request_bytes())
+        bench.sent()[0].end(OutcomeKind.UNKNOWN, Reason.CONNECTION_LOST)
+        assert len(bench.sent()) == runs
+
+
+def test_unknown_outcome_is_no_promise() -> None:
+    """502 says nothing; 503 would say that it has not run."""
+    bench = EntryBench(route(may_repeat=False))
+    connection, transport = bench.connect()
+    connection.data_received(request_bytes())
+    bench.sent()[0].end(OutcomeKind.UNKNOWN, Reason.CONNECTION_LOST)
+    assert answers(transport) == [b'502']
+
+
+def test_refusal_after_an_unknown_attempt_is_no_promise() -> None:
+    """What ran once can't be said not to have run."""
+    bench = EntryBench(route(max_attempts=3))
+    connection, transport = bench.connect()
+    connection.data_received(request_bytes())
+    first = bench.sent()[0]
+    first.end(OutcomeKind.UNKNOWN, Reason.CONNECTION_LOST)
+    second = next(run for run in bench.sent() if run is not first)
+    second.end(OutcomeKind.NOT_SENT, Reason.QUEUE_FULL)
+    assert answers(transport) == [b'502']
+
+
+def test_attempts_stay_within_the_route() -> None:
+    """Targets that fail are not tried beyond the route's bound."""
+    bench = EntryBench(route(max_attempts=1))
+    connection, transport = bench.connect()
+    connection.data_received(request_bytes())
+    bench.sent()[0].answer(status=500)
+    assert len(bench.sent()) == 1
+    assert answers(transport) == [b'500']
+
+
+def test_repeats_stay_within_the_budget() -> None:
+    """With the budget spent, failures go to the callers."""
+    bench = EntryBench()
+    bench.budget.slack = 0
+    for number in range(100):
+        connection, _transport = bench.connect()
+        connection.data_received(request_bytes(f'r-{number}'))
+        bench.sent_for(f'r-{number}')[0].end(
+            OutcomeKind.UNKNOWN,
+            Reason.CONNECTION_LOST,
+        )
+    # Each request earns half of the 0.2 repeats that operators allow.
+    assert 108 <= len(bench.sent()) <= 110
+
+
+def test_caller_that_leaves_cancels_its_run() -> None:
+    """The guard hears at once that no one waits."""
+    bench = EntryBench()
+    connection, _transport = bench.connect()
+    connection.data_received(request_bytes())
+    connection.connection_lost(None)
+    assert sum(len(hop.cancelled) for hop in bench.hops.values()) == 1
+    assert not bench.entry.requests
+
+
+def test_silent_guard_ends_with_the_time_limit() -> None:
+    """The caller has an answer before its own time is up."""
+    bench = EntryBench()
+    connection, transport = bench.connect()
+    connection.data_received(request_bytes(time_left=1000))
+    bench.clock.now += 0.995
+    bench.entry.sweep()
+    assert answers(transport) == [b'504']
+
+
+def test_time_limit_of_the_route_bounds_the_run() -> None:
+    """A caller that would wait longer is not kept longer."""
+    bench = EntryBench()
+    connection, _transport = bench.connect()
+    connection.data_received(request_bytes(time_left=60_000))
+    assert bench.sent()[0].order.time_left == pytest.approx(2.0)
+
+
+def test_rate_is_kept() -> None:
+    """Beyond rate and burst callers get 429 and a time to come back."""
+    bench = EntryBench()
+    refused = 0
+    for number in range(150):
+        connection, transport = bench.connect()
+        connection.data_received(request_bytes(f'r-{number}'))
+        refused += answers(transport) == [b'429']
+    assert len(bench.sent()) == 100
+    assert refused == 50
+
+
+def test_onward_call_needs_no_key_and_is_counted() -> None:
+    """A target's calls go by their route."""
+    bench = EntryBench(route('inner', needs_key=False))
+    connection, _transport = bench.connect()
+    connection.data_received(request_bytes(key=''))
+    assert bench.sent()[0].order.is_call
+    assert bench.calls == ['inner']
+
+
+def test_request_that_crashed_three_targets_is_refused() -> None:
+    """It comes again with the same path and body, at any node."""
+    bench = EntryBench()
+    for _crash in range(3):
+        bench.suspects.crashed(
+            fingerprint('acacia', b'/walks/1', b''),
+            is_own=False,
+        )
+    connection, transport = bench.connect()
+    connection.data_received(request_bytes())
+    assert answers(transport) == [b'503']
+    connection.data_received(request_bytes('r-2', path='/walks/2'))
+    assert len(bench.sent()) == 1
+
+
+def test_bystander_of_crashes_is_cleared_by_an_answer() -> None:
+    """A request that targets answer crashes none."""
+    bench = EntryBench()
+    print_ = fingerprint('acacia', b'/walks/1', b'')
+    bench.suspects.crashed(print_, is_own=False)
+    connection, _transport = bench.connect()
+    connection.data_received(request_bytes())
+    bench.sent()[0].answer()
+    assert not bench.suspects.crashes
+
+
+def test_weights_of_a_split_are_kept() -> None:
+    """Each service gets its share of the requests."""
+    bench = EntryBench(route(services={'walks': 90, 'gates': 10}))
+    chosen = [
+        bench.entry.split.choose(bench.entry.configuration.routes[0])
+        for _number in range(1000)
+    ]
+    assert abs(chosen.count('gates') - 100) <= 1
+
+
+def test_stopping_node_closes_after_its_answers() -> None:
+    """Callers learn to go elsewhere, and nothing is cut."""
+    bench = EntryBench()
+    connection, transport = bench.connect()
+    connection.data_received(request_bytes())
+    bench.entry.is_stopping = True
+    bench.sent()[0].answer()
+    assert b'connection: close' in transport.written
+    assert transport.is_closed
+
+
+def test_refusal_is_logged_with_what_decided_it() -> None:
+    """An engineer finds the request by its id."""
+    bench = EntryBench(route(may_repeat=False))
+    connection, _transport = bench.connect()
+    connection.data_received(request_bytes('r-7'))
+    bench.sent()[0].end(OutcomeKind.UNKNOWN, Reason.CONNECTION_LOST)
+    kind, fields = bench.log.lines[-1]
+    assert kind == 'refused'
+    assert fields['request'] == 'r-7'
+    assert fields['reason'] == 'connection-lost'
+    assert fields['may_have_run']
--- /dev/null
+++ b/tests/test_path_guard.py
@@ -0,0 +1,188 @@
+"""The guard: slots, drains, incarnations, outcomes."""
+
+import pytest
+from path_builders import GuardBench, report, run_order
+
+from boragetrestle_sidecar.outcome import OutcomeKind, Reason
+from boragetrestle_sidecar.target_report import TargetState
+
+
+def test_run_names_the_target_and_the_time_left() -> None:
+    """The target learns what is left and refuses what is not for it."""
+    bench = GuardBench()
+    bench.submit(run_order(time_left=0.5))
+    assert b'time-left: 500\r\n' in bench.sent()
+    assert b'target: t-1\r\n' in bench.sent()
+
+
+def test_target_never_holds_more_than_its_slots() -> None:
+    """Runs beyond the slots wait, and one starts with each answer."""
+    bench = GuardBench(slots=2)
+    first = bench.submit(run_order('r-1'))
+    bench.submit(run_order('r-2'))
+    bench.submit(run_order('r-3'))
+    assert bench.guard.running == bench.guard.limit
+    bench.answer(first)
+    assert bench.guard.running == bench.guard.limit
+
+
+def test_whole_answer_is_passed_on() -> None:
+    """The caller gets status, seal and body of the target."""
+    bench = GuardBench()
+    bench.answer(bench.submit(run_order()))
+    outcome = bench.outcomes['r-1']
+    assert outcome.kind is OutcomeKind.ANSWERED
+    assert outcome.body == b'whole'
+    assert b'seal: s\r\n' in outcome.head
+
+
+def test_drain_turns_away_what_waits_and_lets_the_rest_end() -> None:
+    """After the acknowledgement nothing is sent to the target."""
+    bench = GuardBench(slots=1)
+    running = bench.submit(run_order('r-1'))
+    bench.submit(run_order('r-2'))
+    bench.guard.report(report(state=TargetState.DRAINING, sequence=2))
+    sent = bench.sent()
+    late = bench.submit(run_order('r-3'))
+    assert bench.outcomes['r-2'].kind is OutcomeKind.NOT_SENT
+    assert bench.outcomes['r-3'].kind is OutcomeKind.NOT_SENT
+    assert late.connection is None
+    assert bench.sent() == sent
+    bench.answer(running)
+    assert bench.outcomes['r-1'].kind is OutcomeKind.ANSWERED
+
+
+def test_leave_without_drain_stops_work_as_well() -> None:
+    """A target that only says that it leaves gets nothing more."""
+    bench = GuardBench()
+    bench.guard.leave(report().target)
+    bench.guard.report(report(sequence=2))
+    assert not bench.guard.is_open
+
+
+@pytest.mark.parametrize(
+    'late',
+    [
+        report(sequence=1),
+        report(target='t-0', started_at=0, sequence=99),
+    ],
+)
+def test_late_report_does_not_undo_a_drain(late) -> None:
+    """Neither an older report nor an earlier incarnation opens the guard."""
+    bench = GuardBench()
+    bench.guard.report(report(state=TargetState.DRAINING, sequence=5))
+    bench.guard.report(late)
+    assert not bench.guard.is_open
+
+
+def test_new_incarnation_under_the_same_id_takes_work() -> None:
+    """A target that started again counts its reports from the beginning."""
+    bench = GuardBench()
+    bench.guard.report(report(state=TargetState.DRAINING, sequence=50))
+    bench.guard.report(report(started_at=2, sequence=1))
+    assert bench.guard.is_open
+
+
+def test_target_that_stops_reporting_gets_no_work() -> None:
+    """Some missed heartbeats close the guard."""
+    bench = GuardBench()
+    bench.clock.now += 60
+    assert not bench.guard.is_open
+
+
+def test_run_for_another_service_is_not_sent() -> None:
+    """An address may have gone to a target of another service."""
+    bench = GuardBench()
+    bench.guard.report(report(target='t-2', started_at=2, service='gates'))
+    bench.submit(run_order())
+    assert bench.outcomes['r-1'].reason is Reason.NO_TARGET
+    assert bench.sent() == b''
+
+
+def test_run_that_was_held_up_is_dropped_when_its_time_is_over() -> None:
+    """A cut link delivers late; the run must not start then."""
+    bench = GuardBench()
+    bench.submit(run_order(time_left=0.6), held_up=4.8)
+    assert bench.outcomes['r-1'].reason is Reason.EXPIRED
+    assert bench.sent() == b''
+
+
+def test_rejection_of_the_target_says_that_nothing_ran() -> None:
+    """A target that is full says so; that is no unknown outcome."""
+    bench = GuardBench()
+    job = bench.submit(run_order(may_repeat=False))
+    bench.answer(job, status=503, extra=b'not-run: 1\r\n')
+    assert bench.outcomes['r-1'].kind is OutcomeKind.REJECTED
+
+
+def test_success_without_the_seal_is_not_passed_on() -> None:
+    """Only a target's own answer is a success."""
+    bench = GuardBench()
+    bench.answer(bench.submit(run_order()), extra=b'')
+    assert bench.outcomes['r-1'].kind is OutcomeKind.UNKNOWN
+
+
+def test_broken_connection_leaves_the_outcome_unknown() -> None:
+    """What was sent may have run."""
+    bench = GuardBench()
+    job = bench.submit(run_order(may_repeat=False))
+    job.connection.connection_lost(ConnectionResetError())
+    assert bench.outcomes['r-1'].kind is OutcomeKind.UNKNOWN
+
+
+def test_caller_that_leaves_frees_the_slot_of_a_repeatable_run() -> None:
+    """The target stops work when its connection closes."""
+    bench = GuardBench(slots=1)
+    job = bench.submit(run_order())
+    bench.guard.cancel(job)
+    assert bench.guard.running == 0
+    assert bench.transports[-1].is_closed
+
+
+def test_run_that_must_not_repeat_ends_although_its_caller_left() -> None:
+    """It is not cut in the middle of what it changes."""
+    bench = GuardBench(slots=1)
+    job = bench.submit(run_order(may_repeat=False))
+    bench.guard.cancel(job)
+    assert bench.guard.running == 1
+
+
+def test_expired_run_is_given_up_without_having_been_sent() -> None:
+    """Its caller is told at once that it has not run."""
+    bench = GuardBench(slots=1)
+    bench.submit(run_order('r-1', time_left=5))
+    bench.submit(run_order('r-2', time_left=0.2, goal_left=1.0))
+    bench.clock.now += 0.3
+    bench.guard.sweep()
+    assert bench.outcomes['r-2'].reason is Reason.EXPIRED
+
+
+def test_silent_target_is_closed_until_its_next_heartbeat() -> None:
+    """A frozen target takes requests and answers none."""
+    bench = GuardBench(slots=4)
+    bench.submit(run_order('r-1', time_left=9))
+    bench.clock.now += 1
+    assert not bench.guard.is_open
+    bench.guard.report(report(sequence=2))
+    assert bench.guard.is_open
+
+
+def test_connection_that_breaks_alone_is_no_crash() -> None:
+    """Lost answers must not make their requests suspect."""
+    bench = GuardBench()
+    told: list[object] = []
+    bench.guard.crashes.tell = told.extend
+    job = bench.submit(run_order())
+    job.connection.connection_lost(ConnectionResetError())
+    bench.guard.report(report(sequence=2))
+    assert not told
+    bench.guard.report(report(started_at=2))
+    assert len(told) == 1
+
+
+def test_stopping_guard_turns_away_new_runs() -> None:
+    """Another node can place them."""
+    bench = GuardBench()
+    bench.guard.stop()
+    bench.submit(run_order())
+    assert bench.outcomes['r-1'].kind is OutcomeKind.NOT_SENT
--- /dev/null
+++ b/tests/test_path_policies.py
@@ -0,0 +1,315 @@
+"""Decisions of the data path, played without a network."""
+
+from collections import Counter
+
+import pytest
+from entry_builders import PlayedHop, status
+from path_builders import (
+    GuardBench,
+    LineLog,
+    ManualClock,
+    chance,
+    configuration,
+    organisation,
+    route,
+    run_order,
+)
+
+from boragetrestle_kernel.ids import ServiceName
+from boragetrestle_sidecar.admission import Admission
+from boragetrestle_sidecar.call_attribution import CallAttribution
+from boragetrestle_sidecar.call_graph import CallGraph
+from boragetrestle_sidecar.node_status import RouteCost
+from boragetrestle_sidecar.outcome import Reason
+from boragetrestle_sidecar.placement import GuardView, choose_guard
+from boragetrestle_sidecar.rate_shares import RateShares
+from boragetrestle_sidecar.retry_budget import RetryBudget
+
+SEATS = ServiceName('seats')
+
+
+def guard(name: str, **fields) -> GuardView:
+    """Return an open guard in domain a."""
+    view = GuardView(name, PlayedHop(), domain='a')
+    known = {'is_open': True, 'limit': 10, 'run_seconds': 0.1, 'heard_at': 100.0}
+    for field, value in {**known, **fields}.items():
+        setattr(view, field, value)
+    return view
+
+
+def shares_of(guards, *, count: int = 2000, **options) -> Counter[str]:
+    """Return how often each guard is chosen."""
+    known = {'domain': 'a', 'avoided': (), 'now': 100.0, 'chance': chance()}
+    return Counter(
+        choose_guard(guards, **{**known, **options}).address
+        for _number in range(count)
+    )
+
+
+def test_quicker_target_is_preferred_until_it_is_full() -> None:
+    """Targets of one service differ in speed by three times."""
+    quick, slow = guard('quick'), guard('slow', run_seconds=0.3)
+    assert shares_of([quick, slow])['quick'] > 1900
+    quick.running = 10
+    quick.waiting = 30
+    assert shares_of([quick, slow])['slow'] > 1900
+
+
+def test_new_target_gets_work() -> None:
+    """One that has served nothing yet is tried."""
+    found = shares_of([guard('known'), guard('new', run_seconds=0.0)])
+    assert found['new'] > 1000
+
+
+def test_target_that_fails_quickly_is_not_the_quickest() -> None:
+    """Quick failures must not draw the traffic."""
+    grey = guard('grey', run_seconds=0.01, failing_share=0.5)
+    assert shares_of([grey, guard('sound')])['sound'] > 1900
+
+
+def test_own_domain_is_preferred() -> None:
+    """Crossing domains costs time and bytes."""
+    far = guard('far', domain='b', run_seconds=0.095)
+    assert shares_of([far, guard('near')])['near'] > 1900
+
+
+def test_silent_guard_is_avoided_while_another_is_heard() -> None:
+    """A node that stands still sends no status."""
+    silent = guard('silent', heard_at=98.0)
+    assert set(shares_of([silent, guard('heard')])) == {'heard'}
+    assert set(shares_of([silent])) == {'silent'}
+
+
+def test_slow_target_is_tried_again_now_and_then() -> None:
+    """Otherwise one that has recovered would stay without work."""
+    slow = guard('slow', run_seconds=5.0)
+    assert 10 < shares_of([guard('quick'), slow])['slow'] < 100
+
+
+def test_guard_runs_the_nearest_goal_first() -> None:
+    """A short request passes long ones that can wait."""
+    bench = GuardBench(slots=1)
+    first = bench.submit(run_order('first', time_left=9))
+    bench.submit(run_order('long', goal_left=1.5, time_left=5))
+    bench.submit(run_order('short', goal_left=0.15, time_left=0.6))
+    bench.answer(first)
+    assert b'call-id' not in bench.sent()
+    running = [job for job in bench.guard.jobs if job.connection]
+    assert [job.order.request_id for job in running] == [b'short']
+
+
+def test_run_that_can_not_make_its_goal_is_refused_at_once() -> None:
+    """Its caller learns when to come back while it still has time."""
+    bench = GuardBench(slots=1)
+    bench.guard.meter.end('browse', 0.3)
+    for number in range(6):
+        bench.submit(run_order(f'r-{number}', goal_left=1.0, time_left=3))
+    refused = [
+        outcome
+        for outcome in bench.outcomes.values()
+        if outcome.reason is Reason.QUEUE_FULL
+    ]
+    assert len(refused) >= 2
+    assert all(outcome.retry_after > 0 for outcome in refused)
+
+
+def test_onward_call_waits_while_its_time_allows() -> None:
+    """Turning it away would waste the work above it."""
+    bench = GuardBench(slots=1)
+    bench.guard.meter.end('browse', 0.3)
+    for number in range(6):
+        bench.submit(
+            run_order(f'r-{number}', goal_left=0.3, time_left=3, is_call=True),
+        )
+    assert not bench.outcomes
+
+
+def test_calls_are_attributed_to_the_routes_that_make_them() -> None:
+    """Two routes run mixed at one target; only one of them calls."""
+    learnt = CallAttribution()
+    random = chance()
+    for _turn in range(400):
+        names = random.choices(['caller', 'silent'], k=3)
+        for name in names:
+            learnt.started(name)
+        for _call in range(4 * names.count('caller')):
+            learnt.called('seats')
+        for name in names:
+            learnt.ended(name)
+    calls = learnt.calls_of('caller').get('seats', 0)
+    assert calls == pytest.approx(4, rel=0.25)
+    assert learnt.calls_of('silent').get('seats', 0) < 0.6
+
+
+def test_cost_of_a_request_covers_all_services_below() -> None:
+    """One request makes two calls, each of which makes four."""
+    graph = CallGraph([
+        route('top', services={'walks': 1}),
+        route('middle', services={'gates': 1}),
+        route('deep', services={'seats': 1}),
+    ])
+    graph.learn([
+        [
+            RouteCost('top', {'middle': 2.0}, 0.1),
+            RouteCost('middle', {'deep': 4.0}, 0.02),
+            RouteCost('deep', {}, 0.03),
+        ],
+    ])
+    usage = graph.usage_of('top')
+    assert usage[SEATS].runs == pytest.approx(8)
+    assert usage[SEATS].slot_seconds == pytest.approx(0.24)
+
+
+def test_cost_of_routes_that_call_each_other_is_bounded() -> None:
+    """A loop in the call graph ends."""
+    graph = CallGraph([route('top', services={'walks': 1})])
+    graph.learn([[RouteCost('top', {'top': 1.0}, 0.1)]])
+    assert graph.usage_of('top')[ServiceName('walks')].runs < 20
+
+
+class Overload:
+    """A fleet whose service seats is asked for twice what it can run."""
+
+    def __init__(self) -> None:
+        self.admission = Admission(chance(), LineLog(ManualClock()))
+        self.admission.configure(
+            configuration(
+                route('lookup', services={'walks': 1}, priority=2),
+                route('search', services={'seats': 1}, priority=1),
+                route('seat', services={'seats': 1}, needs_key=False),
+            )
+        )
+
+    def plan(self, **fields) -> dict[str, float]:
+        """Return the shares for 100 lookups and 20 searches a second."""
+        costs = [
+            RouteCost('lookup', {'seat': 8.0}, 0.2),
+            RouteCost('seat', {}, 0.03),
+            RouteCost('search', {}, 0.05),
+        ]
+        self.admission.plan([
+            status(
+                'a',
+                service='walks',
+                limit=100,
+                costs=costs[:1],
+                arrivals={'lookup': 100.0, 'search': 20.0},
+            ),
+            status(
+                'b',
+                service='seats',
+                **{'limit': 13, 'costs': costs[1:], **fields},
+            ),
+        ])
+        return self.admission.shares
+
+
+def test_deep_shortage_is_met_at_the_entry() -> None:
+    """The more urgent route is served whole, the other as far as it fits."""
+    shares = Overload().plan()
+    assert shares['search'] == 1.0
+    used = 100 * shares['lookup'] * 8 * 0.03 + 20 * 0.05
+    assert 0.9 * 13 <= used <= 13
+
+
+def test_queued_work_lowers_what_is_admitted() -> None:
+    """Queues are worked off instead of growing."""
+    overload = Overload()
+    calm = overload.plan()['lookup']
+    assert overload.plan(waiting=40, run_seconds=0.03)['lookup'] < calm
+
+
+def test_service_without_shortage_is_not_cut() -> None:
+    """A route beside the scarce service is served whole."""
+    shares = Overload().plan(limit=100)
+    assert shares == {'lookup': 1.0, 'search': 1.0}
+
+
+def shared_rate(nodes: int, policy, *, seconds: float, asks: int) -> int:
+    """Return the requests that a fleet lets pass in some seconds."""
+    names = [f'n-{number}' for number in range(nodes)]
+    shares = [RateShares(name) for name in names]
+    for share in shares:
+        share.resize(names)
+    passed = 0
+    now = 0.0
+    for share in shares:
+        share.refill([policy], now)
+    for _step in range(int(seconds * 100)):
+        now += 0.01
+        for share in shares:
+            for _ask in range(asks):
+                if share.take(policy, now):
+                    passed += 1
+                    continue
+                for other in shares:
+                    granted = other.grant(policy, 3, now)
+                    share.add(policy.terms.name, granted, now)
+                    if granted:
+                        break
+    return passed
+
+
+@pytest.mark.parametrize('nodes', [1, 5, 16, 86])
+def test_rate_holds_over_all_nodes(nodes: int) -> None:
+    """However they hand tokens on, the fleet stays within rate and burst."""
+    policy = organisation(rate=20, burst=30)
+    passed = shared_rate(nodes, policy, seconds=5, asks=2)
+    assert passed <= (20 * 5 + 30) * 1.1 + 20
+    assert passed >= 20 * 5 * 0.8
+
+
+def test_fresh_node_has_no_tokens() -> None:
+    """Its predecessor may have spent them."""
+    share = RateShares('n-1')
+    share.resize(['n-1'])
+    assert not share.take(organisation(), 100.0)
+
+
+def test_node_without_the_list_of_nodes_holds_no_part() -> None:
+    """It can't know how many share the rate."""
+    share = RateShares('n-1')
+    share.refill([organisation()], 0.0)
+    share.refill([organisation()], 10.0)
+    assert not share.take(organisation(), 10.0)
+
+
+def test_leaving_node_gives_its_part_up() -> None:
+    """The others take it over from then on."""
+    share = RateShares('n-1')
+    share.resize(['n-1'])
+    share.refill([organisation()], 0.0)
+    share.refill([organisation()], 10.0)
+    share.surrender()
+    share.resize(['n-1', 'n-2'])
+    assert not share.take(organisation(), 10.0)
+
+
+def test_lower_rate_takes_effect_at_once() -> None:
+    """Tokens beyond the new burst are dropped."""
+    share = RateShares('n-1')
+    share.resize(['n-1'])
+    share.refill([organisation(rate=100, burst=100)], 0.0)
+    share.refill([organisation(rate=100, burst=100)], 10.0)
+    low = organisation(rate=1, burst=5)
+    assert sum(share.take(low, 10.0) for _ask in range(50)) == 5
+
+
+def test_repeats_do_not_accumulate_over_windows() -> None:
+    """A long calm time does not allow a storm of repeats."""
+    clock = ManualClock()
+    budget = RetryBudget(ratio=0.2, slack=0, window=10, clock=clock)
+    for _second in range(300):
+        clock.now += 1
+        for _request in range(10):
+            budget.earn(SEATS)
+    spent = sum(budget.spend({SEATS: 1}) for _repeat in range(1000))
+    assert spent <= 0.2 * 10 * 10
+
+
+def test_repeat_is_charged_to_all_services_below() -> None:
+    """The calls of a repeated run are repeats as well."""
+    budget = RetryBudget(ratio=0.2, slack=20, window=10, clock=ManualClock())
+    costs = {ServiceName('walks'): 1.0, SEATS: 8.0}
+    assert budget.spend(costs)
+    assert not budget.spend(costs)
--- /dev/null
+++ b/tests/test_path_server_connection.py
@@ -0,0 +1,140 @@
+"""Answers on a kept connection reach their own request, or none."""
+
+import pytest
+from path_builders import answer_bytes, open_connection
+
+from boragetrestle_kernel.ids import RequestId
+from boragetrestle_sidecar.server_connection import Loss
+
+
+class Listener:
+    """Keep how an exchange ended."""
+
+    def __init__(self) -> None:
+        self.bodies: list[bytes] = []
+        self.losses: list[Loss] = []
+
+    def answered(self, answer) -> None:
+        """Keep the body."""
+        self.bodies.append(answer.body)
+
+    def lost(self, loss: Loss) -> None:
+        """Keep the loss."""
+        self.losses.append(loss)
+
+
+def exchange(request_id: str = 'r-1'):
+    """Start an exchange on an open connection."""
+    connection, transport = open_connection()
+    listener = Listener()
+    connection.exchange(b'GET', listener, RequestId(request_id.encode()))
+    return connection, transport, listener
+
+
+def test_whole_answer_keeps_the_connection() -> None:
+    """A clean exchange leaves a connection for the next."""
+    connection, _transport, listener = exchange()
+    connection.data_received(answer_bytes('r-1'))
+    assert listener.bodies == [b'whole']
+    assert connection.is_usable
+
+
+def test_answer_in_pieces() -> None:
+    """Bytes come as the network cuts them."""
+    connection, _transport, listener = exchange()
+    for byte in answer_bytes('r-1'):
+        connection.data_received(bytes((byte,)))
+    assert listener.bodies == [b'whole']
+
+
+def test_late_answer_of_an_earlier_request_is_passed_over() -> None:
+    """The id tells whose answer it is."""
+    connection, _transport, listener = exchange('r-2')
+    connection.data_received(answer_bytes('r-1', b'other'))
+    assert not listener.bodies
+    connection.data_received(answer_bytes('r-2', b'own'))
+    assert listener.bodies == [b'own']
+
+
+def test_second_answer_spoils_the_connection() -> None:
+    """Nothing may be read from a connection that said too much."""
+    connection, transport, listener = exchange()
+    connection.data_received(answer_bytes('r-1') + answer_bytes('r-1', b'x'))
+    assert listener.bodies == [b'whole']
+    assert not connection.is_usable
+    assert transport.is_closed
+
+
+@pytest.mark.parametrize('extra', [b'HTTP/1.1 200', b'garbage'])
+def test_bytes_after_an_answer_spoil_the_connection(extra: bytes) -> None:
+    """Such bytes belong to no request."""
+    connection, _transport, listener = exchange()
+    connection.data_received(answer_bytes('r-1') + extra)
+    assert not connection.is_usable
+    assert b'HTTP' not in b''.join(listener.bodies)
+
+
+def test_bytes_on_an_idle_connection_close_it() -> None:
+    """The next request must not get them."""
+    connection, transport, _listener = exchange()
+    connection.data_received(answer_bytes('r-1'))
+    connection.data_received(answer_bytes('r-1'))
+    assert transport.is_closed
+
+
+def test_cut_answer_is_lost() -> None:
+    """An answer that ends early is none."""
+    connection, _transport, listener = exchange()
+    connection.data_received(answer_bytes('r-1')[:-1])
+    connection.eof_received()
+    connection.connection_lost(None)
+    assert listener.losses == [Loss.CLOSED]
+    assert not listener.bodies
+
+
+def test_answer_without_length_ends_with_an_orderly_close() -> None:
+    """It is whole only if the connection was closed in order."""
+    head = b'HTTP/1.1 200 OK\r\ncall-id: r-1\r\n\r\n'
+    connection, _transport, listener = exchange()
+    connection.data_received(head + b'all')
+    connection.eof_received()
+    assert listener.bodies == [b'all']
+
+
+def test_answer_without_length_that_is_reset_is_lost() -> None:
+    """A reset may have cut it."""
+    connection, _transport, listener = exchange()
+    connection.data_received(b'HTTP/1.1 200 OK\r\ncall-id: r-1\r\n\r\npart')
+    connection.connection_lost(ConnectionResetError())
+    assert listener.losses == [Loss.CLOSED]
+
+
+def test_bytes_that_are_no_answer_are_lost() -> None:
+    """Garbage is never passed on."""
+    connection, _transport, listener = exchange()
+    connection.data_received(b'\x00\x01 no http')
+    assert listener.losses == [Loss.GARBLED]
+
+
+def test_answer_before_the_request_was_taken_closes_the_connection() -> None:
+    """The rest of that request is still on its way."""
+    connection, transport, listener = exchange()
+    transport.unflushed = 10
+    connection.data_received(answer_bytes('r-1'))
+    assert listener.bodies == [b'whole']
+    assert not connection.is_usable
+
+
+def test_interim_answer_is_passed_over() -> None:
+    """100 Continue is not the answer."""
+    connection, _transport, listener = exchange()
+    connection.data_received(b'HTTP/1.1 100 Continue\r\n\r\n')
+    connection.data_received(answer_bytes('r-1'))
+    assert listener.bodies == [b'whole']
+
+
+def test_connection_header_close_is_honoured() -> None:
+    """A leaving server says so."""
+    connection, _transport, _listener = exchange()
+    connection.data_received(answer_bytes('r-1', extra=b'connection: close\r\n'))
+    assert not connection.is_usable
