--- a/packages/sidecar/src/boragetrestle_sidecar/request_reader.py
+++ b/packages/sidecar/src/boragetrestle_sidecar/request_reader.py
@@ -41,6 +41,8 @@
         Raises ``MalformedRequestError`` for bytes that are no request and
         ``HeadTooLargeError`` or ``BodyTooLargeError`` beyond the limits.
         """
+        if not self.has_head:
+            self._count_raw(len(received))
         try:
             self.parser.feed_data(received)
         except httptools.HttpParserUpgrade as error:
@@ -75,6 +77,7 @@
 
     def on_headers_complete(self) -> None:
         """Note whether the caller waits before it sends the body."""
+        self.has_head = True
         for name, value in self.headers:
             if name == b'expect' and value.lower() == b'100-continue':
                 self.waits_for_body = True
@@ -112,6 +115,17 @@
         self.head_bytes = 0
         self.body_bytes = 0
         self.has_begun = False
+        self.has_head = False
+        self.raw_bytes = 0
+
+    def _count_raw(self, count: int) -> None:
+        """Bound a head that never ends, which the parser holds."""
+        if self.raw_bytes > self.limits.header_bytes:
+            raise HeadTooLargeError(
+                f'the head is over {self.limits.header_bytes} bytes',
+                remedy='send fewer or shorter headers',
+            )
+        self.raw_bytes += count
 
     def _count_head(self, count: int) -> None:
         self.head_bytes += count
--- a/packages/sidecar/src/boragetrestle_sidecar/sidecar.py
+++ b/packages/sidecar/src/boragetrestle_sidecar/sidecar.py
@@ -112,6 +112,7 @@
             log,
         )
         self.tasks: set[asyncio.Task[None]] = set()
+        self.listeners: list[asyncio.Server] = []
         self.started_at = steady_now()
         self.stop_asked = asyncio.Event()
         self._connect_parts()
@@ -132,10 +133,17 @@
     async def run(self) -> None:
         """Serve until SIGTERM, then stop without losing requests."""
         loop = asyncio.get_running_loop()
-        loop.set_exception_handler(self._log_fault)
         loop.add_signal_handler(signal.SIGTERM, self.stop_asked.set)
         loop.add_signal_handler(signal.SIGINT, self.stop_asked.set)
         loop.add_signal_handler(signal.SIGHUP, self.reload)
+        await self.start()
+        gc.freeze()
+        await self.stop_asked.wait()
+        await self.stop()
+
+    async def start(self) -> None:
+        """Listen, find the other nodes and follow the store."""
+        asyncio.get_running_loop().set_exception_handler(self._log_fault)
         await self._listen()
         self._start_tasks()
         self.log.always(
@@ -147,9 +155,37 @@
             incarnation=self.reporter.incarnation,
             process=os.getpid(),
         )
-        gc.freeze()
-        await self.stop_asked.wait()
-        await self._stop()
+
+    async def stop(self) -> None:
+        """Let callers go elsewhere, then end what is under way."""
+        began = steady_now()
+        self.entry.is_stopping = True
+        self.log.always('stopping', requests=len(self.entry.requests))
+        self.guard.stop()
+        self.rates.shares.surrender()
+        self.reporter.send()
+        loop = asyncio.get_running_loop()
+        removal = loop.create_task(self.registration.remove())
+        longest = self.settings.stop_seconds - STOP_MARGIN_SECONDS
+        while steady_now() - began < longest:
+            is_idle = not self.entry.requests and not self.guard.running
+            if is_idle and steady_now() - began > LEAST_STOP_SECONDS:
+                break
+            await asyncio.sleep(SWEEP_SECONDS)
+        removal.cancel()
+        self.close()
+        self.log.always(
+            'stopped',
+            requests=len(self.entry.requests),
+            after=steady_now() - began,
+        )
+
+    def close(self) -> None:
+        """Stop listening and end all tasks."""
+        for listener in self.listeners:
+            listener.close()
+        for task in (*self.tasks, *self.links.tasks.values()):
+            task.cancel()
 
     def reload(self) -> None:
         """Read the settings again; wrong ones change nothing."""
@@ -207,13 +243,14 @@
             (partial(PeerConnection, self.server), settings.peers),
             (partial(CallerConnection, self.entry), settings.callers),
         ):
-            await asyncio.get_running_loop().create_server(
+            listener = await asyncio.get_running_loop().create_server(
                 factory,
                 address.host,
                 address.port,
                 backlog=BACKLOG,
                 reuse_address=True,
             )
+            self.listeners.append(listener)
 
     def _start_tasks(self) -> None:
         watch = partial(
@@ -289,29 +326,6 @@
             self.reporter.send()
             self.admission.plan(self.fleet.current_statuses())
 
-    async def _stop(self) -> None:
-        """Let callers go elsewhere, then end what is under way."""
-        began = steady_now()
-        self.entry.is_stopping = True
-        self.log.always('stopping', requests=len(self.entry.requests))
-        self.guard.stop()
-        self.rates.shares.surrender()
-        self.reporter.send()
-        loop = asyncio.get_running_loop()
-        removal = loop.create_task(self.registration.remove())
-        longest = self.settings.stop_seconds - STOP_MARGIN_SECONDS
-        while steady_now() - began < longest:
-            is_idle = not self.entry.requests and not self.guard.running
-            if is_idle and steady_now() - began > LEAST_STOP_SECONDS:
-                break
-            await asyncio.sleep(SWEEP_SECONDS)
-        removal.cancel()
-        self.log.always(
-            'stopped',
-            requests=len(self.entry.requests),
-            after=steady_now() - began,
-        )
-
     def _use_configuration(self, configuration: 'Configuration') -> None:
         self.entry.configuration = configuration
         self.rates.configuration = configuration
--- a/tests/path_builders.py
+++ b/tests/path_builders.py
@@ -121,12 +121,15 @@
     extra: bytes = b'seal: s\r\n',
 ) -> bytes:
     """Return the answer of a target."""
-    return b'HTTP/1.1 %d Some\r\ncall-id: %s\r\n%scontent-length: %d\r\n\r\n%s' % (
-        status,
-        request_id.encode(),
-        extra,
-        len(body),
-        body,
+    return (
+        b'HTTP/1.1 %d Some\r\ncall-id: %s\r\n%scontent-length: %d\r\n\r\n%s'
+        % (
+            status,
+            request_id.encode(),
+            extra,
+            len(body),
+            body,
+        )
     )
 
 
--- /dev/null
+++ b/tests/path_standins.py
@@ -0,0 +1,256 @@
+"""Stand-ins for the platform around nodes of the two-hop data path."""
+
+import asyncio
+from collections.abc import Callable
+from dataclasses import replace
+from typing import Any
+
+from path_builders import (
+    NAMES,
+    WALKS,
+    configuration,
+    organisation,
+    report,
+    route,
+)
+
+from boragetrestle_kernel.address import Address
+from boragetrestle_kernel.errors import (
+    HistoryGoneError,
+    OutcomeUnknownError,
+    StoreError,
+    WireError,
+)
+from boragetrestle_kernel.ids import DomainName, NodeId
+from boragetrestle_platform.table import Committed, Put, Row, Transaction
+from boragetrestle_sidecar.caller_request import CallerRequest
+from boragetrestle_sidecar.configuration import Configuration
+from boragetrestle_sidecar.path_settings import PathSettings
+from boragetrestle_sidecar.sidecar import Sidecar
+from boragetrestle_sidecar.small_server import SmallAnswer, SmallConnection
+from boragetrestle_sidecar.store_client import TableChanges, TableView
+from boragetrestle_sidecar.target_report import TargetReport
+
+STORE_STEP = 0.01
+
+
+class MemoryStore:
+    """Tables in memory that can be away, lose answers or their history."""
+
+    def __init__(self) -> None:
+        self.tables: dict[str, dict[str, Row]] = {}
+        self.log: list[tuple[str, str, Row | None]] = []
+        self.first_kept = 0
+        self.is_away = False
+        self.loses_answers = False
+        self.calls = 0
+        self.polls = 0
+
+    def put(self, table: str, key: str, content: bytes) -> None:
+        """Write a row as operators do."""
+        row = Row(key, content, len(self.log) + 1)
+        self.tables.setdefault(table, {})[key] = row
+        self.log.append((table, key, row))
+
+    def remove(self, table: str, key: str) -> None:
+        """Remove a row."""
+        self.tables.setdefault(table, {}).pop(key, None)
+        self.log.append((table, key, None))
+
+    def forget_history(self) -> None:
+        """Drop all changes."""
+        self.first_kept = len(self.log)
+
+    async def view(self, table: str) -> TableView:
+        """Return all rows of a table."""
+        self._check()
+        rows = tuple(self.tables.get(table, {}).values())
+        return TableView(rows, len(self.log))
+
+    async def changes(
+        self,
+        table: str,
+        position: int,
+        *,
+        wait: float,
+    ) -> TableChanges:
+        """Return what changed."""
+        self._check()
+        self.polls += 1
+        for _step in range(int(wait / STORE_STEP)):
+            if any(name == table for name, _key, _row in self.log[position:]):
+                break
+            await asyncio.sleep(STORE_STEP)
+            self._check()
+        if position < self.first_kept:
+            raise HistoryGoneError('gone', remedy='read anew')
+        changed = {
+            key: row for name, key, row in self.log[position:] if name == table
+        }
+        return TableChanges(
+            tuple(row for row in changed.values() if row),
+            tuple(key for key, row in changed.items() if row is None),
+            len(self.log),
+        )
+
+    async def commit(self, table: str, transaction: Transaction) -> Committed:
+        """Apply a transaction."""
+        self._check()
+        rows = self.tables.setdefault(table, {})
+        failed = tuple(
+            check.key
+            for check in transaction.checks
+            if (rows[check.key].version if check.key in rows else 0)
+            != check.version
+        )
+        if failed:
+            return Committed(False, 0.0, failed)
+        for write in transaction.writes:
+            if isinstance(write, Put):
+                self.put(table, write.key, write.content)
+            else:
+                self.remove(table, write.key)
+        if self.loses_answers:
+            raise OutcomeUnknownError('lost', remedy='read back')
+        return Committed(True, 0.0)
+
+    def _check(self) -> None:
+        self.calls += 1
+        if self.is_away:
+            raise StoreError('away', remedy='wait')
+
+
+class StandinAdapter:
+    """An adapter whose formats are the product's own types."""
+
+    names = NAMES
+    config_table = 'operators'
+    config_key = 'configuration'
+    ready_path = b'/ready'
+
+    def __init__(self, settings: PathSettings, store: MemoryStore) -> None:
+        self.settings = settings
+        self.store = store
+
+    def load_settings(self) -> PathSettings:
+        """Return the settings."""
+        return self.settings
+
+    def decode_configuration(self, document: bytes) -> Configuration:
+        """Return a configuration of the version that the document holds."""
+        return configuration(
+            route(),
+            route('buy', prefix='/buy/', may_repeat=False),
+            version=int(document),
+            organisations=(organisation(rate=0),),
+        )
+
+    def decode_target_call(self, request: CallerRequest) -> TargetReport:
+        """Refuse all calls: tests report to the guard."""
+        raise WireError('no call', remedy='report to the guard')
+
+    def open_store(self, _caller: Any) -> MemoryStore:
+        """Return the store of the test."""
+        return self.store
+
+
+class StandinTarget:
+    """A target that answers, waits, or breaks off, as tests say."""
+
+    def __init__(self) -> None:
+        self.listener: asyncio.Server | None = None
+        self.runs: list[CallerRequest] = []
+        self.connections: list[PlayedConnection] = []
+        self.answer: Callable[[CallerRequest], SmallAnswer | None] = _whole
+
+    async def listen(self, address: Address) -> None:
+        """Accept connections."""
+        self.listener = await asyncio.get_running_loop().create_server(
+            lambda: PlayedConnection(self),
+            address.host,
+            address.port,
+        )
+
+
+class PlayedConnection(SmallConnection):
+    """A connection that answers with the id and the seal."""
+
+    def __init__(self, target: StandinTarget) -> None:
+        super().__init__(self._never)
+        self.target = target
+        target.connections.append(self)
+
+    def data_received(self, received: bytes) -> None:
+        """Answer what is whole."""
+        self.reader.feed(received)
+        while self.reader.ready:
+            request = self.reader.ready.popleft()
+            self.target.runs.append(request)
+            answer = self.target.answer(request)
+            if answer is not None:
+                self.respond(request, answer)
+
+    def respond(self, request: CallerRequest, answer: SmallAnswer) -> None:
+        """Write an answer."""
+        assert self.transport is not None
+        self.transport.write(
+            b'HTTP/1.1 %d OK\r\nCall-Id: %s\r\nSeal: s\r\n'
+            b'Content-Length: %d\r\n\r\n%s'
+            % (
+                answer.status,
+                request.header(b'call-id') or b'',
+                len(answer.body),
+                answer.body,
+            )
+        )
+
+    def _never(self, _request: CallerRequest) -> SmallAnswer:
+        return SmallAnswer(500)
+
+
+def _whole(request: CallerRequest) -> SmallAnswer:
+    return SmallAnswer(200, b'answer to ' + request.target)
+
+
+class Host:
+    """A node with its target, on a loopback address of its own."""
+
+    def __init__(self, number: int, store: MemoryStore, log: Any) -> None:
+        self.ip = f'127.7.0.{number}'
+        self.target = StandinTarget()
+        self.target_address = Address(self.ip, 7001)
+        self.settings = PathSettings(
+            node=NodeId(f'node-{number}'),
+            domain=DomainName('a'),
+            service=WALKS,
+            callers=Address(self.ip, 7002),
+            peers=Address(self.ip, 7003),
+            ready=Address(self.ip, 7004),
+            control=Address(self.ip, 7005),
+            metrics=Address(self.ip, 7006),
+            target=self.target_address,
+            store=Address(self.ip, 7007),
+            stop_seconds=2.0,
+        )
+        self.node = Sidecar(StandinAdapter(self.settings, store), log)
+
+    async def start(self) -> None:
+        """Start node and target."""
+        await self.target.listen(self.target_address)
+        await self.node.start()
+
+    def close(self) -> None:
+        """End node and target."""
+        self.node.close()
+        if self.target.listener is not None:
+            self.target.listener.close()
+
+    def report(self, **changes: Any) -> None:
+        """Report the target to its node."""
+        found = report(target=f't-{self.ip}', slots=8, **changes)
+        self.node.guard.report(_at(found, self.target_address))
+        self.node.reporter.send()
+
+
+def _at(found: TargetReport, address: Address) -> TargetReport:
+    return replace(found, address=address)
--- /dev/null
+++ b/tests/test_path_fuzz.py
@@ -0,0 +1,127 @@
+"""Request parsing judged by h11 on changed bytes."""
+
+import random
+
+import h11
+import pytest
+from entry_builders import request_bytes
+
+from boragetrestle_kernel.errors import CallerError
+from boragetrestle_sidecar.caller_limits import CallerLimits
+from boragetrestle_sidecar.request_reader import RequestReader
+
+_TOKENS = (
+    b'\r\n',
+    b'\n',
+    b'\r',
+    b' ',
+    b'\t',
+    b':',
+    b'\x00',
+    b'Content-Length: 3\r\n',
+    b'Content-Length: 30\r\n',
+    b'Transfer-Encoding: chunked\r\n',
+    b'Transfer-Encoding: identity\r\n',
+    b'transfer-encoding : chunked\r\n',
+    b'GET /x HTTP/1.1\r\n',
+)
+
+
+def judge(sent: bytes) -> list[tuple[bytes, bytes, bytes]] | None:
+    """Return method, target and body of each request, as h11 reads them."""
+    connection = h11.Connection(h11.SERVER)
+    connection.receive_data(sent)
+    found: list[list[bytes]] = []
+    try:
+        while True:
+            event = connection.next_event()
+            if isinstance(event, h11.Request):
+                found.append([event.method, event.target, b''])
+            elif isinstance(event, h11.Data):
+                found[-1][2] += bytes(event.data)
+            elif isinstance(event, h11.EndOfMessage):
+                return [tuple(each) for each in found]
+            else:
+                return []
+    except h11.RemoteProtocolError:
+        return None
+
+
+def changed(chance: random.Random) -> bytes:
+    """Return a request with some bytes put in, taken out or changed."""
+    sent = bytearray(
+        request_bytes(method='POST', extra='Content-Length: 3\r\n', body='abc')
+    )
+    for _change in range(chance.randint(1, 3)):
+        place = chance.randrange(len(sent))
+        if chance.random() < 0.7:
+            sent[place:place] = chance.choice(_TOKENS)
+        else:
+            del sent[place : place + chance.randint(1, 4)]
+    return bytes(sent)
+
+
+@pytest.mark.parametrize('seed', range(10))
+def test_no_request_is_read_otherwise_than_by_h11(seed: int) -> None:
+    """What both accept has the same method, target and body.
+
+    Bytes that h11 refuses may be accepted only when they don't change where
+    the request ends, which the next requests would show.
+    """
+    chance = random.Random(seed)
+    compared = 0
+    for _try in range(400):
+        sent = changed(chance)
+        reader = RequestReader(CallerLimits())
+        try:
+            reader.feed(sent)
+        except CallerError:
+            continue
+        expected = judge(sent)
+        if not expected or not reader.ready:
+            continue
+        first = reader.ready[0]
+        compared += 1
+        assert (first.method, first.target, first.body) == expected[0], sent
+    assert compared > 10
+
+
+@pytest.mark.parametrize(
+    'framing',
+    [
+        b'Content-Length: 3\r\nTransfer-Encoding: chunked\r\n',
+        b'Transfer-Encoding: chunked, identity\r\n',
+        b'Content-Length: 3, 4\r\n',
+        b'Content-Length: 0x3\r\n',
+        b'Content-Length : 3\r\n',
+        b'Transfer-Encoding\x00: chunked\r\n',
+    ],
+)
+def test_framing_that_two_readers_could_read_otherwise_is_refused(
+    framing: bytes,
+) -> None:
+    """Each is a known way to smuggle a request."""
+    reader = RequestReader(CallerLimits())
+    sent = b'POST / HTTP/1.1\r\nHost: x\r\n' + framing + b'\r\nabc'
+    with pytest.raises(CallerError):
+        reader.feed(sent)
+
+
+def test_bounds_on_head_and_body_are_kept() -> None:
+    """A caller can't fill a node's memory."""
+    limits = CallerLimits(header_bytes=100, body_bytes=10)
+    for sent in (
+        b'GET / HTTP/1.1\r\nLong: ' + b'x' * 200 + b'\r\n\r\n',
+        b'POST / HTTP/1.1\r\nContent-Length: 11\r\n\r\n' + b'x' * 11,
+    ):
+        with pytest.raises(CallerError):
+            RequestReader(limits).feed(sent)
+
+
+def test_head_that_never_ends_is_refused() -> None:
+    """The bytes of one long header are bounded before its end is seen."""
+    reader = RequestReader(CallerLimits(header_bytes=1000))
+    reader.feed(b'GET / HTTP/1.1\r\nLong: ')
+    with pytest.raises(CallerError):
+        for _piece in range(50):
+            reader.feed(b'x' * 100)
--- /dev/null
+++ b/tests/test_path_log.py
@@ -0,0 +1,58 @@
+"""Log lines are bounded and never hold a request up."""
+
+import json
+import os
+
+from path_builders import LineLog, ManualClock
+
+from boragetrestle_sidecar.decision_log import (
+    LINES_PER_SECOND,
+    BoundedWriter,
+)
+
+
+def test_lines_of_a_kind_are_bounded_and_counted() -> None:
+    """A storm of refusals writes some lines and how many were left out."""
+    clock = ManualClock()
+    log = LineLog(clock)
+    for number in range(500):
+        log.line('refused', number=number)
+    clock.now += 1
+    log.line('refused', number=500)
+    assert log.kinds().count('refused') == LINES_PER_SECOND + 1
+    left_out = dict(log.lines)['lines-suppressed']['counts']
+    assert left_out == {'refused': 500 - LINES_PER_SECOND}
+
+
+def test_no_kind_hides_another() -> None:
+    """A rare line is written beside a storm."""
+    log = LineLog()
+    for _number in range(500):
+        log.line('refused')
+    log.line('placed-again')
+    assert 'placed-again' in log.kinds()
+
+
+def test_slow_reader_costs_lines_and_never_blocks() -> None:
+    """The pipe is full; the writer goes on and counts what it drops."""
+    reading, writing = os.pipe()
+    write = BoundedWriter(writing)
+    for number in range(20_000):
+        write({'number': number, 'padding': 'x' * 100})
+    assert write.dropped > 0
+    received = b''
+    while len(received) < 60_000:
+        received += os.read(reading, 65536)
+    assert json.loads(received.splitlines()[0])['number'] == 0
+    os.close(reading)
+    os.close(writing)
+
+
+def test_lost_reader_is_no_error() -> None:
+    """Without a reader the lines are dropped."""
+    reading, writing = os.pipe()
+    write = BoundedWriter(writing)
+    os.close(reading)
+    write({'line': 1})
+    assert write.dropped == 1
+    os.close(writing)
--- a/tests/test_path_policies.py
+++ b/tests/test_path_policies.py
@@ -31,7 +31,12 @@
 def guard(name: str, **fields) -> GuardView:
     """Return an open guard in domain a."""
     view = GuardView(name, PlayedHop(), domain='a')
-    known = {'is_open': True, 'limit': 10, 'run_seconds': 0.1, 'heard_at': 100.0}
+    known = {
+        'is_open': True,
+        'limit': 10,
+        'run_seconds': 0.1,
+        'heard_at': 100.0,
+    }
     for field, value in {**known, **fields}.items():
         setattr(view, field, value)
     return view
--- a/tests/test_path_server_connection.py
+++ b/tests/test_path_server_connection.py
@@ -136,5 +136,7 @@
 def test_connection_header_close_is_honoured() -> None:
     """A leaving server says so."""
     connection, _transport, _listener = exchange()
-    connection.data_received(answer_bytes('r-1', extra=b'connection: close\r\n'))
+    connection.data_received(
+        answer_bytes('r-1', extra=b'connection: close\r\n')
+    )
     assert not connection.is_usable
