Ask one holder of tokens at a time; read the list of nodes less often

Ruled out: the store's rates, no call was answered 429. Nodes announce themselves to those they connect to; the list confirms it.

--- a/packages/sidecar/src/boragetrestle_sidecar/fleet.py
+++ b/packages/sidecar/src/boragetrestle_sidecar/fleet.py
@@ -11,6 +11,8 @@
     from boragetrestle_sidecar.node_status import NodeStatus
     from boragetrestle_sidecar.outcome import Outcome
 
+# The list of nodes is read again within a few seconds of a change.
+ANNOUNCED_SECONDS = 10.0
 STATUS_SECONDS = 5.0  # an older status is not counted in plans
 
 
@@ -27,6 +29,7 @@
         self.clock = clock
         self.members: tuple[str, ...] = ()
         self.is_confirmed = False
+        self.announced: dict[str, float] = {}
         self.views: dict[str, GuardView] = {}
         self.statuses: dict[str, NodeStatus] = {}
         self.by_service: dict[str, list[GuardView]] = {}
@@ -48,9 +51,24 @@
         self._index()
 
     def set_members(self, members: Iterable[str]) -> None:
-        """Take the list of nodes as the store has it."""
+        """Take the list of nodes as the store has it.
+
+        Nodes that have just announced themselves may be missing in it.
+        """
         self.is_confirmed = True
-        self._replace(members)
+        oldest = self.clock() - ANNOUNCED_SECONDS
+        recent = {
+            address
+            for address, announced_at in self.announced.items()
+            if announced_at >= oldest
+        }
+        self._replace({*members, *recent})
+
+    def announce(self, address: str) -> None:
+        """Take a node's own word that it has joined."""
+        self.announced[address] = self.clock()
+        if address not in self.members:
+            self._replace({*self.members, address})
 
     def suggest(self, members: Iterable[str]) -> None:
         """Take another node's list as long as the store's is unknown."""
--- a/packages/sidecar/src/boragetrestle_sidecar/member_links.py
+++ b/packages/sidecar/src/boragetrestle_sidecar/member_links.py
@@ -38,12 +38,18 @@
 
     def follow(self, members: Sequence[str]) -> None:
         """Take the nodes of the fleet."""
-        for address in members:
-            if address != self.address and address not in self.links:
-                self._open(address)
-        for address in list(self.links):
-            if address not in members:
-                self._retire(address)
+        joined = set(members) - {self.address} - self.links.keys()
+        left = self.links.keys() - set(members)
+        self.log.always(
+            'members-changed',
+            count=len(members),
+            joined=sorted(joined),
+            left=sorted(left),
+        )
+        for address in joined:
+            self._open(address)
+        for address in left:
+            self._retire(address)
 
     def tell_suspect(self, found: str, has_crashed: bool) -> None:
         """Tell all nodes of a request that crashed a target, or didn't."""
--- a/packages/sidecar/src/boragetrestle_sidecar/peer_messages.py
+++ b/packages/sidecar/src/boragetrestle_sidecar/peer_messages.py
@@ -82,7 +82,8 @@
     answer: SendFrame,
     peer: 'Address | None',
 ) -> None:
-    _address, version, members = frame.fields
+    address, version, members = frame.fields
+    messages.fleet.announce(address)
     messages.fleet.suggest(members)
     if version > messages.keeper.version:
         answer(FrameKind.ASK_CONFIGURATION, 0, [messages.keeper.version])
--- a/packages/sidecar/src/boragetrestle_sidecar/rate_gate.py
+++ b/packages/sidecar/src/boragetrestle_sidecar/rate_gate.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import random
+from collections import defaultdict
 from collections.abc import Callable
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
@@ -9,25 +10,30 @@
 from boragetrestle_sidecar.peer_frames import FrameKind
 from boragetrestle_sidecar.rate_shares import DRY_SECONDS, RateShares
 from boragetrestle_sidecar.steady_clock import steady_now
+from boragetrestle_sidecar.window_count import WindowCount
 
 if TYPE_CHECKING:
     from boragetrestle_sidecar.configuration import Configuration
     from boragetrestle_sidecar.organisation_policy import OrganisationPolicy
     from boragetrestle_sidecar.peer_link import PeerLink
 
-ASKED_NODES = 3  # at once: one or two may have no tokens or be out of reach
-ANSWER_SECONDS = 0.05  # some round trips between domains
+MAX_ASKED = 4  # nodes, one after the other: some have no tokens
+ANSWER_SECONDS = 0.02  # some round trips between domains
+DEMAND_SECONDS = 2.0  # of requests, from which the coming ones are expected
+# Tokens for this much of the expected requests are asked for in advance; those
+# that are not used in time are lost.
+ADVANCE_SECONDS = 0.2
 RETRY_SPREAD = (0.5, 1.5)  # so that callers don't come back together
-SPARE_TOKENS = 2.0  # asked for beyond the requests that wait
 
 
-@dataclass(slots=True)
+@dataclass(slots=True, eq=False)
 class _Round:
     """Requests that wait for tokens of one organisation."""
 
     policy: 'OrganisationPolicy'
+    others: list[str]
     waiting: list[Callable[[], None]] = field(default_factory=list)
-    answers_due: int = 0
+    asked: int = 0
     got: float = 0.0
     timer: asyncio.TimerHandle | None = None
 
@@ -49,6 +55,9 @@
         self.clock = clock
         self.configuration: Configuration | None = None
         self.rounds: dict[str, _Round] = {}
+        self.demand: defaultdict[str, WindowCount] = defaultdict(
+            lambda: WindowCount(DEMAND_SECONDS),
+        )
 
     def take(self, policy: 'OrganisationPolicy') -> bool:
         """Take one token."""
@@ -72,24 +81,20 @@
     ) -> None:
         """Ask other nodes for tokens and go on when they have answered."""
         name = policy.terms.name
+        now = self.clock()
+        self.demand[name].add(1, now=now)
         ongoing = self.rounds.get(name)
         if ongoing is not None:
             ongoing.waiting.append(then)
             return
-        if self.clock() < self.shares.dry_until.get(name, 0.0):
+        if now < self.shares.dry_until.get(name, 0.0):
             then()
             return
-        asked = _Round(policy, [then])
+        others = list(self.shares.others(policy))
+        self.chance.shuffle(others)
+        asked = _Round(policy, others, [then])
         self.rounds[name] = asked
-        self._send_asks(asked)
-        if not asked.answers_due:
-            self._end(asked)
-        else:
-            asked.timer = asyncio.get_running_loop().call_later(
-                ANSWER_SECONDS,
-                self._end,
-                asked,
-            )
+        self._ask_next(asked)
 
     def grant(self, name: str, asked: float) -> float:
         """Return the tokens that another node gets."""
@@ -100,7 +105,7 @@
             return 0.0
         return self.shares.grant(policy, asked, self.clock())
 
-    def granted(self, name: str, tokens: float, _number: int) -> None:
+    def granted(self, name: str, tokens: float, number: int) -> None:
         """Take the answer of a node that was asked."""
         if tokens > 0:
             self.shares.add(name, tokens, self.clock())
@@ -108,25 +113,34 @@
         if ongoing is None:
             return
         ongoing.got += tokens
-        ongoing.answers_due -= 1
         served = ongoing.waiting[: int(tokens)]
         ongoing.waiting = ongoing.waiting[int(tokens) :]
         for then in served:
             then()
-        if not ongoing.waiting or ongoing.answers_due <= 0:
+        if not ongoing.waiting:
             self._end(ongoing)
+        elif number == ongoing.asked:
+            self._ask_next(ongoing)
 
-    def _send_asks(self, asked: _Round) -> None:
-        others = list(self.shares.others(asked.policy))
-        self.chance.shuffle(others)
+    def _ask_next(self, asked: _Round) -> None:
+        if asked.timer is not None:
+            asked.timer.cancel()
         name = asked.policy.terms.name
-        for address in others:
-            link = self.link_of(address)
-            wanted = len(asked.waiting) + SPARE_TOKENS
-            if link and link.send(FrameKind.ASK_TOKENS, 0, [name, wanted]):
-                asked.answers_due += 1
-            if asked.answers_due >= ASKED_NODES:
+        expected = self.demand[name].total(self.clock()) / DEMAND_SECONDS
+        wanted = len(asked.waiting) + int(expected * ADVANCE_SECONDS)
+        while asked.others and asked.asked < MAX_ASKED:
+            link = self.link_of(asked.others.pop())
+            fields = [name, wanted]
+            number = asked.asked + 1
+            if link and link.send(FrameKind.ASK_TOKENS, number, fields):
+                asked.asked = number
+                asked.timer = asyncio.get_running_loop().call_later(
+                    ANSWER_SECONDS,
+                    self._ask_next,
+                    asked,
+                )
                 return
+        self._end(asked)
 
     def _end(self, ended: _Round) -> None:
         name = ended.policy.terms.name
--- a/packages/sidecar/src/boragetrestle_sidecar/registration.py
+++ b/packages/sidecar/src/boragetrestle_sidecar/registration.py
@@ -61,16 +61,23 @@
     async def remove(self) -> None:
         """Remove the row; without the store it stays."""
         self.is_stopping = True
-        if self.row is None:
+        try:
+            await self._remove()
+        except StoreError as error:
+            self.log.always('registration-kept', error=str(error))
+
+    async def _remove(self) -> None:
+        row = self.row
+        if row is None:
+            view = await self.store.view(NODES_TABLE)
+            row = {found.key: found for found in view.rows}.get(self.address)
+        if row is None:
             return
         transaction = Transaction(
-            checks=(Check(self.address, self.row.version),),
+            checks=(Check(self.address, row.version),),
             writes=(Delete(self.address),),
         )
-        try:
-            await self.store.commit(NODES_TABLE, transaction)
-        except StoreError as error:
-            self.log.always('registration-kept', error=str(error))
+        await self.store.commit(NODES_TABLE, transaction)
 
     async def _write(self) -> None:
         transaction = Transaction(
--- a/packages/sidecar/src/boragetrestle_sidecar/sidecar.py
+++ b/packages/sidecar/src/boragetrestle_sidecar/sidecar.py
@@ -50,6 +50,9 @@
 STOP_MARGIN_SECONDS = 1.2  # kept from the grace period for closing
 # A node that has just started waits this long for its links before it is ready.
 LINKS_SECONDS = 1.0
+# Nodes that join announce themselves; the table only confirms it, and many
+# change it at once.
+NODES_REST_SECONDS = 2.0
 BACKLOG = 1024  # connections of all callers at once after a restart
 TRACE_LINES = 6  # of a traceback in a log line
 _INCARNATION_BITS = 48  # two starts of one node get the same one never
@@ -259,7 +262,11 @@
             log=self.log,
             chance=self.chance,
         )
-        nodes = watch(NODES_TABLE, changed=self._use_nodes)
+        nodes = watch(
+            NODES_TABLE,
+            changed=self._use_nodes,
+            rest=NODES_REST_SECONDS,
+        )
         operators = watch(
             self.adapter.config_table,
             changed=self._use_operators_rows,
@@ -343,7 +350,6 @@
     def _use_members(self, members: Sequence[str]) -> None:
         self.rates.shares.resize(members)
         self.budget.nodes = len(members)
-        self.log.always('members-changed', members=list(members))
         self.links.follow(members)
 
     def _note_crash(self, orders: 'list[RunOrder]') -> None:
--- a/packages/sidecar/src/boragetrestle_sidecar/table_watch.py
+++ b/packages/sidecar/src/boragetrestle_sidecar/table_watch.py
@@ -15,13 +15,14 @@
 POLL_SECONDS = 25.0  # calls are priced; the store holds a poll for 30 s at most
 SPREAD = (0.7, 1.3)  # so that nodes don't return together
 FIRST_PAUSE_SECONDS = 0.2
-LONGEST_PAUSE_SECONDS = 0.8  # entries are due back 2 s after the store's return
+LONGEST_PAUSE_SECONDS = 1.2  # entries are due back 2 s after the store's return
 
 
 class TableWatch:
     """Keep a copy of a table's rows and tell of each change.
 
-    The copy stands while the store is away.
+    The copy stands while the store is away. ``rest`` is the pause in seconds
+    before the next poll after a change, in which further ones gather.
     """
 
     def __init__(
@@ -32,12 +33,14 @@
         *,
         changed: 'Callable[[dict[str, Row]], None]',
         chance: random.Random,
+        rest: float = 0.0,
     ) -> None:
         self.table = table
         self.store = store
         self.log = log
         self.changed = changed
         self.chance = chance
+        self.rest = rest
         self.rows: dict[str, Row] = {}
         self.is_reached = True
 
@@ -58,10 +61,11 @@
             except StoreError as error:
                 self._note_lost(error)
                 await asyncio.sleep(pause * self.chance.uniform(*SPREAD))
-                pause = min(LONGEST_PAUSE_SECONDS, pause * 2)
+                pause = min(self.rest + LONGEST_PAUSE_SECONDS, pause * 2)
             else:
                 pause = FIRST_PAUSE_SECONDS
                 self._note_regained()
+                await asyncio.sleep(self.rest)
 
     async def _step(self, position: int | None) -> int:
         if position is None:
--- a/tests/test_path_policies.py
+++ b/tests/test_path_policies.py
@@ -1,5 +1,6 @@
 """Decisions of the data path, played without a network."""
 
+import asyncio
 from collections import Counter
 from typing import Any
 
@@ -20,10 +21,12 @@
 from boragetrestle_sidecar.admission import Admission
 from boragetrestle_sidecar.call_attribution import CallAttribution
 from boragetrestle_sidecar.call_graph import CallGraph
+from boragetrestle_sidecar.fleet import Fleet
 from boragetrestle_sidecar.node_status import RouteCost
 from boragetrestle_sidecar.organisation_policy import OrganisationPolicy
 from boragetrestle_sidecar.outcome import Reason
 from boragetrestle_sidecar.placement import GuardView, choose_guard
+from boragetrestle_sidecar.rate_gate import RateGate
 from boragetrestle_sidecar.rate_shares import RateShares
 from boragetrestle_sidecar.retry_budget import RetryBudget
 
@@ -343,3 +346,44 @@
     costs = {ServiceName('walks'): 1.0, SEATS: 8.0}
     assert budget.spend(costs)
     assert not budget.spend(costs)
+
+
+def test_little_demand_takes_no_tokens_in_advance() -> None:
+    """Tokens that are not used are lost to the organisation."""
+    asked: list[object] = []
+
+    class Link:
+        """Keep what is asked."""
+
+        def send(self, _kind: object, _number: int, fields: object) -> bool:
+            """Keep the fields."""
+            asked.append(fields)
+            return True
+
+    def link_of(_name: str) -> Any:
+        return Link()
+
+    async def ask() -> None:
+        shares = RateShares('n-1')
+        shares.resize(['n-1', 'n-2'])
+        gate = RateGate(shares, link_of=link_of, chance=chance())
+        gate.ask(organisation(), lambda: None)
+        for found in gate.rounds.values():
+            assert found.timer is not None
+            found.timer.cancel()
+
+    asyncio.run(ask())
+    assert asked == [['acacia', 1]]
+
+
+def test_node_that_announces_itself_stays_until_the_list_has_it() -> None:
+    """The store's list is read a little later."""
+    clock = ManualClock()
+    fleet = Fleet('a', clock=clock)
+    fleet.set_members(['a', 'b'])
+    fleet.announce('c')
+    fleet.set_members(['a', 'b'])
+    assert fleet.members == ('a', 'b', 'c')
+    clock.now += 60
+    fleet.set_members(['a', 'b', 'd'])
+    assert fleet.members == ('a', 'b', 'd')
