--- a/packages/sidecar/src/boragetrestle_sidecar/sidecar.py
+++ b/packages/sidecar/src/boragetrestle_sidecar/sidecar.py
@@ -53,6 +53,8 @@
 # Nodes that join announce themselves; the table only confirms it, and many
 # change it at once.
 NODES_REST_SECONDS = 2.0
+# Changes come in quick succession; peers whose poll ends first hand them on.
+CONFIG_REST_SECONDS = 0.6
 BACKLOG = 1024  # connections of all callers at once after a restart
 TRACE_LINES = 6  # of a traceback in a log line
 _INCARNATION_BITS = 48  # two starts of one node get the same one never
@@ -270,6 +272,7 @@
         operators = watch(
             self.adapter.config_table,
             changed=self._use_operators_rows,
+            rest=CONFIG_REST_SECONDS,
         )
         for job in (
             operators.run(),
--- a/packages/sidecar/src/boragetrestle_sidecar/table_watch.py
+++ b/packages/sidecar/src/boragetrestle_sidecar/table_watch.py
@@ -13,7 +13,7 @@
     from boragetrestle_sidecar.store_client import StoreClient, TableChanges
 
 POLL_SECONDS = 25.0  # calls are priced; the store holds a poll for 30 s at most
-SPREAD = (0.7, 1.3)  # so that nodes don't return together
+SPREAD = (0.5, 1.5)  # so that nodes don't return together
 FIRST_PAUSE_SECONDS = 0.2
 LONGEST_PAUSE_SECONDS = 1.2  # entries are due back 2 s after the store's return
 
@@ -65,7 +65,7 @@
             else:
                 pause = FIRST_PAUSE_SECONDS
                 self._note_regained()
-                await asyncio.sleep(self.rest)
+                await asyncio.sleep(self.rest * self.chance.uniform(*SPREAD))
 
     async def _step(self, position: int | None) -> int:
         if position is None:
