--- a/tests/test_path_nodes.py
+++ b/tests/test_path_nodes.py
@@ -9,6 +9,7 @@
 from path_standins import Host, MemoryStore
 
 from boragetrestle_sidecar.caller_request import CallerRequest
+from boragetrestle_sidecar.sidecar import NODES_REST_SECONDS
 from boragetrestle_sidecar.small_server import SmallAnswer
 from boragetrestle_sidecar.steady_clock import steady_now
 from boragetrestle_sidecar.target_report import TargetState
@@ -235,7 +236,8 @@
     """Calls are priced: one read and one poll a table, one row."""
 
     async def test(hosts: list[Host], store: MemoryStore) -> None:
-        await asyncio.sleep(0.2)
+        # Each poll that returned with a change is followed by a rest.
+        await asyncio.sleep(2 * NODES_REST_SECONDS)
         before = store.polls
         await asyncio.sleep(0.5)
         assert store.polls == before
