Wait for both rests before the calm fleet's polls are counted

Cause: the first read and a poll that returns with a change are each followed by a rest, so a poll may start 2.4 s after the node. The check is unchanged after that.

--- a/tests/test_path_nodes.py
+++ b/tests/test_path_nodes.py
@@ -236,8 +236,8 @@
     """Calls are priced: one read and one poll a table, one row."""
 
     async def test(hosts: list[Host], store: MemoryStore) -> None:
-        # Each poll that returned with a change is followed by a rest.
-        await asyncio.sleep(2 * NODES_REST_SECONDS)
+        # The first read and a poll with a change are each followed by a rest.
+        await asyncio.sleep(4 * NODES_REST_SECONDS)
         before = store.polls
         await asyncio.sleep(0.5)
         assert store.polls == before
