--- a/packages/operate/src/boragetrestle/command_timeline.py
+++ b/packages/operate/src/boragetrestle/command_timeline.py
@@ -7,6 +7,7 @@
 from boragetrestle.commands import command
 from boragetrestle.exit_code import ExitCode
 from boragetrestle.gather import Gathered, gather
+from boragetrestle.log_story import LogLine, explain_request, read_log
 from boragetrestle.output import (
     print_error,
     print_json,
@@ -18,6 +19,7 @@
 from boragetrestle_kernel.timeline import Event
 from boragetrestle_kernel.wall_time import show_time
 
+_LOG_COLUMNS = ('time', 'node', 'decision', 'inputs and outcome')
 _COLUMNS = ('time', 'node', 'event', 'reason', 'about')
 _MICROSECONDS = 1_000_000
 _SHOWN_CALL = 8
@@ -68,14 +70,24 @@
 
 
 @command('explain')
-def explain(call_id: str, *, json: bool = False) -> int:
+def explain(
+    call_id: str,
+    *,
+    logs: list[Path] | None = None,
+    json: bool = False,
+) -> int:
     """Show what each node decided about one call, and why.
 
     Example: boragetrestle explain 5b2f6c0e4f5d4b6c9a3e8d7f6a5b4c3d
 
-    :param call_id: value of the answer's header boragetrestle-call
+    :param call_id: value of the answer's header boragetrestle-call, or the
+        request's own id with --logs
+    :param logs: files with the lines that nodes wrote, one file a node; then
+        no node is asked
     :param json: print JSON
     """
+    if logs:
+        return _explain_from_logs(call_id, logs, json=json)
     found = _gather(EventFilter(call=call_id))
     exit_code = _report(f'call {call_id}', found, json=json)
     if not found.events:
@@ -84,6 +96,26 @@
     return exit_code
 
 
+def _explain_from_logs(call_id: str, logs: list[Path], *, json: bool) -> int:
+    story = explain_request(call_id, map(read_log, logs))
+    if json:
+        print_json([line.fields for line in story])
+    else:
+        print_table(f'request {call_id}', _LOG_COLUMNS, map(_log_row, story))
+    if not story:
+        print_error('no line names this request; lines beyond the bound of a')
+        print_error('kind are left out, see lines-suppressed')
+        return ExitCode.REFUSED
+    return ExitCode.DONE
+
+
+def _log_row(line: LogLine) -> tuple[str, ...]:
+    shown = ', '.join(
+        f'{name}={found}' for name, found in line.shown_fields.items()
+    )
+    return (show_time(line.time), line.node, line.kind, shown)
+
+
 def _gather(wanted: EventFilter) -> Gathered:
     async def work(session: Session) -> Gathered:
         return await gather(session, wanted)
--- a/packages/sidecar/src/boragetrestle_sidecar/entry.py
+++ b/packages/sidecar/src/boragetrestle_sidecar/entry.py
@@ -108,6 +108,7 @@
             request=request.shown_id,
             route=request.route.name,
             after=self.clock() - request.arrived_at,
+            guard=request.guard,
             state='sent' if request.hop else 'waiting',
         )
         self.telemetry.count(request.route.name, 'abandoned', '')
@@ -240,12 +241,35 @@
             body=request.request.body,
         )
         request.hop = guard.hop
+        request.guard = guard.address
+        self._log_placement(request, guard, now)
         guard.unconfirmed += 1
         request.token = guard.hop.run(
             order,
             lambda outcome: self._take_outcome(request, guard, outcome),
         )
 
+    def _log_placement(
+        self,
+        request: EntryRequest,
+        guard: 'GuardView',
+        now: float,
+    ) -> None:
+        self.log.line(
+            'placed',
+            request=request.shown_id,
+            route=request.route.name,
+            service=request.service,
+            guard=guard.address,
+            running=guard.running,
+            waiting=guard.waiting,
+            limit=guard.limit,
+            run_seconds=guard.run_seconds,
+            failing_share=guard.failing_share,
+            load_age=now - guard.heard_at,
+            left=request.expires_at - now,
+        )
+
     def _take_outcome(
         self,
         request: EntryRequest,
@@ -373,6 +397,7 @@
             may_have_run=request.may_have_run,
             attempts=request.attempts,
             placements=request.placements,
+            guard=request.guard,
             after=now - request.arrived_at,
             left=request.expires_at - now,
             retry_after=retry_after,
--- a/packages/sidecar/src/boragetrestle_sidecar/entry_request.py
+++ b/packages/sidecar/src/boragetrestle_sidecar/entry_request.py
@@ -18,6 +18,7 @@
     """One request with what was decided about it so far.
 
     ``expires_at`` is when the caller's time or the route's limit is up.
+    ``guard`` is the address of the guard that was asked last.
     ``attempts`` counts the targets that were sent the request, and
     ``may_have_run`` tells whether one of them may have run it.
     """
@@ -39,6 +40,7 @@
     is_over: bool = False
     hop: 'Hop | None' = None
     token: int = 0
+    guard: str = ''
     avoided: list[str] = field(default_factory=list)
     last_reason: 'Reason | None' = None
 
--- a/packages/sidecar/src/boragetrestle_sidecar/program.py
+++ b/packages/sidecar/src/boragetrestle_sidecar/program.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import sys
+from dataclasses import fields
 from typing import TYPE_CHECKING
 
 from boragetrestle_kernel.errors import BoragetrestleError
@@ -12,11 +13,17 @@
     from boragetrestle_sidecar.decision_log import DecisionLog
     from boragetrestle_sidecar.platform_adapter import PlatformAdapter
 
+CHECK = 'check'
 REFUSED = 3  # the exit code of the node for settings that are refused
 
 
-def run_program(adapter: 'PlatformAdapter') -> int:
-    """Run a node until SIGTERM; return 0, or 3 for wrong settings."""
+def run_program(adapter: 'PlatformAdapter', arguments: list[str]) -> int:
+    """Run a node until SIGTERM; return 0, or 3 for wrong settings.
+
+    With the argument ``check`` only the settings are read and shown.
+    """
+    if arguments == [CHECK]:
+        return _check(adapter)
     log = open_log()
     try:
         asyncio.run(_run(adapter, log))
@@ -27,5 +34,17 @@
     return 0
 
 
+def _check(adapter: 'PlatformAdapter') -> int:
+    try:
+        settings = adapter.load_settings()
+    except BoragetrestleError as error:
+        sys.stderr.write(f'boragetrestle-node: {error}\n')
+        return REFUSED
+    for field in fields(settings):
+        shown = getattr(settings, field.name)
+        sys.stdout.write(f'{field.name}: {shown}\n')
+    return 0
+
+
 async def _run(adapter: 'PlatformAdapter', log: 'DecisionLog') -> None:
     await Sidecar(adapter, log).run()
--- a/tests/test_deploy_adapter.py
+++ b/tests/test_deploy_adapter.py
@@ -2,6 +2,7 @@
 
 import json
 import random
+from pathlib import Path
 from typing import Any
 
 import pytest
@@ -24,6 +25,7 @@
 from boragetrestle_kernel.ids import TargetId
 from boragetrestle_sidecar.caller_request import CallerRequest
 from boragetrestle_sidecar.platform_adapter import TargetLeave
+from boragetrestle_sidecar.program import run_program
 from boragetrestle_sidecar.target_report import TargetState
 
 ADAPTER = DeployAdapter()
@@ -180,6 +182,18 @@
                 assert str(error)
 
 
+def test_settings_are_checked_by_the_program(
+    tmp_path: Path,
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Wrong settings end it with 3, before it listens."""
+    path = tmp_path / 'boot.json'
+    monkeypatch.setenv('BORAGETRESTLE_SETTINGS', str(path))
+    assert run_program(ADAPTER, ['check']) == 3
+    path.write_bytes(settings_document())
+    assert run_program(ADAPTER, ['check']) == 0
+
+
 def test_metadata_may_be_missing() -> None:
     """Limits carry no name."""
     limits = {
