--- a/packages/sidecar/src/boragetrestle_sidecar/entry.py
+++ b/packages/sidecar/src/boragetrestle_sidecar/entry.py
@@ -75,6 +75,8 @@
         self.connections: set[CallerConnection] = set()
         self.requests: set[EntryRequest] = set()
         self.arrivals: Counter[str] = Counter()
+        self.calls: Counter[str] = Counter()
+        self.refused_calls: Counter[str] = Counter()
         self.is_stopping = False
         self.dropped_headers = frozenset((
             *HOP_HEADERS,
@@ -169,6 +171,7 @@
             self.arrivals[route.name] += 1
             self.parts.budget.earn(started.service)
         else:
+            self.calls[started.service] += 1
             self.parts.note_call(route.name)
         return started
 
@@ -404,6 +407,8 @@
             version=self.configuration.version if self.configuration else 0,
         )
         self.telemetry.count(request.route.name, 'refused', reason)
+        if reason in SHORTAGES and not request.route.needs_key:
+            self.refused_calls[request.service] += 1
         self._finish(request)
         request.connection.refuse(
             reason,
@@ -496,5 +501,7 @@
     return organisation.terms.name if organisation else ''
 
 
+# Ends of a request for which a target had no room in time.
+SHORTAGES = frozenset((Reason.QUEUE_FULL, Reason.EXPIRED))
 NO_TARGET_RETRY_SECONDS = 0.4  # targets that crash are back after some seconds
 _NEEDED_HEADERS = frozenset((b'host', b'close', b'keep-alive'))
--- a/packages/sidecar/src/boragetrestle_sidecar/guard.py
+++ b/packages/sidecar/src/boragetrestle_sidecar/guard.py
@@ -310,6 +310,10 @@
         is_rejection = self._is_rejection(answer)
         is_failure = is_rejection or answer.status in FAILURE_STATUSES
         self.meter.note_failure(is_failure=is_failure)
+        self.attribution.note_result(
+            job.order.route,
+            is_whole=answer.is_success,
+        )
         if is_rejection:
             self._end(job, self._rejected(answer))
         elif (
--- a/packages/sidecar/src/boragetrestle_sidecar/node_status.py
+++ b/packages/sidecar/src/boragetrestle_sidecar/node_status.py
@@ -11,13 +11,21 @@
     run_seconds: float
 
 
+class CallRate(NamedTuple):
+    """Onward calls a second, and those of them that were turned away."""
+
+    rate: float
+    refused: float
+
+
 class NodeStatus(NamedTuple):
     """The state of a node at one moment.
 
     ``service`` and ``target`` are those beside it; ``is_open`` tells whether
     its guard takes runs. ``arrivals`` holds requests of callers a second by
     route, ``costs`` what was learnt of the runs at its target. ``limit`` is
-    how many runs the guard holds at once.
+    how many runs the guard holds at once. ``calls`` holds onward calls of its
+    target by service.
     """
 
     address: str
@@ -35,3 +43,4 @@
     arrivals: dict[str, float]
     costs: list[RouteCost]
     waited_seconds: float
+    calls: dict[str, CallRate]
--- a/packages/sidecar/src/boragetrestle_sidecar/status_reporter.py
+++ b/packages/sidecar/src/boragetrestle_sidecar/status_reporter.py
@@ -1,10 +1,10 @@
 """Tell all nodes of this one, several times a second."""
 
-from collections import Counter
 from typing import TYPE_CHECKING
 
-from boragetrestle_sidecar.node_status import NodeStatus, RouteCost
+from boragetrestle_sidecar.node_status import CallRate, NodeStatus, RouteCost
 from boragetrestle_sidecar.peer_frames import FrameKind, encode_frame
+from boragetrestle_sidecar.rate_meter import RateMeter
 
 if TYPE_CHECKING:
     from boragetrestle_sidecar.config_keeper import ConfigKeeper
@@ -18,8 +18,6 @@
 LEAST_INTERVAL_SECONDS = 0.25
 # Each status costs about 0.1 ms at both ends: 1 in 100 of a core at most.
 SECONDS_PER_NODE = 0.008
-LEAST_RATE = 0.01  # requests a second below which a route is left out
-RATE_WEIGHT = 0.4  # of the newest interval in the rate of arrivals
 
 
 class StatusReporter:
@@ -43,8 +41,9 @@
         self.fleet = fleet
         self.keeper = keeper
         self.server = server
-        self.rates: dict[str, float] = {}
-        self.seen: Counter[str] = Counter()
+        self.arrivals = RateMeter()
+        self.calls = RateMeter()
+        self.refused = RateMeter()
 
     @property
     def interval(self) -> float:
@@ -56,15 +55,9 @@
 
     def measure(self, elapsed: float) -> None:
         """Take the arrivals of an interval into the rates."""
-        arrivals = self.entry.arrivals
-        for route, count in arrivals.items():
-            rate = (count - self.seen[route]) / elapsed
-            known = self.rates.get(route)
-            if known is None:
-                self.rates[route] = rate
-            else:
-                self.rates[route] = known + RATE_WEIGHT * (rate - known)
-        self.seen = Counter(arrivals)
+        self.arrivals.measure(self.entry.arrivals, elapsed)
+        self.calls.measure(self.entry.calls, elapsed)
+        self.refused.measure(self.entry.refused_calls, elapsed)
         self.guard.attribution.fade()
 
     def send(self) -> None:
@@ -91,11 +84,7 @@
             waiting=load.waiting,
             run_seconds=round(load.run_seconds, 4),
             failing_share=load.failing_share,
-            arrivals={
-                route: round(rate, 2)
-                for route, rate in self.rates.items()
-                if rate > LEAST_RATE
-            },
+            arrivals=self.arrivals.shown(),
             costs=[
                 RouteCost(
                     route,
@@ -105,4 +94,8 @@
                 for route, seconds in guard.meter.by_route.items()
             ],
             waited_seconds=round(guard.meter.waited_seconds, 4),
+            calls={
+                service: CallRate(rate, self.refused.rates.get(service, 0.0))
+                for service, rate in self.calls.shown().items()
+            },
         )
--- a/tests/entry_builders.py
+++ b/tests/entry_builders.py
@@ -170,6 +170,7 @@
         'arrivals': {},
         'costs': [],
         'waited_seconds': 0.0,
+        'calls': {},
     }
     return NodeStatus(**{**known, **fields})
 
--- a/tests/test_path_policies.py
+++ b/tests/test_path_policies.py
@@ -22,7 +22,7 @@
 from boragetrestle_sidecar.call_attribution import CallAttribution
 from boragetrestle_sidecar.call_graph import CallGraph
 from boragetrestle_sidecar.fleet import Fleet
-from boragetrestle_sidecar.node_status import RouteCost
+from boragetrestle_sidecar.node_status import CallRate, RouteCost
 from boragetrestle_sidecar.organisation_policy import OrganisationPolicy
 from boragetrestle_sidecar.outcome import Reason
 from boragetrestle_sidecar.placement import GuardView, choose_guard
@@ -161,6 +161,39 @@
     assert learnt.calls_of('silent').get('seats', 0) < 0.6
 
 
+def learn_runs(learnt: CallAttribution, *, calls: int, is_whole: bool) -> None:
+    """Play runs that make some calls and then succeed or fail."""
+    for _ in range(200):
+        learnt.started('lookup')
+        for _ in range(calls):
+            learnt.called('seat')
+        learnt.ended('lookup')
+        learnt.note_result('lookup', is_whole=is_whole)
+        learnt.fade()
+
+
+def test_runs_that_fail_early_do_not_look_cheap() -> None:
+    """Under a shortage runs end at their first call that is turned away.
+
+    Were their cost learnt from that, more of them would be admitted, and the
+    shortage would last for ever.
+    """
+    learnt = CallAttribution()
+    learn_runs(learnt, calls=8, is_whole=True)
+    learn_runs(learnt, calls=1, is_whole=False)
+    assert learnt.calls_of('lookup')['seat'] == pytest.approx(8, rel=0.1)
+    learn_runs(learnt, calls=4, is_whole=True)
+    assert learnt.calls_of('lookup')['seat'] == pytest.approx(4, rel=0.2)
+
+
+def test_what_was_learnt_from_failing_runs_is_not_kept() -> None:
+    """After a restart into a shortage the first runs fail."""
+    learnt = CallAttribution()
+    learn_runs(learnt, calls=1, is_whole=False)
+    learn_runs(learnt, calls=8, is_whole=True)
+    assert learnt.calls_of('lookup')['seat'] == pytest.approx(8, rel=0.2)
+
+
 def test_cost_of_a_request_covers_all_services_below() -> None:
     """One request makes two calls, each of which makes four."""
     graph = CallGraph([
@@ -239,6 +272,18 @@
     assert overload.plan(waiting=40, run_seconds=0.03)['lookup'] < calm
 
 
+def test_plan_is_cut_until_onward_calls_go_through() -> None:
+    """Costs learnt from failing runs are too low to tell the shortage."""
+    overload = Overload()
+    calm = overload.plan()['lookup']
+    for _ in range(16):
+        cut = overload.plan(calls={'seats': CallRate(400.0, 100.0)})['lookup']
+    assert cut < calm / 2
+    for _ in range(60):
+        back = overload.plan(calls={'seats': CallRate(400.0, 0.0)})['lookup']
+    assert back == pytest.approx(calm)
+
+
 def test_service_without_shortage_is_not_cut() -> None:
     """A route beside the scarce service is served whole."""
     shares = Overload().plan(limit=100)
