--- a/packages/sidecar/src/boragetrestle_sidecar/configuration.py
+++ b/packages/sidecar/src/boragetrestle_sidecar/configuration.py
@@ -7,7 +7,7 @@
 from boragetrestle_sidecar.caller_limits import CallerLimits
 
 if TYPE_CHECKING:
-    from boragetrestle_kernel.ids import Digest, ServiceName, Version
+    from boragetrestle_kernel.ids import Digest, Version
     from boragetrestle_sidecar.organisation_policy import OrganisationPolicy
     from boragetrestle_sidecar.route_policy import RoutePolicy
 
@@ -16,8 +16,7 @@
     """Routes, organisations and limits of one version.
 
     ``document`` is the text as the operators wrote it, for handing on to other
-    nodes. ``max_connections`` bounds the connections of all callers to one
-    target of a service.
+    nodes.
     """
 
     def __init__(
@@ -27,14 +26,12 @@
         document: bytes,
         routes: 'Iterable[RoutePolicy]',
         organisations: 'Iterable[OrganisationPolicy]' = (),
-        max_connections: 'dict[ServiceName, int] | None' = None,
         limits: CallerLimits | None = None,
     ) -> None:
         self.version = version
         self.document = document
         self.routes = tuple(routes)
         self.organisations = {each.terms.name: each for each in organisations}
-        self.max_connections = max_connections or {}
         self.limits = limits or CallerLimits()
         self.by_host = _index_routes(self.routes)
         self.by_digest: dict[Digest, OrganisationPolicy] = {
--- a/packages/sidecar/src/boragetrestle_sidecar/fleet.py
+++ b/packages/sidecar/src/boragetrestle_sidecar/fleet.py
@@ -89,7 +89,6 @@
         view.heard_at = self.clock()
         view.is_open = status.is_open
         view.domain = status.domain
-        view.target = status.target
         view.limit = status.limit
         view.running = status.running
         view.waiting = status.waiting
--- a/packages/sidecar/src/boragetrestle_sidecar/guard.py
+++ b/packages/sidecar/src/boragetrestle_sidecar/guard.py
@@ -120,6 +120,7 @@
                 service=report.service,
                 started_at=report.started_at,
                 slots=report.slots,
+                cold_seconds=report.cold_seconds,
             )
         if not self.is_open:
             self._turn_away(Reason.DRAINING)
@@ -281,7 +282,6 @@
         job.started_at = now
         job.connection = connection
         order = job.order
-        self.meter.start(order.route, waited=now - job.arrived_at)
         self.attribution.started(order.route)
         left = max(1, int((job.expires_at - now) * 1000))
         request = b'%s%s: %d\r\n%s: %s\r\n\r\n%s' % (
--- a/packages/sidecar/src/boragetrestle_sidecar/node_status.py
+++ b/packages/sidecar/src/boragetrestle_sidecar/node_status.py
@@ -21,8 +21,8 @@
 class NodeStatus(NamedTuple):
     """The state of a node at one moment.
 
-    ``service`` and ``target`` are those beside it; ``is_open`` tells whether
-    its guard takes runs. ``arrivals`` holds requests of callers a second by
+    ``service`` is that of the target beside it; ``is_open`` tells whether its
+    guard takes runs. ``arrivals`` holds requests of callers a second by
     route, ``costs`` what was learnt of the runs at its target. ``limit`` is
     how many runs the guard holds at once. ``calls`` holds onward calls of its
     target by service.
@@ -30,10 +30,8 @@
 
     address: str
     domain: str
-    incarnation: int
     version: int
     service: str
-    target: str
     is_open: bool
     limit: int
     running: int
@@ -42,5 +40,4 @@
     failing_share: float
     arrivals: dict[str, float]
     costs: list[RouteCost]
-    waited_seconds: float
     calls: dict[str, CallRate]
--- a/packages/sidecar/src/boragetrestle_sidecar/own_answer.py
+++ b/packages/sidecar/src/boragetrestle_sidecar/own_answer.py
@@ -7,7 +7,6 @@
 from boragetrestle_sidecar.answer_head import phrase_of
 from boragetrestle_sidecar.outcome import Reason
 
-MALFORMED = HTTPStatus.BAD_REQUEST
 _PROBLEM = b'application/problem+json'
 
 
--- a/packages/sidecar/src/boragetrestle_sidecar/path_settings.py
+++ b/packages/sidecar/src/boragetrestle_sidecar/path_settings.py
@@ -32,4 +32,3 @@
     retry_ratio: float = 0.2
     retry_window: float = 10.0
     retry_slack: float = 50.0
-    quota_window: float = 5.0
--- a/packages/sidecar/src/boragetrestle_sidecar/placement.py
+++ b/packages/sidecar/src/boragetrestle_sidecar/placement.py
@@ -42,7 +42,6 @@
     hop: 'Hop'
     domain: str
     service: str = ''
-    target: str = ''
     is_open: bool = False
     limit: int = 1
     running: int = 0
--- a/packages/sidecar/src/boragetrestle_sidecar/platform_adapter.py
+++ b/packages/sidecar/src/boragetrestle_sidecar/platform_adapter.py
@@ -28,7 +28,6 @@
     names: 'WireNames'
     config_table: str
     config_key: str
-    ready_path: bytes
 
     def load_settings(self) -> 'PathSettings':
         """Read the settings; raise ``SettingsError`` for wrong ones."""
--- a/packages/sidecar/src/boragetrestle_sidecar/run_meter.py
+++ b/packages/sidecar/src/boragetrestle_sidecar/run_meter.py
@@ -1,7 +1,5 @@
 """How long runs hold a slot and which onward calls they make."""
 
-from collections import Counter
-
 RUN_WEIGHT = 0.05  # of the newest run in the mean: the last 20 or so count
 FIRST_RUN_SECONDS = 0.05  # assumed before the first run has ended
 
@@ -10,7 +8,6 @@
     """Measure the runs at one target, by route.
 
     >>> meter = RunMeter()
-    >>> meter.start('walks')
     >>> meter.end('walks', 0.2)
     >>> meter.run_seconds_of('walks')
     0.2
@@ -19,9 +16,7 @@
     def __init__(self) -> None:
         self.run_seconds = FIRST_RUN_SECONDS
         self.by_route: dict[str, float] = {}
-        self.started: Counter[str] = Counter()
         self.has_ended = False
-        self.waited_seconds = 0.0
         self.failing_share = 0.0
 
     @property
@@ -29,11 +24,6 @@
         """The mean time of a run, 0 before the first has ended."""
         return self.run_seconds if self.has_ended else 0.0
 
-    def start(self, route: str, *, waited: float = 0.0) -> None:
-        """Count a run that the target is sent after a wait for a slot."""
-        self.started[route] += 1
-        self.waited_seconds += RUN_WEIGHT * (waited - self.waited_seconds)
-
     def note_failure(self, *, is_failure: bool) -> None:
         """Take whether a run failed at the target."""
         change = float(is_failure) - self.failing_share
--- a/packages/sidecar/src/boragetrestle_sidecar/run_order.py
+++ b/packages/sidecar/src/boragetrestle_sidecar/run_order.py
@@ -13,18 +13,15 @@
     ``time_left`` and ``goal_left`` are seconds until the caller's time is up
     and until the response-time goal. ``head`` is the request line with the
     headers, without those that the guard adds. ``is_call`` marks the onward
-    call of a run that is under way, ``returns`` a caller that comes back
-    after a refusal.
+    call of a run that is under way.
     """
 
     service: str
     route: str
     organisation: str
     request_id: RequestId
-    priority: int
     is_call: bool
     may_repeat: bool
-    returns: bool
     sent_at: float
     time_left: float
     goal_left: float
--- a/packages/sidecar/src/boragetrestle_sidecar/status_reporter.py
+++ b/packages/sidecar/src/boragetrestle_sidecar/status_reporter.py
@@ -74,10 +74,8 @@
         return NodeStatus(
             address=self.fleet.address,
             domain=self.settings.domain,
-            incarnation=self.incarnation,
             version=self.keeper.version,
             service=report.service if report else '',
-            target=report.target if report else '',
             is_open=guard.is_open,
             limit=load.limit,
             running=load.running,
@@ -93,7 +91,6 @@
                 )
                 for route, seconds in guard.meter.by_route.items()
             ],
-            waited_seconds=round(guard.meter.waited_seconds, 4),
             calls={
                 service: CallRate(rate, self.refused.rates.get(service, 0.0))
                 for service, rate in self.calls.shown().items()
--- a/packages/sidecar/src/boragetrestle_sidecar/wire_names.py
+++ b/packages/sidecar/src/boragetrestle_sidecar/wire_names.py
@@ -12,7 +12,6 @@
     answer_seal: bytes
     organisation: bytes
     expected_target: bytes
-    load: bytes
     not_run: bytes
     caller_service: bytes
     key_scheme: bytes
--- a/tests/entry_builders.py
+++ b/tests/entry_builders.py
@@ -157,10 +157,8 @@
     known: dict[str, Any] = {
         'address': name,
         'domain': 'a',
-        'incarnation': 1,
         'version': 1,
         'service': service,
-        'target': f't-{name}',
         'is_open': True,
         'limit': 10,
         'running': 0,
@@ -169,7 +167,6 @@
         'failing_share': 0.0,
         'arrivals': {},
         'costs': [],
-        'waited_seconds': 0.0,
         'calls': {},
     }
     return NodeStatus(**{**known, **fields})
--- a/tests/path_standins.py
+++ b/tests/path_standins.py
@@ -131,7 +131,6 @@
     names = NAMES
     config_table = 'operators'
     config_key = 'configuration'
-    ready_path = b'/ready'
 
     def __init__(self, settings: PathSettings, store: MemoryStore) -> None:
         self.settings = settings
