--- a/packages/sidecar/src/boragetrestle_sidecar/call_attribution.py
+++ b/packages/sidecar/src/boragetrestle_sidecar/call_attribution.py
@@ -1,8 +1,9 @@
 """Learn which onward calls the runs on each route make.
 
-A node sees the runs at its target and the calls that the target makes. A call
-expires with its run, which leaves few runs that may have made it; among their
-routes it is divided by how often runs on each were found to make such calls.
+A node sees the runs at its target and the calls that the target makes, but
+nothing ties a call to its run. Each call is attributed to the routes of the
+runs that are under way, in proportion to how often runs on each were found to
+make such calls; over a few hundred calls this settles on the true shares.
 """
 
 from collections import Counter, defaultdict
@@ -56,15 +57,11 @@
         change = float(not is_whole) - known
         self.failing[route] = known + FAILING_WEIGHT * change
 
-    def called(self, called: str, parents: Counter[str] | None = None) -> None:
-        """Attribute a call to its parents, or to all runs under way.
-
-        ``parents`` counts the runs by route that may have made the call.
-        """
-        counts = parents or self.under_way
+    def called(self, called: str) -> None:
+        """Attribute a call to the runs that are under way."""
         weights = {
             route: count * self._share(route, called)
-            for route, count in counts.items()
+            for route, count in self.under_way.items()
             if count > 0
         }
         total = sum(weights.values())
--- a/packages/sidecar/src/boragetrestle_sidecar/entry.py
+++ b/packages/sidecar/src/boragetrestle_sidecar/entry.py
@@ -172,7 +172,7 @@
             self.parts.budget.earn(started.service)
         else:
             self.calls[started.service] += 1
-            self.parts.note_call(route.name, now + left)
+            self.parts.note_call(route.name)
         return started
 
     def _admit(self, request: EntryRequest) -> None:
--- a/packages/sidecar/src/boragetrestle_sidecar/guard.py
+++ b/packages/sidecar/src/boragetrestle_sidecar/guard.py
@@ -1,7 +1,6 @@
 """The single gate of the target beside a node."""
 
 import asyncio
-from collections import Counter
 from collections.abc import Callable
 from typing import TYPE_CHECKING
 
@@ -170,16 +169,6 @@
             self._let_wait(job, now)
         return job
 
-    def note_call(self, called: str, expires_at: float) -> None:
-        """Learn of an onward call of the target that expires at a time."""
-        parents = Counter(
-            job.order.route
-            for job in self.jobs
-            if job.state is JobState.RUNNING
-            and abs(job.expires_at - expires_at) < SAME_EXPIRY_SECONDS
-        )
-        self.attribution.called(called, parents)
-
     def cancel(self, job: GuardJob) -> None:
         """Give up a run whose caller has gone.
 
@@ -391,8 +380,6 @@
 
 # After its time limit a run gets this long for the target's own answer.
 EXPIRY_GRACE_SECONDS = 0.015
-# Times left are told in whole milliseconds and age a little on their way.
-SAME_EXPIRY_SECONDS = 0.005
 LEAST_LEFT_SECONDS = 0.01  # less than a run of the shortest kind takes
 MISDIRECTED = 421
 # Failures that a target causes; 504 is the end of the request's time.
--- a/packages/sidecar/src/boragetrestle_sidecar/sidecar.py
+++ b/packages/sidecar/src/boragetrestle_sidecar/sidecar.py
@@ -212,7 +212,7 @@
             log=self.log,
             telemetry=self.telemetry,
             own_service=self.own_service,
-            note_call=self.guard.note_call,
+            note_call=self.guard.attribution.called,
             chance=self.chance,
         )
         return Entry(self.settings, self.adapter.names, parts)
--- a/tests/entry_builders.py
+++ b/tests/entry_builders.py
@@ -121,7 +121,7 @@
             telemetry=Telemetry(),
             chance=chance(),
             own_service=lambda: 'shop',
-            note_call=lambda route, _expires: self.calls.append(route),
+            note_call=self.calls.append,
         )
         self.entry = Entry(settings(), NAMES, parts, clock=self.clock)
         self.use(configuration(*routes, **options))
--- a/tests/test_path_guard.py
+++ b/tests/test_path_guard.py
@@ -3,7 +3,6 @@
 import pytest
 from path_builders import GuardBench, report, run_order
 
-from boragetrestle_kernel.ids import RequestId
 from boragetrestle_sidecar.outcome import OutcomeKind, Reason
 from boragetrestle_sidecar.target_report import TargetReport, TargetState
 
@@ -181,22 +180,6 @@
     assert len(told) == 1
 
 
-def test_onward_call_is_attributed_to_the_run_that_expires_with_it() -> None:
-    """Runs of another route are under way all the time."""
-    bench = GuardBench(slots=40, connections=40)
-    for number in range(20):
-        bench.submit(run_order(f's-{number}', time_left=0.3 + number / 50))
-    caller = run_order('c-1', time_left=2.0)._replace(route='caller')
-    for number in range(10):
-        order = caller._replace(request_id=RequestId(b'c-%d' % number))
-        job = bench.submit(order)
-        bench.guard.note_call('seat', bench.clock.now + 2.002)
-        bench.answer(job)
-    learnt = bench.guard.attribution
-    assert learnt.calls_of('caller') == {'seat': 1.0}
-    assert not learnt.calls_of('browse')
-
-
 def test_stopping_guard_turns_away_new_runs() -> None:
     """Another node can place them."""
     bench = GuardBench()
