--- a/packages/sidecar/src/boragetrestle_sidecar/answer_head.py
+++ b/packages/sidecar/src/boragetrestle_sidecar/answer_head.py
@@ -13,6 +13,7 @@
     from boragetrestle_sidecar.wire_names import WireNames
 
 _BODILESS = frozenset((HTTPStatus.NO_CONTENT, HTTPStatus.NOT_MODIFIED))
+_PLAIN_CONNECTION = frozenset((b'close', b'keep-alive'))
 _PHRASES = {status.value: status.phrase.encode() for status in HTTPStatus}
 
 
@@ -39,9 +40,6 @@
     return b'\r\n'.join(lines)
 
 
-_PLAIN_CONNECTION = frozenset((b'close', b'keep-alive'))
-
-
 def phrase_of(status: int) -> bytes:
     """Return the reason phrase of a status."""
     return _PHRASES.get(status, b'Unknown')
--- a/packages/sidecar/src/boragetrestle_sidecar/entry.py
+++ b/packages/sidecar/src/boragetrestle_sidecar/entry.py
@@ -36,6 +36,10 @@
 # Kept of a caller's time for the way back of the last answer.
 RETURN_SECONDS = 0.04
 LEAST_RETRY_SECONDS = 0.02  # less than that is not enough for another run
+# Ends of a request for which a target had no room in time.
+SHORTAGES = frozenset((Reason.QUEUE_FULL, Reason.EXPIRED))
+NO_TARGET_RETRY_SECONDS = 0.4  # targets that crash are back after some seconds
+_NEEDED_HEADERS = frozenset((b'host', b'close', b'keep-alive'))
 _REPEATED_STATUSES = frozenset((
     HTTPStatus.INTERNAL_SERVER_ERROR,
     HTTPStatus.BAD_GATEWAY,
@@ -497,9 +501,3 @@
 
 def _name_of(organisation: 'OrganisationPolicy | None') -> str:
     return organisation.terms.name if organisation else ''
-
-
-# Ends of a request for which a target had no room in time.
-SHORTAGES = frozenset((Reason.QUEUE_FULL, Reason.EXPIRED))
-NO_TARGET_RETRY_SECONDS = 0.4  # targets that crash are back after some seconds
-_NEEDED_HEADERS = frozenset((b'host', b'close', b'keep-alive'))
--- a/packages/sidecar/src/boragetrestle_sidecar/guard.py
+++ b/packages/sidecar/src/boragetrestle_sidecar/guard.py
@@ -36,6 +36,12 @@
 UNREACHABLE_SECONDS = 0.3  # a crashed target is back after some seconds
 # A run waits at most this share of what is left until its response-time goal.
 WAIT_SHARE = 0.8
+# After its time limit a run gets this long for the target's own answer.
+EXPIRY_GRACE_SECONDS = 0.015
+LEAST_LEFT_SECONDS = 0.01  # less than a run of the shortest kind takes
+MISDIRECTED = 421
+# Failures that a target causes; 504 is the end of the request's time.
+FAILURE_STATUSES = frozenset((500, 502, 503))
 _LOSS_REASON = {
     Loss.CLOSED: Reason.CONNECTION_LOST,
     Loss.GARBLED: Reason.ANSWER_GARBLED,
@@ -378,14 +384,6 @@
         job.reply(outcome._replace(load=self.load))
 
 
-# After its time limit a run gets this long for the target's own answer.
-EXPIRY_GRACE_SECONDS = 0.015
-LEAST_LEFT_SECONDS = 0.01  # less than a run of the shortest kind takes
-MISDIRECTED = 421
-# Failures that a target causes; 504 is the end of the request's time.
-FAILURE_STATUSES = frozenset((500, 502, 503))
-
-
 class RunListener:
     """Carry the end of an exchange back to its run."""
 
