Run the tests on the virtual clock beside each other

Ruled out: shorter floods on the virtual clock, which would loosen checks. Change: pytest-xdist with WORKERS (4) for tests on the virtual clock; tests on real processes and over loopback still run one at a time, since they measure time.

--- a/Makefile
+++ b/Makefile
@@ -4,6 +4,7 @@
 PY := $(VENV)/bin/python
 BENCH := $(PY) -m boragetrestle_bench
 JOBS ?= 4
+WORKERS ?= 4
 PACKAGES := kernel platform node sidecar standin bench operate
 
 .PHONY: setup test test-quick trial bench bench-check capacity check format
@@ -16,11 +17,14 @@
 
 setup: $(VENV)/.ready
 
+# Tests on the virtual clock run beside each other; those that depend on real
+# time run one at a time.
 test: setup
-	$(PY) -m pytest
+	$(PY) -m pytest -m 'not processes and not loopback' -n $(WORKERS)
+	$(PY) -m pytest -m 'processes or loopback'
 
 test-quick: setup
-	$(PY) -m pytest -m 'not processes'
+	$(PY) -m pytest -m 'not processes' -n $(WORKERS)
 
 trial: setup
 	$(VENV)/bin/boragetrestle trial
--- a/tests/test_path_nodes.py
+++ b/tests/test_path_nodes.py
@@ -4,6 +4,7 @@
 import re
 from collections.abc import Awaitable, Callable
 
+import pytest
 from entry_builders import request_bytes
 from path_builders import LineLog
 from path_standins import Host, MemoryStore
@@ -16,6 +17,8 @@
 
 SETTLE_SECONDS = 3.0
 
+pytestmark = pytest.mark.loopback
+
 
 def play(
     test: Callable[[list[Host], MemoryStore], Awaitable[None]],
