Ping only peers that owe a word; judge silence by the size of the fleet

Cause: every node pinged every other twice a second (14,600 messages a second at 86 nodes), guards counted as silent after 0.7 s although a status comes every 0.69 s at 86 nodes and every 2.4 s at 300, and links were dropped after 1.5 s without a status. A guard that closed was known only from its next status. Ruled out: relays for statuses (another role that can fail). Change: a peer owes a word after a run or a ping; it is pinged after 0.2 s, its guard avoided after 0.7 s and its link dropped after 1.5 s; idle links are pinged every 3 s; status ages are judged in status intervals; outcomes tell whether the guard is open, and a turn is told at once. The tests on 300 nodes fail before.

--- a/packages/sidecar/src/boragetrestle_sidecar/entry.py
+++ b/packages/sidecar/src/boragetrestle_sidecar/entry.py
@@ -213,7 +213,7 @@
             self.fleet.guards_of(request.service),
             domain=self.settings.domain,
             avoided=request.avoided,
-            now=now,
+            is_lively=self.fleet.is_lively,
             chance=self.parts.chance,
         )
         if guard is None:
--- a/packages/sidecar/src/boragetrestle_sidecar/fleet.py
+++ b/packages/sidecar/src/boragetrestle_sidecar/fleet.py
@@ -13,7 +13,14 @@
 
 # The list of nodes is read again within a few seconds of a change.
 ANNOUNCED_SECONDS = 10.0
-STATUS_SECONDS = 5.0  # an older status is not counted in plans
+# A quarter of the shortest time in which a silent peer is noticed.
+LEAST_INTERVAL_SECONDS = 0.25
+# Each status costs about 0.1 ms at both ends: 1 in 100 of a core at most.
+SECONDS_PER_NODE = 0.008
+KEPT_SECONDS = 5.0  # an older status is not counted in plans
+KEPT_INTERVALS = 4.0  # of large fleets, whose nodes tell it more seldom
+SILENT_SECONDS = 0.7  # a guard that is silent for longer is avoided
+SILENT_INTERVALS = 3.0  # a status may be lost
 
 
 class Fleet:
@@ -75,6 +82,22 @@
         if not self.is_confirmed:
             self._replace({*self.members, *members})
 
+    @property
+    def status_interval(self) -> float:
+        """Seconds between two statuses of a node."""
+        least = SECONDS_PER_NODE * len(self.members)
+        return max(LEAST_INTERVAL_SECONDS, least)
+
+    def is_lively(self, guard: GuardView) -> bool:
+        """Return whether a guard has not been silent for long."""
+        if guard.is_local:
+            return True
+        now = self.clock()
+        if guard.hop.silent_seconds(now) > SILENT_SECONDS:
+            return False
+        longest = max(SILENT_SECONDS, SILENT_INTERVALS * self.status_interval)
+        return now - guard.heard_at < longest
+
     def guards_of(self, service: str) -> Sequence[GuardView]:
         """Return the guards of a service's targets."""
         return self.by_service.get(service, ())
@@ -104,6 +127,7 @@
         load = outcome.load
         if load.limit:
             view.heard_at = self.clock()
+            view.is_open = load.is_open
             view.running = max(0, load.running - view.unconfirmed)
             view.waiting = load.waiting
             view.limit = load.limit
@@ -123,7 +147,8 @@
 
     def current_statuses(self) -> 'list[NodeStatus]':
         """Return the statuses that are recent."""
-        oldest = self.clock() - STATUS_SECONDS
+        longest = max(KEPT_SECONDS, KEPT_INTERVALS * self.status_interval)
+        oldest = self.clock() - longest
         return [
             status
             for address, status in self.statuses.items()
--- a/packages/sidecar/src/boragetrestle_sidecar/guard.py
+++ b/packages/sidecar/src/boragetrestle_sidecar/guard.py
@@ -110,6 +110,7 @@
             self.limit,
             self.meter.known_run_seconds,
             round(self.meter.failing_share, 3),
+            self.is_open,
         )
 
     def report(self, report: 'TargetReport') -> None:
--- a/packages/sidecar/src/boragetrestle_sidecar/hop.py
+++ b/packages/sidecar/src/boragetrestle_sidecar/hop.py
@@ -24,6 +24,9 @@
     def cancel(self, number: int) -> None:
         """Give up a run; its outcome is no longer told."""
 
+    def silent_seconds(self, now: float) -> float:
+        """Return for how long the guard has owed a word."""
+
 
 class LocalHop:
     """The way to the guard of the same process."""
@@ -56,3 +59,7 @@
         job = self.jobs.pop(number, None)
         if job is not None:
             self.guard.cancel(job)
+
+    def silent_seconds(self, now: float) -> float:
+        """Return 0: the guard runs on the same loop."""
+        return 0.0
--- a/packages/sidecar/src/boragetrestle_sidecar/member_links.py
+++ b/packages/sidecar/src/boragetrestle_sidecar/member_links.py
@@ -51,6 +51,11 @@
         for address in left:
             self._retire(address)
 
+    def check(self, now: float) -> None:
+        """Look for peers that stay silent."""
+        for link in list(self.links.values()):
+            link.check(now)
+
     def tell_suspect(self, found: str, has_crashed: bool) -> None:
         """Tell all nodes of a request that crashed a target, or didn't."""
         for link in self.links.values():
--- a/packages/sidecar/src/boragetrestle_sidecar/outcome.py
+++ b/packages/sidecar/src/boragetrestle_sidecar/outcome.py
@@ -49,6 +49,7 @@
 
     ``run_seconds`` is the mean time that a run holds a slot, and
     ``failing_share`` the share of runs that the target rejected or failed.
+    ``is_open`` tells whether the guard takes runs.
     """
 
     running: int = 0
@@ -56,6 +57,7 @@
     limit: int = 0
     run_seconds: float = 0.0
     failing_share: float = 0.0
+    is_open: bool = True
 
 
 class Outcome(NamedTuple):
--- a/packages/sidecar/src/boragetrestle_sidecar/peer_frames.py
+++ b/packages/sidecar/src/boragetrestle_sidecar/peer_frames.py
@@ -26,6 +26,7 @@
     SUSPECT = 8
     PING = 9
     ASK_CONFIGURATION = 10
+    PONG = 11
 
 
 class Frame(NamedTuple):
--- a/packages/sidecar/src/boragetrestle_sidecar/peer_link.py
+++ b/packages/sidecar/src/boragetrestle_sidecar/peer_link.py
@@ -2,7 +2,6 @@
 
 import asyncio
 from collections.abc import Callable
-from contextlib import suppress
 from typing import TYPE_CHECKING, cast
 
 from boragetrestle_kernel.errors import WireError
@@ -26,9 +25,13 @@
 CONNECT_SECONDS = 1.0  # several round trips between domains, with one loss
 FIRST_PAUSE_SECONDS = 0.1
 LONGEST_PAUSE_SECONDS = 1.0  # a node that restarts is found again within it
-# Three missed statuses and a round trip: the peer stands still or is cut off.
+# Several round trips with a loss: the peer stands still or is cut off.
 SILENT_SECONDS = 1.5
-PING_SECONDS = 0.5  # below the silence after which the peer drops the link
+# A peer that owes a word for this long is pinged: runs may take longer.
+PING_SECONDS = 0.2
+# Below the silence after which the peer drops the link; a fleet has a link
+# between any two nodes, so what idle ones cost grows with its square.
+IDLE_PING_SECONDS = 3.0
 _LINK_LOST = Outcome(OutcomeKind.UNKNOWN, Reason.LINK_LOST)
 _NOT_CONNECTED = Outcome(OutcomeKind.NOT_SENT, Reason.UNREACHABLE)
 
@@ -50,6 +53,8 @@
         self.replies: dict[int, Callable[[Outcome], None]] = {}
         self.number = 0
         self.heard_at = 0.0
+        self.asked_at: float | None = None
+        self.pinged_at = 0.0
         self.lost = asyncio.Event()
         self.down_since = steady_now()
 
@@ -69,9 +74,33 @@
             asyncio.get_running_loop().call_soon(reply, _NOT_CONNECTED)
         else:
             self.replies[self.number] = reply
+            self._expect_word(steady_now())
             self.writer.send(FrameKind.RUN, self.number, order)
         return self.number
 
+    def silent_seconds(self, now: float) -> float:
+        """Return for how long the peer has owed a word."""
+        if self.asked_at is None:
+            return 0.0
+        return now - max(self.asked_at, self.heard_at)
+
+    def check(self, now: float) -> None:
+        """Ping a peer that has been quiet; drop one that stays silent."""
+        if self.writer is None:
+            return
+        silent = self.silent_seconds(now)
+        if silent > SILENT_SECONDS:
+            self.log.always(
+                'peer-silent',
+                peer=str(self.address),
+                seconds=silent,
+            )
+            self.drop()
+        elif self.pinged_at <= self.heard_at:
+            is_idle = now - self.heard_at > IDLE_PING_SECONDS
+            if is_idle or silent > PING_SECONDS:
+                self._ping(now)
+
     def cancel(self, number: int) -> None:
         """Give up a run."""
         reply = self.replies.pop(number, None)
@@ -91,7 +120,7 @@
         while True:
             if await self._connect():
                 pause = FIRST_PAUSE_SECONDS
-                await self._watch()
+                await self.lost.wait()
             await asyncio.sleep(pause)
             pause = min(LONGEST_PAUSE_SECONDS, pause * 2)
 
@@ -101,8 +130,10 @@
         self.reader = FrameReader()
         self.writer = FrameWriter(cast('asyncio.Transport', transport))
         self.heard_at = steady_now()
+        self.asked_at = None
         self.lost.clear()
         self.writer.send(FrameKind.HELLO, 0, self.messages.hello())
+        self._ping(self.heard_at)
         self.log.always('peer-found', peer=str(self.address))
 
     def connection_lost(self, error: Exception | None) -> None:
@@ -137,6 +168,8 @@
             return
         for frame in frames:
             self._take(frame)
+        if not self.replies:
+            self.asked_at = None
 
     def drop(self) -> None:
         """Close the connection without waiting for the peer."""
@@ -177,21 +210,12 @@
             return False
         return True
 
-    async def _watch(self) -> None:
-        while self.writer is not None:
-            silent = steady_now() - self.heard_at
-            if silent > SILENT_SECONDS:
-                self.log.always(
-                    'peer-silent',
-                    peer=str(self.address),
-                    seconds=silent,
-                )
-                self.drop()
-            else:
-                self.writer.send(FrameKind.PING, 0, [steady_now()])
-            await self._wait_for_loss()
-
-    async def _wait_for_loss(self) -> None:
-        with suppress(TimeoutError):  # the usual end of the wait
-            async with asyncio.timeout(PING_SECONDS):
-                await self.lost.wait()
+    def _ping(self, now: float) -> None:
+        assert self.writer is not None
+        self.pinged_at = now
+        self._expect_word(now)
+        self.writer.send(FrameKind.PING, 0, [now])
+
+    def _expect_word(self, now: float) -> None:
+        if self.asked_at is None:
+            self.asked_at = now
--- a/packages/sidecar/src/boragetrestle_sidecar/peer_server.py
+++ b/packages/sidecar/src/boragetrestle_sidecar/peer_server.py
@@ -18,7 +18,7 @@
     from boragetrestle_sidecar.outcome import Outcome
     from boragetrestle_sidecar.peer_messages import PeerMessages
 
-SILENT_SECONDS = 6.0  # entries ping twice a second
+SILENT_SECONDS = 8.0  # entries ping idle links every 3 s
 
 
 class PeerServer:
@@ -108,6 +108,7 @@
                 self.server.guard.cancel(job)
         elif frame.kind is FrameKind.PING:
             self._held_up(frame.fields[0])
+            self.send(FrameKind.PONG, frame.number, ())
         else:
             self.server.messages.take(frame, self.send, None)
 
--- a/packages/sidecar/src/boragetrestle_sidecar/placement.py
+++ b/packages/sidecar/src/boragetrestle_sidecar/placement.py
@@ -9,7 +9,7 @@
 
 import math
 import random
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
@@ -28,7 +28,6 @@
 # Runs that go to any guard, so that one that was slow gets another chance.
 EXPLORED_SHARE = 0.03
 MAX_COMPARED = 6  # guards looked at; more gain little and cost time
-SILENT_SECONDS = 0.7  # a link that is silent for longer is avoided
 
 
 @dataclass(slots=True, eq=False)
@@ -64,20 +63,19 @@
     *,
     domain: str,
     avoided: Sequence[str],
-    now: float,
+    is_lively: Callable[[GuardView], bool],
     chance: random.Random,
 ) -> GuardView | None:
-    """Return the guard where a run is expected to end first."""
+    """Return the guard where a run is expected to end first.
+
+    Guards that aren't lively are taken when there are no others.
+    """
     open_guards = [
         guard
         for guard in guards
         if guard.is_open and guard.address not in avoided
     ]
-    lively = [
-        guard
-        for guard in open_guards
-        if guard.is_local or now - guard.heard_at < SILENT_SECONDS
-    ]
+    lively = [guard for guard in open_guards if is_lively(guard)]
     candidates = lively or open_guards
     if not candidates:
         return None
--- a/packages/sidecar/src/boragetrestle_sidecar/sidecar.py
+++ b/packages/sidecar/src/boragetrestle_sidecar/sidecar.py
@@ -43,6 +43,7 @@
     from boragetrestle_sidecar.run_order import RunOrder
 
 SWEEP_SECONDS = 0.02  # how late the end of a time limit is seen
+LINK_SWEEP_SECONDS = 0.1  # half of the silence after which peers are pinged
 SLOW_SWEEP_SECONDS = 1.0  # idle connections are closed this late at most
 IDLE_MARGIN_SECONDS = 1.0  # callers reuse connections up to their idle limit
 # Two readiness probes, one a second, are missed before callers go elsewhere.
@@ -281,6 +282,7 @@
             nodes.run(),
             self.registration.run(),
             self._sweep_quickly(),
+            self._sweep_links(),
             self._sweep_slowly(),
             self._report(),
         ):
@@ -314,6 +316,12 @@
             await asyncio.sleep(SWEEP_SECONDS)
             self.guard.sweep()
             self.entry.sweep()
+            self.reporter.send_if_turned()
+
+    async def _sweep_links(self) -> None:
+        while True:
+            await asyncio.sleep(LINK_SWEEP_SECONDS)
+            self.links.check(steady_now())
 
     async def _sweep_slowly(self) -> None:
         while True:
@@ -331,7 +339,7 @@
     async def _report(self) -> None:
         last = steady_now()
         while True:
-            await asyncio.sleep(self.reporter.interval)
+            await asyncio.sleep(self.fleet.status_interval)
             now = steady_now()
             self.reporter.measure(max(now - last, SWEEP_SECONDS))
             last = now
--- a/packages/sidecar/src/boragetrestle_sidecar/status_reporter.py
+++ b/packages/sidecar/src/boragetrestle_sidecar/status_reporter.py
@@ -14,11 +14,6 @@
     from boragetrestle_sidecar.path_settings import PathSettings
     from boragetrestle_sidecar.peer_server import PeerServer
 
-# A quarter of the shortest time in which a silent peer is noticed.
-LEAST_INTERVAL_SECONDS = 0.25
-# Each status costs about 0.1 ms at both ends: 1 in 100 of a core at most.
-SECONDS_PER_NODE = 0.008
-
 
 class StatusReporter:
     """Measure arrivals and send the status of this node."""
@@ -44,14 +39,7 @@
         self.arrivals = RateMeter()
         self.calls = RateMeter()
         self.refused = RateMeter()
-
-    @property
-    def interval(self) -> float:
-        """Seconds between two statuses."""
-        return max(
-            LEAST_INTERVAL_SECONDS,
-            SECONDS_PER_NODE * len(self.fleet.members),
-        )
+        self.was_open = False
 
     def measure(self, elapsed: float) -> None:
         """Take the arrivals of an interval into the rates."""
@@ -60,9 +48,15 @@
         self.refused.measure(self.entry.refused_calls, elapsed)
         self.guard.attribution.fade()
 
+    def send_if_turned(self) -> None:
+        """Send the status at once when the guard has opened or closed."""
+        if self.guard.is_open != self.was_open:
+            self.send()
+
     def send(self) -> None:
         """Send the status to all nodes and to this one's own fleet."""
         status = self.status()
+        self.was_open = status.is_open
         self.fleet.take_status(status)
         self.server.broadcast(encode_frame(FrameKind.STATUS, 0, status))
 
--- a/tests/entry_builders.py
+++ b/tests/entry_builders.py
@@ -68,6 +68,7 @@
     def __init__(self) -> None:
         self.sent: list[SentRun] = []
         self.cancelled: list[int] = []
+        self.silent = 0.0
 
     def run(
         self,
@@ -82,6 +83,10 @@
         """Keep a cancellation."""
         self.cancelled.append(number)
 
+    def silent_seconds(self, now: float) -> float:
+        """Return for how long the guard owes a word."""
+        return self.silent
+
 
 class EntryBench:
     """An entry with guards a and b of the service walks."""
--- a/tests/path_builders.py
+++ b/tests/path_builders.py
@@ -69,6 +69,13 @@
         self.lines.append((kind, fields))
 
 
+class FakeSocket:
+    """A socket that takes all options."""
+
+    def setsockopt(self, *_options: int) -> None:
+        """Take an option."""
+
+
 class FakeTransport:
     """A transport that keeps what is written."""
 
@@ -97,6 +104,10 @@
         """Close after what was written."""
         self.is_closed = True
 
+    def get_extra_info(self, _name: str) -> Any:
+        """Return a socket that takes all options."""
+        return FakeSocket()
+
     def pause_reading(self) -> None:
         """Stop reading."""
 
--- /dev/null
+++ b/tests/test_path_links.py
@@ -0,0 +1,138 @@
+"""Links between nodes: when they are pinged, and when they are dropped."""
+
+import asyncio
+from collections.abc import Callable
+from typing import Any
+
+from path_builders import FakeTransport, LineLog, run_order
+
+from boragetrestle_kernel.address import Address
+from boragetrestle_sidecar.outcome import Outcome, OutcomeKind, Reason
+from boragetrestle_sidecar.peer_frames import (
+    FrameKind,
+    FrameReader,
+    encode_frame,
+)
+from boragetrestle_sidecar.peer_link import PeerLink
+from boragetrestle_sidecar.steady_clock import steady_now
+
+
+class _Messages:
+    """Messages of a node without a fleet."""
+
+    def hello(self) -> list[Any]:
+        """Return the fields of a greeting."""
+        return ['a', 0, []]
+
+    def take(self, *_args: object) -> None:
+        """Pass over a message."""
+
+    def lost(self, _peer: Address) -> None:
+        """Pass over the end of a link."""
+
+
+class _Peer:
+    """A link whose peer answers only what tests let it."""
+
+    def __init__(self) -> None:
+        messages: Any = _Messages()
+        address = Address('127.0.0.1', 9)
+        self.link = PeerLink(address, messages, LineLog())
+        self.transport = FakeTransport()
+        transport: Any = self.transport
+        self.link.connection_made(transport)
+        self.outcomes: list[Outcome] = []
+        self.pong()
+
+    def run(self) -> None:
+        """Send a run."""
+        self.link.run(run_order(), self.outcomes.append)
+
+    def pong(self) -> None:
+        """Let the peer say that it lives."""
+        self.link.data_received(encode_frame(FrameKind.PONG, 0, ()))
+
+    async def pings(self) -> int:
+        """Return how many pings were sent."""
+        await asyncio.sleep(0)
+        frames = FrameReader().feed(self.transport.written)
+        return sum(frame.kind is FrameKind.PING for frame in frames)
+
+
+def play(test: Callable[[_Peer], Any]) -> None:
+    """Run a test with an open link."""
+
+    async def run() -> None:
+        await test(_Peer())
+
+    asyncio.run(run())
+
+
+def test_idle_link_costs_few_messages() -> None:
+    """A fleet has a link between any two nodes."""
+
+    async def test(peer: _Peer) -> None:
+        now = steady_now()
+        before = await peer.pings()
+        for step in range(100):
+            peer.link.check(now + step / 10)
+            peer.pong()
+            peer.link.heard_at = now + step / 10 // 3 * 3
+        assert await peer.pings() - before <= 4
+
+    play(test)
+
+
+def test_idle_link_is_kept() -> None:
+    """Silence says nothing of a peer that was asked nothing."""
+
+    async def test(peer: _Peer) -> None:
+        peer.link.check(steady_now() + 2)
+        assert not peer.transport.is_closed
+
+    play(test)
+
+
+def test_peer_that_owes_an_outcome_is_pinged_and_dropped() -> None:
+    """A host that has lost power sends no reset."""
+
+    async def test(peer: _Peer) -> None:
+        before = await peer.pings()
+        peer.run()
+        now = steady_now()
+        peer.link.check(now + 0.3)
+        assert await peer.pings() == before + 1
+        assert peer.link.silent_seconds(now + 1) > 0.9
+        peer.link.check(now + 2)
+        assert peer.transport.is_closed
+
+    play(test)
+
+
+def test_runs_of_a_dropped_peer_may_have_run() -> None:
+    """The peer may have sent them on before it fell silent."""
+
+    async def test(peer: _Peer) -> None:
+        peer.run()
+        peer.link.connection_lost(None)
+        (outcome,) = peer.outcomes
+        assert outcome.kind is OutcomeKind.UNKNOWN
+        assert outcome.reason is Reason.LINK_LOST
+
+    play(test)
+
+
+def test_long_run_does_not_make_its_peer_silent() -> None:
+    """The peer answers pings while the run goes on."""
+
+    async def test(peer: _Peer) -> None:
+        peer.run()
+        for step in range(40):
+            now = steady_now() + step / 10
+            peer.link.check(now)
+            peer.pong()
+            peer.link.heard_at = now
+            assert peer.link.silent_seconds(now) < 0.7
+        assert not peer.transport.is_closed
+
+    play(test)
--- a/tests/test_path_policies.py
+++ b/tests/test_path_policies.py
@@ -24,7 +24,12 @@
 from boragetrestle_sidecar.fleet import Fleet
 from boragetrestle_sidecar.node_status import CallRate, RouteCost
 from boragetrestle_sidecar.organisation_policy import OrganisationPolicy
-from boragetrestle_sidecar.outcome import Reason
+from boragetrestle_sidecar.outcome import (
+    GuardLoad,
+    Outcome,
+    OutcomeKind,
+    Reason,
+)
 from boragetrestle_sidecar.placement import GuardView, choose_guard
 from boragetrestle_sidecar.rate_gate import RateGate
 from boragetrestle_sidecar.rate_shares import RateShares
@@ -33,6 +38,18 @@
 SEATS = ServiceName('seats')
 
 
+def fleet_at(now: float, *, nodes: int = 2) -> Fleet:
+    """Return a fleet of some nodes whose clock stands still."""
+    return fleet_with(ManualClock(now), nodes=nodes)
+
+
+def fleet_with(clock: ManualClock, *, nodes: int) -> Fleet:
+    """Return a fleet of some nodes."""
+    fleet = Fleet('self', clock=clock)
+    fleet.set_members(f'node-{number}' for number in range(nodes))
+    return fleet
+
+
 def guard(name: str, **fields: Any) -> GuardView:
     """Return an open guard in domain a."""
     view = GuardView(name, PlayedHop(), domain='a')
@@ -57,7 +74,7 @@
     known: dict[str, Any] = {
         'domain': 'a',
         'avoided': (),
-        'now': 100.0,
+        'is_lively': fleet_at(100.0).is_lively,
         'chance': chance(),
     }
     chosen = [
@@ -100,6 +117,48 @@
     assert set(shares_of([silent])) == {'silent'}
 
 
+def test_guard_that_owes_a_word_is_avoided() -> None:
+    """Runs that it was sent are neither answered nor refused."""
+    hop = PlayedHop()
+    hop.silent = 1.0
+    silent = guard('silent', hop=hop)
+    assert set(shares_of([silent, guard('heard')])) == {'heard'}
+
+
+def test_guards_of_a_large_fleet_are_not_taken_for_silent() -> None:
+    """300 nodes tell their status once in 2.4 s."""
+    fleet = fleet_at(100.0, nodes=300)
+    calm = guard('calm', heard_at=97.0)
+    found = shares_of([calm, guard('heard')], is_lively=fleet.is_lively)
+    assert found['calm'] > 500
+
+
+def test_statuses_of_a_large_fleet_count_until_the_next_ones() -> None:
+    """Plans need those of all nodes."""
+    clock = ManualClock(100.0)
+    fleet = fleet_with(clock, nodes=300)
+    fleet.add('far', PlayedHop())
+    fleet.take_status(status('far'))
+    clock.now += 6
+    assert len(fleet.current_statuses()) == 1
+    clock.now += 6
+    assert not fleet.current_statuses()
+
+
+def test_guard_that_closes_is_known_from_its_next_outcome() -> None:
+    """Until its next status it would take runs and turn them away."""
+    fleet = fleet_at(100.0)
+    fleet.add('far', PlayedHop())
+    fleet.take_status(status('far'))
+    (view,) = fleet.guards_of('walks')
+    load = GuardLoad(0, 0, 10, 0.01, is_open=False)
+    fleet.note_outcome(
+        view,
+        Outcome(OutcomeKind.NOT_SENT, Reason.UNREACHABLE, load=load),
+    )
+    assert not view.is_open
+
+
 def test_slow_target_is_tried_again_now_and_then() -> None:
     """Otherwise one that has recovered would stay without work."""
     slow = guard('slow', run_seconds=5.0)
