Learn the calls of a run from those that expire with it

Change: runs stand in an index by the millisecond at which they expire; a call looks at 14 of them. Costs are learnt from whole runs, from failed ones only while there are none, and weighed over nodes by the runs behind them.

--- a/packages/sidecar/src/boragetrestle_sidecar/call_attribution.py
+++ b/packages/sidecar/src/boragetrestle_sidecar/call_attribution.py
@@ -1,108 +1,132 @@
 """Learn which onward calls the runs on each route make.
 
-A node sees the runs at its target and the calls that the target makes, but
-nothing ties a call to its run. Each call is attributed to the routes of the
-runs that are under way, in proportion to how often runs on each were found to
-make such calls; over a few hundred calls this settles on the true shares.
+A node sees the runs at its target and the calls that the target makes. A call
+expires with its run, so the few runs that expire at that moment are its
+possible parents; among several it is divided by how often runs on their routes
+make such calls.
 """
 
-from collections import Counter, defaultdict
+from collections import defaultdict
+from dataclasses import dataclass, field
 
 KEPT_SHARE = 0.97  # of what was learnt, each quarter of a second: about 8 s
 _FIRST_SHARE = 0.5  # calls a run that a new pair of routes starts from
 _LEAST_RUNS = 5.0  # fewer runs say too little
-# Runs that fail end before they have made all their calls: while more than this
-# share fails, what was learnt before is kept.
-MOST_FAILING = 0.1
-SETTLED_RUNS = 40  # that went through, before what was learnt can be kept
-FAILING_WEIGHT = 0.05  # of the newest run: the last 20 or so count
 LEAST_CALLS = 0.15  # calls a run below this are taken for noise
+# A call is told in whole milliseconds, cut down, and ages on its way through a
+# busy loop, so it seems to expire a little before or some time after its run.
+EARLIEST_MS = 1
+LATEST_MS = 12
+
+
+@dataclass(slots=True, eq=False)
+class RunCalls:
+    """The onward calls of one run that is under way."""
+
+    route: str
+    expires_ms: int
+    calls: dict[str, float] = field(default_factory=dict)
+
+
+class _Learnt:
+    """Runs and their calls, the old ones fading."""
+
+    def __init__(self) -> None:
+        self.runs = 0.0
+        self.calls: defaultdict[str, float] = defaultdict(float)
+
+    def add(self, calls: dict[str, float]) -> None:
+        """Take a run that has ended."""
+        self.runs += 1
+        for called, count in calls.items():
+            self.calls[called] += count
+
+    def fade(self) -> None:
+        """Let what is old count less."""
+        self.runs *= KEPT_SHARE
+        for called in self.calls:
+            self.calls[called] *= KEPT_SHARE
 
 
 class CallAttribution:
-    """Count runs by route and attribute calls to them.
+    """Count the onward calls of runs by route.
+
+    Runs that fail end before they have made all their calls, so they count
+    only while no run has gone through.
 
     >>> learnt = CallAttribution()
-    >>> for _ in range(10):
-    ...     learnt.started('walks')
-    ...     learnt.called('seats')
-    ...     learnt.called('seats')
-    ...     learnt.ended('walks')
+    >>> for number in range(10):
+    ...     run = learnt.started('walks', 100.0 + number)
+    ...     learnt.called('seats', 100.002 + number)
+    ...     learnt.called('seats', 100.001 + number)
+    ...     learnt.ended(run, is_whole=True)
     >>> learnt.calls_of('walks')
     {'seats': 2.0}
     """
 
     def __init__(self) -> None:
-        self.under_way: Counter[str] = Counter()
-        self.runs: defaultdict[str, float] = defaultdict(float)
-        self.calls: dict[str, dict[str, float]] = {}
-        self.failing: dict[str, float] = {}
-        self.whole_runs: Counter[str] = Counter()
-        self.settled: dict[str, dict[str, float]] = {}
-
-    def started(self, route: str) -> None:
-        """Note that a run began."""
-        self.under_way[route] += 1
-        if not self._is_failing(route):
-            self.runs[route] += 1
-
-    def ended(self, route: str) -> None:
-        """Note that a run ended."""
-        self.under_way[route] -= 1
-
-    def note_result(self, route: str, *, is_whole: bool) -> None:
-        """Take whether a run went through to its end."""
-        self.whole_runs[route] += is_whole
-        known = self.failing.get(route, 0.0)
-        change = float(not is_whole) - known
-        self.failing[route] = known + FAILING_WEIGHT * change
-
-    def called(self, called: str) -> None:
-        """Attribute a call to the runs that are under way."""
-        weights = {
-            route: count * self._share(route, called)
-            for route, count in self.under_way.items()
-            if count > 0
-        }
-        total = sum(weights.values())
-        if total <= 0:
-            return
-        for route, weight in weights.items():
-            if not self._is_failing(route):
-                by_called = self.calls.setdefault(route, {})
-                known = by_called.get(called, 0.0)
-                by_called[called] = known + weight / total
+        self.under_way: dict[int, list[RunCalls]] = {}
+        self.whole: defaultdict[str, _Learnt] = defaultdict(_Learnt)
+        self.failed: defaultdict[str, _Learnt] = defaultdict(_Learnt)
+
+    def started(self, route: str, expires_at: float) -> RunCalls:
+        """Note that a run was sent; ``expires_at`` is what it was told."""
+        run = RunCalls(route, _milliseconds(expires_at))
+        self.under_way.setdefault(run.expires_ms, []).append(run)
+        return run
+
+    def called(self, called: str, expires_at: float) -> None:
+        """Attribute a call to the runs that expire with it."""
+        parents = self._parents(_milliseconds(expires_at))
+        weights = [self._share(run.route, called) for run in parents]
+        total = sum(weights)
+        for run, weight in zip(parents, weights, strict=True):
+            run.calls[called] = run.calls.get(called, 0.0) + weight / total
+
+    def ended(self, run: RunCalls, *, is_whole: bool) -> None:
+        """Learn from a run that has ended."""
+        together = self.under_way[run.expires_ms]
+        together.remove(run)
+        if not together:
+            del self.under_way[run.expires_ms]
+        learnt = self.whole if is_whole else self.failed
+        learnt[run.route].add(run.calls)
 
     def calls_of(self, route: str) -> dict[str, float]:
         """Return how many calls a run makes, by the route they take."""
-        if self._is_failing(route):
-            return self.settled[route]
-        runs = self.runs[route]
-        if runs < _LEAST_RUNS:
-            return {}
+        learnt = self._learnt(route)
         return {
-            called: round(count / runs, 3)
-            for called, count in self.calls.get(route, {}).items()
-            if count / runs > LEAST_CALLS
+            called: round(count / learnt.runs, 3)
+            for called, count in learnt.calls.items()
+            if learnt.runs >= _LEAST_RUNS and count / learnt.runs > LEAST_CALLS
         }
 
+    def runs_of(self, route: str) -> float:
+        """Return on how many recent runs ``calls_of`` rests."""
+        runs = self._learnt(route).runs
+        return round(runs, 1) if runs >= _LEAST_RUNS else 0.0
+
     def fade(self) -> None:
         """Let what is old count less; called four times a second."""
-        for route in self.runs:
-            learnt = self.calls_of(route)
-            if learnt and self.whole_runs[route] >= SETTLED_RUNS:
-                self.settled[route] = learnt
-        for route in self.runs:
-            self.runs[route] *= KEPT_SHARE
-        for by_called in self.calls.values():
-            for called in by_called:
-                by_called[called] *= KEPT_SHARE
-
-    def _is_failing(self, route: str) -> bool:
-        """Return whether what was learnt before is kept."""
-        is_failing = self.failing.get(route, 0.0) > MOST_FAILING
-        return is_failing and route in self.settled
+        for learnt in (*self.whole.values(), *self.failed.values()):
+            learnt.fade()
+
+    def _learnt(self, route: str) -> _Learnt:
+        whole = self.whole[route]
+        return whole if whole.runs >= _LEAST_RUNS else self.failed[route]
+
+    def _parents(self, expires_ms: int) -> list[RunCalls]:
+        earliest = expires_ms - LATEST_MS
+        return [
+            run
+            for moment in range(earliest, expires_ms + EARLIEST_MS + 1)
+            for run in self.under_way.get(moment, ())
+        ]
 
     def _share(self, route: str, called: str) -> float:
-        known = self.calls.get(route, {}).get(called, 0.0)
-        return (known + _FIRST_SHARE) / (self.runs[route] + 1.0)
+        learnt = self._learnt(route)
+        return (learnt.calls[called] + _FIRST_SHARE) / (learnt.runs + 1.0)
+
+
+def _milliseconds(seconds: float) -> int:
+    return int(seconds * 1000)
--- a/packages/sidecar/src/boragetrestle_sidecar/call_graph.py
+++ b/packages/sidecar/src/boragetrestle_sidecar/call_graph.py
@@ -26,13 +26,18 @@
         self.known: dict[str, dict[ServiceName, Usage]] = {}
 
     def learn(self, reports: Iterable[Iterable[RouteCost]]) -> None:
-        """Take what the nodes report, as the mean over those of a route."""
+        """Take what the nodes report, as the mean over those of a route.
+
+        Calls that no node knows any more stay as they were.
+        """
         by_route: dict[str, list[RouteCost]] = {}
         for costs in reports:
             for cost in costs:
                 by_route.setdefault(cost.route, []).append(cost)
+        known = self.costs
         self.costs = {
-            route: _mean_cost(route, costs) for route, costs in by_route.items()
+            route: _mean_cost(costs, known.get(route))
+            for route, costs in by_route.items()
         }
         self.known.clear()
 
@@ -68,11 +73,18 @@
             self._add(called, runs * count, usage, depth - 1)
 
 
-def _mean_cost(route: str, costs: list[RouteCost]) -> RouteCost:
-    count = len(costs)
+def _mean_cost(costs: list[RouteCost], known: RouteCost | None) -> RouteCost:
+    """Weigh each node's costs by the runs on which they rest."""
+    route = costs[0].route
+    runs = sum(cost.runs for cost in costs)
+    if not runs:
+        seconds = sum(cost.run_seconds for cost in costs) / len(costs)
+        return RouteCost(route, known.calls if known else {}, seconds, 0.0)
     calls: dict[str, float] = {}
+    seconds = 0.0
     for cost in costs:
+        weight = cost.runs / runs
+        seconds += cost.run_seconds * weight
         for called, times in cost.calls.items():
-            calls[called] = calls.get(called, 0.0) + times / count
-    seconds = sum(cost.run_seconds for cost in costs) / count
-    return RouteCost(route, calls, seconds)
+            calls[called] = calls.get(called, 0.0) + times * weight
+    return RouteCost(route, calls, seconds, runs)
--- a/packages/sidecar/src/boragetrestle_sidecar/entry.py
+++ b/packages/sidecar/src/boragetrestle_sidecar/entry.py
@@ -176,7 +176,7 @@
             self.parts.budget.earn(started.service)
         else:
             self.calls[started.service] += 1
-            self.parts.note_call(route.name)
+            self.parts.note_call(route.name, now + left)
         return started
 
     def _admit(self, request: EntryRequest) -> None:
--- a/packages/sidecar/src/boragetrestle_sidecar/entry_parts.py
+++ b/packages/sidecar/src/boragetrestle_sidecar/entry_parts.py
@@ -21,7 +21,7 @@
     """The policies and state that an entry shares with its node.
 
     ``own_service`` names the service on this host, ``note_call`` is told the
-    route of each onward call.
+    route of each onward call and when it expires.
     """
 
     fleet: 'Fleet'
@@ -33,4 +33,4 @@
     telemetry: 'Telemetry'
     chance: 'random.Random'
     own_service: Callable[[], str]
-    note_call: Callable[[str], None]
+    note_call: Callable[[str, float], None]
--- a/packages/sidecar/src/boragetrestle_sidecar/guard.py
+++ b/packages/sidecar/src/boragetrestle_sidecar/guard.py
@@ -289,8 +289,9 @@
         job.started_at = now
         job.connection = connection
         order = job.order
-        self.attribution.started(order.route)
         left = max(1, int((job.expires_at - now) * 1000))
+        told = now + left / 1000
+        job.calls = self.attribution.started(order.route, told)
         request = b'%s%s: %d\r\n%s: %s\r\n\r\n%s' % (
             order.head,
             self.names.time_left,
@@ -312,15 +313,11 @@
         connection = job.connection
         assert connection is not None
         self.pool.give_back(connection)
-        self._release(job)
+        self._release(job, is_whole=answer.is_success)
         self.silence.answered(now, is_idle=not self.running)
         is_rejection = self._is_rejection(answer)
         is_failure = is_rejection or answer.status in FAILURE_STATUSES
         self.meter.note_failure(is_failure=is_failure)
-        self.attribution.note_result(
-            job.order.route,
-            is_whole=answer.is_success,
-        )
         if is_rejection:
             self._end(job, self._rejected(answer))
         elif (
@@ -374,10 +371,10 @@
         for job in self.queue.take_all():
             self._end(job, _not_sent(reason))
 
-    def _release(self, job: GuardJob) -> None:
+    def _release(self, job: GuardJob, *, is_whole: bool = False) -> None:
         self.running -= 1
-        if job.connection is not None:
-            self.attribution.ended(job.order.route)
+        if job.calls is not None:
+            self.attribution.ended(job.calls, is_whole=is_whole)
 
     def _end(self, job: GuardJob, outcome: Outcome) -> None:
         job.state = JobState.ENDED
--- a/packages/sidecar/src/boragetrestle_sidecar/guard_job.py
+++ b/packages/sidecar/src/boragetrestle_sidecar/guard_job.py
@@ -6,6 +6,7 @@
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
+    from boragetrestle_sidecar.call_attribution import RunCalls
     from boragetrestle_sidecar.outcome import Outcome
     from boragetrestle_sidecar.run_order import RunOrder
     from boragetrestle_sidecar.server_connection import ServerConnection
@@ -32,3 +33,4 @@
     state: JobState = JobState.WAITING
     started_at: float = 0.0
     connection: 'ServerConnection | None' = None
+    calls: 'RunCalls | None' = None
--- a/packages/sidecar/src/boragetrestle_sidecar/node_status.py
+++ b/packages/sidecar/src/boragetrestle_sidecar/node_status.py
@@ -4,11 +4,16 @@
 
 
 class RouteCost(NamedTuple):
-    """Onward calls that a run on a route makes, by the route they take."""
+    """Onward calls that a run on a route makes, by the route they take.
+
+    ``runs`` is on how many recent runs ``calls`` rests; with 0 nothing is known
+    of the calls.
+    """
 
     route: str
     calls: dict[str, float]
     run_seconds: float
+    runs: float
 
 
 class CallRate(NamedTuple):
--- a/packages/sidecar/src/boragetrestle_sidecar/status_reporter.py
+++ b/packages/sidecar/src/boragetrestle_sidecar/status_reporter.py
@@ -82,6 +82,7 @@
                     route,
                     guard.attribution.calls_of(route),
                     round(seconds, 4),
+                    guard.attribution.runs_of(route),
                 )
                 for route, seconds in guard.meter.by_route.items()
             ],
--- a/tests/entry_builders.py
+++ b/tests/entry_builders.py
@@ -126,7 +126,7 @@
             telemetry=Telemetry(),
             chance=chance(),
             own_service=lambda: 'shop',
-            note_call=self.calls.append,
+            note_call=lambda called, _expires_at: self.calls.append(called),
         )
         self.entry = Entry(settings(), NAMES, parts, clock=self.clock)
         self.use(configuration(*routes, **options))
--- a/tests/test_path_policies.py
+++ b/tests/test_path_policies.py
@@ -207,27 +207,43 @@
     """Two routes run mixed at one target; only one of them calls."""
     learnt = CallAttribution()
     random = chance()
-    for _ in range(400):
+    for step in range(400):
         names = random.choices(['caller', 'silent'], k=3)
-        for name in names:
-            learnt.started(name)
-        for _ in range(4 * names.count('caller')):
-            learnt.called('seats')
-        for name in names:
-            learnt.ended(name)
+        expiries = [step + random.random() for _ in names]
+        runs = [
+            learnt.started(name, expires_at)
+            for name, expires_at in zip(names, expiries, strict=True)
+        ]
+        for name, expires_at in zip(names, expiries, strict=True):
+            for _ in range(4 * (name == 'caller')):
+                learnt.called('seats', expires_at + random.uniform(0, 0.008))
+        for run in runs:
+            learnt.ended(run, is_whole=True)
     calls = learnt.calls_of('caller').get('seats', 0)
-    assert calls == pytest.approx(4, rel=0.25)
-    assert learnt.calls_of('silent').get('seats', 0) < 0.6
+    assert calls == pytest.approx(4, rel=0.1)
+    assert learnt.calls_of('silent').get('seats', 0) == 0
+
+
+def test_runs_that_expire_together_share_their_calls() -> None:
+    """Which of them made a call shows in the runs that were alone."""
+    learnt = CallAttribution()
+    for step in range(200):
+        caller = learnt.started('caller', step)
+        silent = learnt.started('silent', step + 0.3 * (step % 2))
+        learnt.called('seats', step)
+        learnt.ended(caller, is_whole=True)
+        learnt.ended(silent, is_whole=True)
+    assert learnt.calls_of('caller')['seats'] == pytest.approx(1, rel=0.1)
+    assert learnt.calls_of('silent').get('seats', 0) == 0
 
 
 def learn_runs(learnt: CallAttribution, *, calls: int, is_whole: bool) -> None:
     """Play runs that make some calls and then succeed or fail."""
     for _ in range(200):
-        learnt.started('lookup')
+        run = learnt.started('lookup', 1.0)
         for _ in range(calls):
-            learnt.called('seat')
-        learnt.ended('lookup')
-        learnt.note_result('lookup', is_whole=is_whole)
+            learnt.called('seat', 1.0)
+        learnt.ended(run, is_whole=is_whole)
         learnt.fade()
 
 
@@ -239,7 +255,10 @@
     """
     learnt = CallAttribution()
     learn_runs(learnt, calls=8, is_whole=True)
-    learn_runs(learnt, calls=1, is_whole=False)
+    for _ in range(100):
+        run = learnt.started('lookup', 1.0)
+        learnt.called('seat', 1.0)
+        learnt.ended(run, is_whole=False)
     assert learnt.calls_of('lookup')['seat'] == pytest.approx(8, rel=0.1)
     learn_runs(learnt, calls=4, is_whole=True)
     assert learnt.calls_of('lookup')['seat'] == pytest.approx(4, rel=0.2)
@@ -253,6 +272,23 @@
     assert learnt.calls_of('lookup')['seat'] == pytest.approx(8, rel=0.2)
 
 
+def test_costs_are_weighed_by_the_runs_behind_them() -> None:
+    """A node that has learnt nothing doesn't make a route look cheap."""
+    graph = CallGraph([route('top', services={'walks': 1})])
+    learnt = RouteCost('top', {'seat': 8.0}, 0.1, 100.0)
+    fresh = RouteCost('top', {}, 0.3, 0.0)
+    graph.learn([[learnt], [fresh]])
+    assert graph.costs['top'] == learnt
+
+
+def test_calls_that_no_node_knows_any_more_are_kept() -> None:
+    """While all runs of a route fail there is nothing to learn from."""
+    graph = CallGraph([route('top', services={'walks': 1})])
+    graph.learn([[RouteCost('top', {'seat': 8.0}, 0.1, 100.0)]])
+    graph.learn([[RouteCost('top', {}, 0.2, 0.0)]])
+    assert graph.costs['top'].calls == {'seat': 8.0}
+
+
 def test_cost_of_a_request_covers_all_services_below() -> None:
     """One request makes two calls, each of which makes four."""
     graph = CallGraph([
@@ -262,9 +298,9 @@
     ])
     graph.learn([
         [
-            RouteCost('top', {'middle': 2.0}, 0.1),
-            RouteCost('middle', {'deep': 4.0}, 0.02),
-            RouteCost('deep', {}, 0.03),
+            RouteCost('top', {'middle': 2.0}, 0.1, 9.0),
+            RouteCost('middle', {'deep': 4.0}, 0.02, 9.0),
+            RouteCost('deep', {}, 0.03, 9.0),
         ],
     ])
     usage = graph.usage_of('top')
@@ -275,7 +311,7 @@
 def test_cost_of_routes_that_call_each_other_is_bounded() -> None:
     """A loop in the call graph ends."""
     graph = CallGraph([route('top', services={'walks': 1})])
-    graph.learn([[RouteCost('top', {'top': 1.0}, 0.1)]])
+    graph.learn([[RouteCost('top', {'top': 1.0}, 0.1, 9.0)]])
     assert graph.usage_of('top')[ServiceName('walks')].runs < 20
 
 
@@ -295,9 +331,9 @@
     def plan(self, **fields: Any) -> dict[str, float]:
         """Return the shares for 100 lookups and 20 searches a second."""
         costs = [
-            RouteCost('lookup', {'seat': 8.0}, 0.2),
-            RouteCost('seat', {}, 0.03),
-            RouteCost('search', {}, 0.05),
+            RouteCost('lookup', {'seat': 8.0}, 0.2, 9.0),
+            RouteCost('seat', {}, 0.03, 9.0),
+            RouteCost('search', {}, 0.05, 9.0),
         ]
         self.admission.plan([
             status(
