Weigh failures by the runs that they delay; let onward calls earn repeats

Repeats were earned by callers' requests only, so calls to a service below were hardly ever repeated (60 of 34,794). Ruled out: rates too tight in calm seconds; shortage (plan admitted all).

--- a/packages/sidecar/src/boragetrestle_sidecar/entry.py
+++ b/packages/sidecar/src/boragetrestle_sidecar/entry.py
@@ -171,9 +171,9 @@
             returns=self.admission.is_returning(route, left),
         )
         self.requests.add(started)
+        self.parts.budget.earn(started.service)
         if route.needs_key:
             self.arrivals[route.name] += 1
-            self.parts.budget.earn(started.service)
         else:
             self.calls[started.service] += 1
             self.parts.note_call(route.name, now + left)
--- a/packages/sidecar/src/boragetrestle_sidecar/guard.py
+++ b/packages/sidecar/src/boragetrestle_sidecar/guard.py
@@ -109,7 +109,7 @@
             len(self.queue),
             self.limit,
             self.meter.known_run_seconds,
-            round(self.meter.failing_share, 3),
+            round(self.meter.failing_share(self.clock()), 3),
             self.is_open,
         )
 
@@ -317,7 +317,7 @@
         self.silence.answered(now, is_idle=not self.running)
         is_rejection = self._is_rejection(answer)
         is_failure = is_rejection or answer.status in FAILURE_STATUSES
-        self.meter.note_failure(is_failure=is_failure)
+        self.meter.note_failure(is_failure=is_failure, now=now)
         if is_rejection:
             self._end(job, self._rejected(answer))
         elif (
@@ -325,7 +325,8 @@
         ):
             self._end(job, Outcome(OutcomeKind.UNKNOWN, Reason.ANSWER_GARBLED))
         else:
-            self.meter.end(job.order.route, now - job.started_at)
+            if answer.is_success:
+                self.meter.end(job.order.route, now - job.started_at)
             self._end(
                 job,
                 Outcome(
@@ -340,7 +341,7 @@
     def take_loss(self, job: GuardJob, loss: Loss) -> None:
         """End a run whose connection broke."""
         self._release(job)
-        self.meter.note_failure(is_failure=True)
+        self.meter.note_failure(is_failure=True, now=self.clock())
         if loss is Loss.CLOSED:
             self.crashes.lost(job.order, self.clock())
         self._end(job, Outcome(OutcomeKind.UNKNOWN, _LOSS_REASON[loss]))
--- a/packages/sidecar/src/boragetrestle_sidecar/placement.py
+++ b/packages/sidecar/src/boragetrestle_sidecar/placement.py
@@ -23,9 +23,12 @@
 # A guard that has served nothing yet is expected to be this much quicker than
 # the quickest other one, so that a new target gets work.
 UNKNOWN_SHARE = 0.9
-# A failure costs a caller about as much as an answer this much later.
+# A failure costs a caller about as much as an answer this much later, and the
+# runs that it has to wait for again: failing at once must not look quick.
 FAILURE_SECONDS = 0.5
-# Runs that go to any guard, so that one that was slow gets another chance.
+FAILURE_RUNS = 3.0
+# Runs that go to any guard, so that one that was slow gets another chance;
+# one that fails is tried less often, by the share that it fails.
 EXPLORED_SHARE = 0.03
 MAX_COMPARED = 6  # guards looked at; more gain little and cost time
 
@@ -80,7 +83,9 @@
     if not candidates:
         return None
     if chance.random() < EXPLORED_SHARE:
-        return chance.choice(candidates)
+        explored = chance.choice(candidates)
+        if chance.random() >= explored.failing_share:
+            return explored
     if len(candidates) > MAX_COMPARED:
         candidates = chance.sample(candidates, MAX_COMPARED)
     return _quickest(candidates, domain)
@@ -89,13 +94,14 @@
 def _quickest(guards: Sequence[GuardView], domain: str) -> GuardView:
     known = [guard.run_seconds for guard in guards if guard.run_seconds]
     assumed = min(known, default=FIRST_RUN_SECONDS) * UNKNOWN_SHARE
+    failure = FAILURE_SECONDS + FAILURE_RUNS * max(known, default=0.0)
     best = guards[0]
     least = math.inf
     for guard in guards:
         cost = guard.expected_seconds(guard.run_seconds or assumed)
         if guard.domain != domain:
             cost += CROSSING_SECONDS
-        cost += guard.failing_share * FAILURE_SECONDS
+        cost += guard.failing_share * failure
         if cost < least:
             best = guard
             least = cost
--- a/tests/test_path_entry.py
+++ b/tests/test_path_entry.py
@@ -173,6 +173,18 @@
     assert answers(transport) == [b'500']
 
 
+def test_onward_calls_earn_repeats_of_their_own() -> None:
+    """A call that is not repeated fails the run that waits for it."""
+    bench = EntryBench(route(needs_key=False))
+    bench.budget.slack = 0
+    for number in range(30):
+        connection, _transport = bench.connect()
+        connection.data_received(request_bytes(f'r-{number}'))
+    last = bench.sent_for('r-29')[0]
+    last.end(OutcomeKind.UNKNOWN, Reason.CONNECTION_LOST)
+    assert len(bench.sent_for('r-29')) == 2
+
+
 def test_repeats_stay_within_the_budget() -> None:
     """With the budget spent, failures go to the callers."""
     bench = EntryBench()
--- a/tests/test_path_policies.py
+++ b/tests/test_path_policies.py
@@ -34,6 +34,7 @@
 from boragetrestle_sidecar.rate_gate import RateGate
 from boragetrestle_sidecar.rate_shares import RateShares
 from boragetrestle_sidecar.retry_budget import RetryBudget
+from boragetrestle_sidecar.run_meter import RunMeter
 
 SEATS = ServiceName('seats')
 
@@ -104,6 +105,65 @@
     assert shares_of([grey, guard('sound')])['sound'] > 1900
 
 
+class LyingTarget:
+    """A service of 12 targets, one of which fails all runs at once."""
+
+    def __init__(self) -> None:
+        self.now = 100.0
+        self.meter = RunMeter()
+        self.meter.end('browse', 1.0)
+        self.lying = guard('lying', run_seconds=0.9)
+        others = [guard(f'sound-{number}') for number in range(11)]
+        for other in others:
+            other.run_seconds = 1.0
+        self.guards = [self.lying, *others]
+        self.chance = chance()
+
+    def play(self, seconds: float, *, is_lying: bool) -> float:
+        """Return its share of 100 runs a second, over some time."""
+        taken = 0
+        count = int(seconds * 100)
+        for _ in range(count):
+            self.now += 0.01
+            self.lying.failing_share = self.meter.failing_share(self.now)
+            chosen = choose_guard(
+                self.guards,
+                domain='a',
+                avoided=(),
+                is_lively=lambda _guard: True,
+                chance=self.chance,
+            )
+            if chosen is self.lying:
+                taken += 1
+                self.meter.note_failure(is_failure=is_lying, now=self.now)
+        return taken / count
+
+
+def test_target_that_fails_all_runs_gets_few() -> None:
+    """Long runs elsewhere must not make quick failures look good."""
+    played = LyingTarget()
+    assert played.play(20, is_lying=True) < 0.02
+
+
+def test_target_that_is_well_again_gets_its_share() -> None:
+    """Nothing else would show that it has recovered."""
+    played = LyingTarget()
+    played.play(10, is_lying=True)
+    played.play(10, is_lying=False)
+    assert played.play(20, is_lying=False) > 0.04
+
+
+def test_failures_do_not_look_like_quick_runs() -> None:
+    """The time of a failed run says nothing of the others."""
+    bench = GuardBench(slots=1)
+    first = bench.submit(run_order('r-1'))
+    bench.clock.now += 0.4
+    bench.answer(first)
+    second = bench.submit(run_order('r-2'))
+    bench.answer(second, status=500)
+    assert bench.guard.meter.run_seconds == pytest.approx(0.4)
+
+
 def test_own_domain_is_preferred() -> None:
     """Crossing domains costs time and bytes."""
     far = guard('far', domain='b', run_seconds=0.095)
