--- a/packages/sidecar/src/boragetrestle_sidecar/admission.py
+++ b/packages/sidecar/src/boragetrestle_sidecar/admission.py
@@ -1,19 +1,21 @@
 """Refuse at the entry what a service deeper down would have to refuse."""
 
+import math
 import random
-from collections.abc import Iterable, Mapping
+from collections.abc import Callable, Iterable, Mapping
 from typing import TYPE_CHECKING
 
 from boragetrestle_kernel.ids import ServiceName
 from boragetrestle_sidecar.admission_plan import RouteDemand, plan_admission
+from boragetrestle_sidecar.admitted_rate import AdmittedRate
 from boragetrestle_sidecar.call_graph import CallGraph
 from boragetrestle_sidecar.node_status import NodeStatus
+from boragetrestle_sidecar.steady_clock import steady_now
 
 if TYPE_CHECKING:
     from boragetrestle_sidecar.configuration import Configuration
     from boragetrestle_sidecar.decision_log import DecisionLog
     from boragetrestle_sidecar.entry_request import EntryRequest
-    from boragetrestle_sidecar.route_policy import RoutePolicy
 
 USED_SHARE = 0.97  # of slots that the plan fills: arrivals come in clumps
 # What waits in queues is worked off in this time, beside what is admitted.
@@ -28,9 +30,9 @@
 PLANS_PER_CUT = 3
 GROWTH_STEP = 0.04  # each plan, four a second: back from a half in 3 s
 LEAST_FACTOR = 0.15
-# A caller that comes back has less time left than the first attempts have.
-RETURNING_SHARE = 0.97
-RETURNING_BONUS = 2.0  # times the share of new requests is admitted
+# Of a route's rate, divided evenly among the entries: callers move between
+# them; the rest goes by the arrivals that each has.
+EVEN_SHARE = 0.2
 # Callers wait for up to a third of the time that they have left.
 LONGEST_WAIT_SHARE = 0.33
 LEAST_SPREAD = 0.3  # of the longest wait: callers don't come back at once
@@ -39,14 +41,23 @@
 
 
 class Admission:
-    """Hold the share of each route's requests that is admitted."""
+    """Hold the rate at which this entry admits each route's requests."""
 
-    def __init__(self, chance: random.Random, log: 'DecisionLog') -> None:
+    def __init__(
+        self,
+        chance: random.Random,
+        log: 'DecisionLog',
+        *,
+        address: str = '',
+        clock: Callable[[], float] = steady_now,
+    ) -> None:
         self.chance = chance
         self.log = log
+        self.address = address
+        self.clock = clock
+        self.admitted: dict[str, AdmittedRate] = {}
         self.graph = CallGraph(())
         self.shares: dict[str, float] = {}
-        self.longest_left: dict[str, float] = {}
         self.factors: dict[ServiceName, float] = {}
         self.plans = 0
         self.next_cut: dict[ServiceName, int] = {}
@@ -57,14 +68,6 @@
         self.graph = CallGraph(configuration.routes)
         self.graph.costs = costs
 
-    def is_returning(self, route: 'RoutePolicy', left: float) -> bool:
-        """Return whether a caller seems to come back after a refusal."""
-        longest = self.longest_left.get(route.name, 0.0)
-        if left > longest:
-            self.longest_left[route.name] = left
-            return False
-        return left < longest * RETURNING_SHARE
-
     def refuse_for(self, request: 'EntryRequest') -> float:
         """Return 0 for a request that is admitted, else when to come back.
 
@@ -73,13 +76,17 @@
         route = request.route
         if not route.needs_key:
             return 0.0
-        share = self.shares.get(route.name, 1.0)
-        if request.returns:
-            share *= RETURNING_BONUS
-        if share >= 1 or self.chance.random() < share:
+        admitted = self.admitted.get(route.name)
+        if admitted is None or admitted.take(self.clock()):
             return 0.0
         return self.retry_after(request.expires_at - request.arrived_at)
 
+    def give_back(self, request: 'EntryRequest') -> None:
+        """Take back what a request was admitted with; it won't be sent."""
+        admitted = self.admitted.get(request.route.name)
+        if admitted is not None:
+            admitted.give_back()
+
     def retry_after(self, left: float) -> float:
         """Return when a refused caller may come back, spread at random."""
         longest = min(LONGEST_RETRY_SECONDS, left * LONGEST_WAIT_SHARE)
@@ -109,7 +116,11 @@
             for route, rate in arrivals.items()
             if route in self.graph.routes
         ]
-        self.shares = plan_admission(demands, capacity)
+        scales = plan_admission(demands, capacity)
+        self.shares = {
+            route: min(1.0, scale) for route, scale in scales.items()
+        }
+        self._admit(scales, statuses)
         self.log.line(
             'admission-planned',
             shares={
@@ -124,6 +135,32 @@
             nodes=len(statuses),
         )
 
+    def _admit(
+        self,
+        scales: Mapping[str, float],
+        statuses: list[NodeStatus],
+    ) -> None:
+        """Set the rates of this entry to its part of the fleet's."""
+        now = self.clock()
+        known = self.admitted
+        self.admitted = {}
+        for route, scale in scales.items():
+            if math.isfinite(scale):
+                rate = scale * self._own_part(route, statuses)
+                admitted = known.get(route) or AdmittedRate(rate, now)
+                admitted.set_rate(rate, now)
+                self.admitted[route] = admitted
+
+    def _own_part(self, route: str, statuses: list[NodeStatus]) -> float:
+        """Return how much of a route's arrivals this entry plans for."""
+        rates = {
+            status.address: status.arrivals.get(route, 0.0)
+            for status in statuses
+        }
+        even = sum(rates.values()) / len(rates)
+        own = rates.get(self.address, even)
+        return EVEN_SHARE * even + (1 - EVEN_SHARE) * own
+
     def _demand(self, route: str, rate: float) -> RouteDemand:
         policy = self.graph.routes[route]  # type: ignore[index]
         usage = self.graph.usage_of(route)
--- a/packages/sidecar/src/boragetrestle_sidecar/admission_plan.py
+++ b/packages/sidecar/src/boragetrestle_sidecar/admission_plan.py
@@ -5,6 +5,7 @@
 of requests that fits is worked out at the entry, more urgent routes first.
 """
 
+import math
 from collections.abc import Iterable, Mapping
 from itertools import groupby
 from typing import NamedTuple
@@ -29,30 +30,31 @@
     demands: Iterable[RouteDemand],
     capacity: Mapping[ServiceName, float],
 ) -> dict[str, float]:
-    """Return the share of each route's requests that fits.
+    """Return how many times each route's arrivals fit.
 
     ``capacity`` is slot-seconds a second by service. Routes of one priority
-    that need the same service are cut by the same share.
+    that need the same service get the same scale. Below 1 it is the share that
+    fits; above, how far the arrivals may grow before they are too many.
 
     >>> walks = RouteDemand('walks', 1, 10, {ServiceName('seats'): 0.5})
     >>> gates = RouteDemand('gates', 0, 10, {ServiceName('seats'): 0.1})
     >>> plan_admission([walks, gates], {ServiceName('seats'): 3.5})
-    {'gates': 1.0, 'walks': 0.5}
+    {'gates': 3.5, 'walks': 0.5}
     """
     left = dict(capacity)
-    shares: dict[str, float] = {}
+    scales: dict[str, float] = {}
     ranked = sorted(demands, key=_priority)
     for _priority_value, group in groupby(ranked, key=_priority):
         members = list(group)
-        fits = _fitting_shares(members, left)
+        fits = _fitting_scales(members, left)
         for demand in members:
-            share = min(
+            scale = min(
                 (fits[service] for service in demand.slot_seconds),
-                default=1.0,
+                default=math.inf,
             )
-            shares[demand.route] = share
-            _fill(left, demand, share)
-    return shares
+            scales[demand.route] = scale
+            _fill(left, demand, min(1.0, scale))
+    return scales
 
 
 def _fill(
@@ -66,7 +68,7 @@
         left[service] -= taken
 
 
-def _fitting_shares(
+def _fitting_scales(
     demands: list[RouteDemand],
     left: Mapping[ServiceName, float],
 ) -> dict[ServiceName, float]:
@@ -76,15 +78,15 @@
             asked = demand.arrivals * seconds
             wanted[service] = wanted.get(service, 0.0) + asked
     return {
-        service: _fitting_share(asked, left.get(service))
+        service: _fitting_scale(asked, left.get(service))
         for service, asked in wanted.items()
     }
 
 
-def _fitting_share(asked: float, room: float | None) -> float:
+def _fitting_scale(asked: float, room: float | None) -> float:
     if room is None or asked <= 0:
-        return 1.0
-    return max(0.0, min(1.0, room / asked))
+        return math.inf
+    return max(0.0, room / asked)
 
 
 def _priority(demand: RouteDemand) -> int:
--- a/packages/sidecar/src/boragetrestle_sidecar/call_graph.py
+++ b/packages/sidecar/src/boragetrestle_sidecar/call_graph.py
@@ -8,6 +8,9 @@
 from boragetrestle_sidecar.route_policy import RoutePolicy
 
 MAX_DEPTH = 14  # the deepest call graph that operators use
+# Of the newest run times: guards report means of their last 20 runs, which vary
+# from one plan to the next; four plans a second smooth them over a second.
+TIME_WEIGHT = 0.2
 
 
 class Usage(NamedTuple):
@@ -87,4 +90,8 @@
         seconds += cost.run_seconds * weight
         for called, times in cost.calls.items():
             calls[called] = calls.get(called, 0.0) + times * weight
+    if known is not None:
+        seconds = known.run_seconds + TIME_WEIGHT * (
+            seconds - known.run_seconds
+        )
     return RouteCost(route, calls, seconds, runs)
--- a/packages/sidecar/src/boragetrestle_sidecar/entry.py
+++ b/packages/sidecar/src/boragetrestle_sidecar/entry.py
@@ -168,7 +168,6 @@
             arrived_at=now,
             expires_at=now + min(left - RETURN_SECONDS, route.time_limit),
             goal_at=now + route.goal,
-            returns=self.admission.is_returning(route, left),
         )
         self.requests.add(started)
         self.parts.budget.earn(started.service)
@@ -201,6 +200,7 @@
         if self.rates.take(policy):
             self._place(request)
         else:
+            self.admission.give_back(request)
             self._give_up(
                 request,
                 Reason.RATE_EXCEEDED,
--- a/packages/sidecar/src/boragetrestle_sidecar/entry_request.py
+++ b/packages/sidecar/src/boragetrestle_sidecar/entry_request.py
@@ -32,7 +32,6 @@
     arrived_at: float
     expires_at: float
     goal_at: float
-    returns: bool = False
     head: bytes = b''
     attempts: int = 0
     placements: int = 0
--- a/packages/sidecar/src/boragetrestle_sidecar/sidecar.py
+++ b/packages/sidecar/src/boragetrestle_sidecar/sidecar.py
@@ -82,7 +82,7 @@
         self.links = MemberLinks(self.address, self.fleet, log)
         self.keeper = ConfigKeeper(adapter.decode_configuration, log)
         self.suspects = Suspects()
-        self.admission = Admission(self.chance, log)
+        self.admission = Admission(self.chance, log, address=self.address)
         self.rates = RateGate(
             RateShares(self.address),
             link_of=self.links.get,
--- a/tests/entry_builders.py
+++ b/tests/entry_builders.py
@@ -115,7 +115,12 @@
             chance=chance(),
             clock=self.clock,
         )
-        self.admission = Admission(chance(), self.log)
+        self.admission = Admission(
+            chance(),
+            self.log,
+            address='a',
+            clock=self.clock,
+        )
         parts = EntryParts(
             fleet=self.fleet,
             admission=self.admission,
--- a/tests/test_path_policies.py
+++ b/tests/test_path_policies.py
@@ -379,7 +379,13 @@
     """A fleet whose service seats is asked for twice what it can run."""
 
     def __init__(self) -> None:
-        self.admission = Admission(chance(), LineLog(ManualClock()))
+        self.clock = ManualClock()
+        self.admission = Admission(
+            chance(),
+            LineLog(self.clock),
+            address='a',
+            clock=self.clock,
+        )
         self.admission.configure(
             configuration(
                 route('lookup', services={'walks': 1}, priority=2),
