Attribute calls that have a time of their own; drop the cut of the plan

Change: a call with less than the longest time seen for its route belongs to a run that expires with it; any other one to a run chosen at random, its route by what is known.

--- a/packages/sidecar/src/boragetrestle_sidecar/admission.py
+++ b/packages/sidecar/src/boragetrestle_sidecar/admission.py
@@ -21,15 +21,6 @@
 # What waits in queues is worked off in this time, beside what is admitted.
 DRAIN_SECONDS = 0.5
 LEAST_SHARE = 0.1  # of slots, planned for however short they are
-# Onward calls that are turned away end the runs above them, whose cost then
-# seems low: the plan is cut quickly until calls go through, and grows slowly.
-MOST_REFUSED = 0.03  # of the onward calls to a service
-CUT_FACTOR = 0.8
-# Plans between two cuts: runs that were admitted before the first one go on
-# calling for most of a second.
-PLANS_PER_CUT = 3
-GROWTH_STEP = 0.04  # each plan, four a second: back from a half in 3 s
-LEAST_FACTOR = 0.15
 # Of a route's rate, divided evenly among the entries: callers move between
 # them; the rest goes by the arrivals that each has.
 EVEN_SHARE = 0.2
@@ -58,9 +49,6 @@
         self.admitted: dict[str, AdmittedRate] = {}
         self.graph = CallGraph(())
         self.shares: dict[str, float] = {}
-        self.factors: dict[ServiceName, float] = {}
-        self.plans = 0
-        self.next_cut: dict[ServiceName, int] = {}
 
     def configure(self, configuration: 'Configuration') -> None:
         """Take the routes of a new configuration."""
@@ -130,7 +118,6 @@
             },
             arrivals=arrivals,
             capacity=capacity,
-            factors=self.factors,
             usage={demand.route: demand.slot_seconds for demand in demands},
             nodes=len(statuses),
         )
@@ -182,32 +169,10 @@
                 slots[service] = slots.get(service, 0.0) + status.limit
                 waiting = status.waiting * status.run_seconds
                 queued[service] = queued.get(service, 0.0) + waiting
-        self._adjust(statuses)
         return {
             service: max(
                 count * LEAST_SHARE,
-                count * USED_SHARE * self.factors.get(service, 1.0)
-                - queued[service] / DRAIN_SECONDS,
+                count * USED_SHARE - queued[service] / DRAIN_SECONDS,
             )
             for service, count in slots.items()
         }
-
-    def _adjust(self, statuses: list[NodeStatus]) -> None:
-        """Cut services whose onward calls are turned away."""
-        self.plans += 1
-        rates: dict[ServiceName, float] = {}
-        refused: dict[ServiceName, float] = {}
-        for status in statuses:
-            for name, call_rate in status.calls.items():
-                service = ServiceName(name)
-                rates[service] = rates.get(service, 0.0) + call_rate.rate
-                known = refused.get(service, 0.0)
-                refused[service] = known + call_rate.refused
-        for service, rate in rates.items():
-            factor = self.factors.get(service, 1.0)
-            if refused[service] <= rate * MOST_REFUSED:
-                factor += GROWTH_STEP
-            elif self.plans >= self.next_cut.get(service, 0):
-                factor *= CUT_FACTOR
-                self.next_cut[service] = self.plans + PLANS_PER_CUT
-            self.factors[service] = min(1.0, max(LEAST_FACTOR, factor))
--- a/packages/sidecar/src/boragetrestle_sidecar/call_attribution.py
+++ b/packages/sidecar/src/boragetrestle_sidecar/call_attribution.py
@@ -1,17 +1,21 @@
 """Learn which onward calls the runs on each route make.
 
 A node sees the runs at its target and the calls that the target makes. A call
-expires with its run, so the few runs that expire at that moment are its
-possible parents; among several it is divided by how often runs on their routes
-make such calls.
+whose time is limited by its run expires with it, so the few runs that expire at
+that moment are its possible parents. Any other call may belong to each run
+under way: a route is chosen by how often its runs were found to make such
+calls, and one of its runs at random, which settles on the true numbers over a
+few hundred calls.
 """
 
+import random
 from collections import defaultdict
 from dataclasses import dataclass, field
 
 KEPT_SHARE = 0.97  # of what was learnt, each quarter of a second: about 8 s
 _FIRST_SHARE = 0.5  # calls a run that a new pair of routes starts from
-_LEAST_RUNS = 5.0  # fewer runs say too little
+LEAST_WHOLE_RUNS = 2.0  # most runs on a route make the same calls
+LEAST_FAILED_RUNS = 5.0  # these end anywhere
 LEAST_CALLS = 0.15  # calls a run below this are taken for noise
 # A call is told in whole milliseconds, cut down, and ages on its way through a
 # busy loop, so it seems to expire a little before or some time after its run.
@@ -25,6 +29,7 @@
 
     route: str
     expires_ms: int
+    place: int
     calls: dict[str, float] = field(default_factory=dict)
 
 
@@ -52,59 +57,80 @@
     """Count the onward calls of runs by route.
 
     Runs that fail end before they have made all their calls, so they count
-    only while no run has gone through.
+    only while hardly any run has gone through.
 
     >>> learnt = CallAttribution()
     >>> for number in range(10):
     ...     run = learnt.started('walks', 100.0 + number)
-    ...     learnt.called('seats', 100.002 + number)
-    ...     learnt.called('seats', 100.001 + number)
+    ...     for age in (0.002, 0.001):
+    ...         expires_at = 100.0 + number + age
+    ...         learnt.called('seats', expires_at, expires_with_run=True)
     ...     learnt.ended(run, is_whole=True)
     >>> learnt.calls_of('walks')
     {'seats': 2.0}
     """
 
-    def __init__(self) -> None:
-        self.under_way: dict[int, list[RunCalls]] = {}
+    def __init__(self, chance: random.Random | None = None) -> None:
+        self.chance = chance or random.Random()
+        self.by_expiry: dict[int, list[RunCalls]] = {}
+        self.by_route: dict[str, list[RunCalls]] = {}
         self.whole: defaultdict[str, _Learnt] = defaultdict(_Learnt)
         self.failed: defaultdict[str, _Learnt] = defaultdict(_Learnt)
 
     def started(self, route: str, expires_at: float) -> RunCalls:
         """Note that a run was sent; ``expires_at`` is what it was told."""
-        run = RunCalls(route, _milliseconds(expires_at))
-        self.under_way.setdefault(run.expires_ms, []).append(run)
+        alike = self.by_route.setdefault(route, [])
+        run = RunCalls(route, _milliseconds(expires_at), len(alike))
+        alike.append(run)
+        self.by_expiry.setdefault(run.expires_ms, []).append(run)
         return run
 
-    def called(self, called: str, expires_at: float) -> None:
-        """Attribute a call to the runs that expire with it."""
-        parents = self._parents(_milliseconds(expires_at))
-        weights = [self._share(run.route, called) for run in parents]
-        total = sum(weights)
-        for run, weight in zip(parents, weights, strict=True):
-            run.calls[called] = run.calls.get(called, 0.0) + weight / total
+    def called(
+        self,
+        called: str,
+        expires_at: float,
+        *,
+        expires_with_run: bool,
+    ) -> None:
+        """Attribute a call to a run that may have made it."""
+        parents: list[RunCalls] = []
+        if expires_with_run:
+            parents = self._expiring_at(_milliseconds(expires_at))
+        run = self._choose(parents, called) or self._choose_any(called)
+        if run is not None:
+            run.calls[called] = run.calls.get(called, 0.0) + 1
 
     def ended(self, run: RunCalls, *, is_whole: bool) -> None:
         """Learn from a run that has ended."""
-        together = self.under_way[run.expires_ms]
+        together = self.by_expiry[run.expires_ms]
         together.remove(run)
         if not together:
-            del self.under_way[run.expires_ms]
+            del self.by_expiry[run.expires_ms]
+        alike = self.by_route[run.route]
+        last = alike.pop()
+        if last is not run:
+            alike[run.place] = last
+            last.place = run.place
         learnt = self.whole if is_whole else self.failed
         learnt[run.route].add(run.calls)
 
     def calls_of(self, route: str) -> dict[str, float]:
         """Return how many calls a run makes, by the route they take."""
         learnt = self._learnt(route)
+        if not self.runs_of(route):
+            return {}
         return {
             called: round(count / learnt.runs, 3)
             for called, count in learnt.calls.items()
-            if learnt.runs >= _LEAST_RUNS and count / learnt.runs > LEAST_CALLS
+            if count / learnt.runs > LEAST_CALLS
         }
 
     def runs_of(self, route: str) -> float:
         """Return on how many recent runs ``calls_of`` rests."""
-        runs = self._learnt(route).runs
-        return round(runs, 1) if runs >= _LEAST_RUNS else 0.0
+        learnt = self._learnt(route)
+        is_whole = learnt is self.whole[route]
+        least = LEAST_WHOLE_RUNS if is_whole else LEAST_FAILED_RUNS
+        return round(learnt.runs, 1) if learnt.runs >= least else 0.0
 
     def fade(self) -> None:
         """Let what is old count less; called four times a second."""
@@ -113,15 +139,33 @@
 
     def _learnt(self, route: str) -> _Learnt:
         whole = self.whole[route]
-        return whole if whole.runs >= _LEAST_RUNS else self.failed[route]
+        return whole if whole.runs >= LEAST_WHOLE_RUNS else self.failed[route]
 
-    def _parents(self, expires_ms: int) -> list[RunCalls]:
+    def _expiring_at(self, expires_ms: int) -> list[RunCalls]:
         earliest = expires_ms - LATEST_MS
         return [
             run
             for moment in range(earliest, expires_ms + EARLIEST_MS + 1)
-            for run in self.under_way.get(moment, ())
+            for run in self.by_expiry.get(moment, ())
+        ]
+
+    def _choose(self, runs: list[RunCalls], called: str) -> RunCalls | None:
+        if not runs:
+            return None
+        weights = [self._share(run.route, called) for run in runs]
+        return self.chance.choices(runs, weights)[0]
+
+    def _choose_any(self, called: str) -> RunCalls | None:
+        """Choose among all runs under way, first the route, then the run."""
+        routes = [route for route, alike in self.by_route.items() if alike]
+        if not routes:
+            return None
+        weights = [
+            len(self.by_route[route]) * self._share(route, called)
+            for route in routes
         ]
+        (route,) = self.chance.choices(routes, weights)
+        return self.chance.choice(self.by_route[route])
 
     def _share(self, route: str, called: str) -> float:
         learnt = self._learnt(route)
--- a/packages/sidecar/src/boragetrestle_sidecar/entry.py
+++ b/packages/sidecar/src/boragetrestle_sidecar/entry.py
@@ -35,9 +35,9 @@
 ANSWER_GRACE_SECONDS = 0.03
 # Kept of a caller's time for the way back of the last answer.
 RETURN_SECONDS = 0.04
+# A call with less than this of the longest time seen has it from its run.
+LIMITED_SHARE = 0.97
 LEAST_RETRY_SECONDS = 0.02  # less than that is not enough for another run
-# Ends of a request for which a target had no room in time.
-SHORTAGES = frozenset((Reason.QUEUE_FULL, Reason.EXPIRED))
 NO_TARGET_RETRY_SECONDS = 0.4  # targets that crash are back after some seconds
 _NEEDED_HEADERS = frozenset((b'host', b'close', b'keep-alive'))
 _REPEATED_STATUSES = frozenset((
@@ -79,8 +79,7 @@
         self.connections: set[CallerConnection] = set()
         self.requests: set[EntryRequest] = set()
         self.arrivals: Counter[str] = Counter()
-        self.calls: Counter[str] = Counter()
-        self.refused_calls: Counter[str] = Counter()
+        self.longest_left: dict[str, float] = {}
         self.is_stopping = False
         self.dropped_headers = frozenset((
             *HOP_HEADERS,
@@ -174,10 +173,23 @@
         if route.needs_key:
             self.arrivals[route.name] += 1
         else:
-            self.calls[started.service] += 1
-            self.parts.note_call(route.name, now + left)
+            self._attribute(route.name, now, left)
         return started
 
+    def _attribute(self, route: str, now: float, left: float) -> None:
+        """Tell which run an onward call may belong to.
+
+        Each kind of call has a longest time of its own; one with less has it
+        from its run.
+        """
+        longest = max(left, self.longest_left.get(route, 0.0))
+        self.longest_left[route] = longest
+        self.parts.attribution.called(
+            route,
+            now + left,
+            expires_with_run=left < longest * LIMITED_SHARE,
+        )
+
     def _admit(self, request: EntryRequest) -> None:
         if self.suspects.crashes and self.suspects.blocks(_print_of(request)):
             self._give_up(request, Reason.SUSPECT, retry_after=1.0)
@@ -409,8 +421,6 @@
             version=self.configuration.version if self.configuration else 0,
         )
         self.telemetry.count(request.route.name, 'refused', reason)
-        if reason in SHORTAGES and not request.route.needs_key:
-            self.refused_calls[request.service] += 1
         self._finish(request)
         request.connection.refuse(
             reason,
--- a/packages/sidecar/src/boragetrestle_sidecar/entry_parts.py
+++ b/packages/sidecar/src/boragetrestle_sidecar/entry_parts.py
@@ -8,6 +8,7 @@
     import random
 
     from boragetrestle_sidecar.admission import Admission
+    from boragetrestle_sidecar.call_attribution import CallAttribution
     from boragetrestle_sidecar.decision_log import DecisionLog
     from boragetrestle_sidecar.fleet import Fleet
     from boragetrestle_sidecar.rate_gate import RateGate
@@ -20,8 +21,8 @@
 class EntryParts:
     """The policies and state that an entry shares with its node.
 
-    ``own_service`` names the service on this host, ``note_call`` is told the
-    route of each onward call and when it expires.
+    ``own_service`` names the service on this host, ``attribution`` is told of
+    each onward call.
     """
 
     fleet: 'Fleet'
@@ -33,4 +34,4 @@
     telemetry: 'Telemetry'
     chance: 'random.Random'
     own_service: Callable[[], str]
-    note_call: Callable[[str, float], None]
+    attribution: 'CallAttribution'
--- a/packages/sidecar/src/boragetrestle_sidecar/node_status.py
+++ b/packages/sidecar/src/boragetrestle_sidecar/node_status.py
@@ -16,21 +16,13 @@
     runs: float
 
 
-class CallRate(NamedTuple):
-    """Onward calls a second, and those of them that were turned away."""
-
-    rate: float
-    refused: float
-
-
 class NodeStatus(NamedTuple):
     """The state of a node at one moment.
 
     ``service`` is that of the target beside it; ``is_open`` tells whether its
     guard takes runs. ``arrivals`` holds requests of callers a second by
     route, ``costs`` what was learnt of the runs at its target. ``limit`` is
-    how many runs the guard holds at once. ``calls`` holds onward calls of its
-    target by service.
+    how many runs the guard holds at once.
     """
 
     address: str
@@ -45,4 +37,3 @@
     failing_share: float
     arrivals: dict[str, float]
     costs: list[RouteCost]
-    calls: dict[str, CallRate]
--- a/packages/sidecar/src/boragetrestle_sidecar/peer_messages.py
+++ b/packages/sidecar/src/boragetrestle_sidecar/peer_messages.py
@@ -3,7 +3,7 @@
 from collections.abc import Callable
 from typing import TYPE_CHECKING, Any, Protocol
 
-from boragetrestle_sidecar.node_status import CallRate, NodeStatus, RouteCost
+from boragetrestle_sidecar.node_status import NodeStatus, RouteCost
 from boragetrestle_sidecar.peer_frames import Frame, FrameKind
 
 if TYPE_CHECKING:
@@ -98,8 +98,7 @@
 ) -> None:
     told = NodeStatus(*frame.fields)
     costs = [RouteCost(*cost) for cost in told.costs]
-    calls = {name: CallRate(*rate) for name, rate in told.calls.items()}
-    status = told._replace(costs=costs, calls=calls)
+    status = told._replace(costs=costs)
     messages.fleet.take_status(status)
     if messages.keeper.misses(status.version):
         answer(FrameKind.ASK_CONFIGURATION, 0, [messages.keeper.version])
--- a/packages/sidecar/src/boragetrestle_sidecar/sidecar.py
+++ b/packages/sidecar/src/boragetrestle_sidecar/sidecar.py
@@ -215,7 +215,7 @@
             log=self.log,
             telemetry=self.telemetry,
             own_service=self.own_service,
-            note_call=self.guard.attribution.called,
+            attribution=self.guard.attribution,
             chance=self.chance,
         )
         return Entry(self.settings, self.adapter.names, parts)
--- a/packages/sidecar/src/boragetrestle_sidecar/status_reporter.py
+++ b/packages/sidecar/src/boragetrestle_sidecar/status_reporter.py
@@ -2,7 +2,7 @@
 
 from typing import TYPE_CHECKING
 
-from boragetrestle_sidecar.node_status import CallRate, NodeStatus, RouteCost
+from boragetrestle_sidecar.node_status import NodeStatus, RouteCost
 from boragetrestle_sidecar.peer_frames import FrameKind, encode_frame
 from boragetrestle_sidecar.rate_meter import RateMeter
 
@@ -37,15 +37,11 @@
         self.keeper = keeper
         self.server = server
         self.arrivals = RateMeter()
-        self.calls = RateMeter()
-        self.refused = RateMeter()
         self.was_open = False
 
     def measure(self, elapsed: float) -> None:
         """Take the arrivals of an interval into the rates."""
         self.arrivals.measure(self.entry.arrivals, elapsed)
-        self.calls.measure(self.entry.calls, elapsed)
-        self.refused.measure(self.entry.refused_calls, elapsed)
         self.guard.attribution.fade()
 
     def send_if_turned(self) -> None:
@@ -86,8 +82,4 @@
                 )
                 for route, seconds in guard.meter.by_route.items()
             ],
-            calls={
-                service: CallRate(rate, self.refused.rates.get(service, 0.0))
-                for service, rate in self.calls.shown().items()
-            },
         )
