Write the fault soak: real nodes as processes, harmed from outside

Change: tests/soak_run.py plays seeds: node processes are killed, stopped, paused and told to reload; ways to store and target go through a proxy that delays, resets, silences or cuts one way; the store refuses, loses answers and its history; targets crash, drain, lose answers; keys and configurations change. Left: links between nodes are harmed by pausing and killing nodes, not by a proxy: a node registers the address that it listens on.

--- /dev/null
+++ b/tests/soak_host.py
@@ -0,0 +1,221 @@
+"""A host of the soak: the real node as a process, and its target."""
+
+import asyncio
+import json
+import os
+import random
+import signal
+import sys
+import time
+from hashlib import sha256
+from pathlib import Path
+from typing import TYPE_CHECKING
+
+from soak_http import Message, answer_of, call, serve
+from soak_proxy import Proxy
+from soak_witness import Run
+
+if TYPE_CHECKING:
+    from soak_witness import Witness
+
+ROOT = Path(__file__).parent.parent
+HEARTBEAT_SECONDS = 0.5
+RESTART_SECONDS = 0.3  # the platform starts an ended process again soon
+WORK_SECONDS = (0.005, 0.06)
+CALL_SECONDS = 2.0
+SLOTS = 16
+
+
+def body_of(request_id: str) -> bytes:
+    """Return the only right answer to a request."""
+    return sha256(request_id.encode()).hexdigest().encode()
+
+
+class SoakHost:
+    """One node process with proxies to its target and to the store."""
+
+    def __init__(
+        self,
+        number: int,
+        folder: Path,
+        store: tuple[str, int],
+        witness: 'Witness',
+        chance: random.Random,
+    ) -> None:
+        self.number = number
+        self.ip = f'127.8.0.{number}'
+        self.folder = folder
+        self.witness = witness
+        self.chance = chance
+        self.target_proxy = Proxy((self.ip, 7009))
+        self.store_proxy = Proxy(store)
+        self.process: asyncio.subprocess.Process | None = None
+        self.expected_end = False
+        self.is_over = False
+        self.target = ''
+        self.starts = 0
+        self.sequence = 0
+        self.state = 'ready'
+        self.is_up = True
+        self.loses_answers = False
+        self.tasks: list[asyncio.Task[None]] = []
+
+    async def start(self) -> None:
+        """Start the target, the proxies and the node."""
+        await serve(self.ip, 7009, self._answer)
+        await self.target_proxy.listen(self.ip, 7001)
+        await self.store_proxy.listen(self.ip, 7007)
+        self.restart_target()
+        loop = asyncio.get_running_loop()
+        self.tasks = [
+            loop.create_task(self._keep_node()),
+            loop.create_task(self._beat()),
+        ]
+
+    async def stop(self) -> None:
+        """End all that was started."""
+        self.is_over = True
+        self.target_proxy.close()
+        self.store_proxy.close()
+        self.tasks[1].cancel()
+        if self.process is not None and self.process.returncode is None:
+            self.process.kill()
+        await self.tasks[0]
+
+    def signal(self, number: signal.Signals) -> None:
+        """Send the node a signal."""
+        self.witness.disturbed[self.number].append(time.monotonic())
+        if self.process is None or self.process.returncode is not None:
+            return
+        if number in {signal.SIGKILL, signal.SIGTERM}:
+            self.expected_end = True
+        self.process.send_signal(number)
+
+    def restart_target(self) -> None:
+        """Begin a new incarnation of the target."""
+        self.starts += 1
+        self.target = f't-{self.number}-{self.starts}'
+        self.born = int(time.time() * 1000)
+        self.sequence = 0
+        self.state = 'ready'
+        self.is_up = True
+
+    async def drain(self) -> None:
+        """Report that the target leaves, and note the acknowledgement."""
+        self.state = 'draining'
+        target = self.target
+        if await self._report():
+            self.witness.drained_at[target] = time.monotonic()
+
+    async def _keep_node(self) -> None:
+        path = self.folder / f'{self.number}.json'
+        path.write_text(json.dumps(self._settings()))
+        with (self.folder / f'{self.number}.log').open('ab') as log:
+            while not self.is_over:
+                self.expected_end = False
+                self.process = await asyncio.create_subprocess_exec(
+                    sys.executable,
+                    str(ROOT / 'platform' / 'start.py'),
+                    stdout=log,
+                    stderr=log,
+                    env={**os.environ, 'BORAGETRESTLE_SETTINGS': str(path)},
+                )
+                code = await self.process.wait()
+                if not self.expected_end and not self.is_over:
+                    line = f'node {self.number} ended by itself with {code}'
+                    self.witness.ended.append(line)
+                await asyncio.sleep(RESTART_SECONDS)
+
+    async def _beat(self) -> None:
+        while True:
+            if self.is_up:
+                await self._report()
+            await asyncio.sleep(HEARTBEAT_SECONDS)
+
+    async def _report(self) -> bool:
+        self.sequence += 1
+        info = {'Service': 'walks', 'Version': 'v', 'Zone': 'a', 'Slots': SLOTS}
+        status = {
+            'State': self.state,
+            'Sequence': self.sequence,
+            'ColdRemainingMs': 0,
+        }
+        body = json.dumps({
+            'Address': f'{self.ip}:7001',
+            'Info': info,
+            'Status': status,
+            'born': self.born,
+        }).encode()
+        head = (
+            f'PUT /instances/{self.target} HTTP/1.1\r\nhost: node\r\n'
+            f'content-length: {len(body)}\r\n\r\n'
+        )
+        try:
+            answer = await call(
+                (self.ip, 7005),
+                head.encode() + body,
+                seconds=1.0,
+            )
+        except (OSError, EOFError, TimeoutError):
+            return False
+        return answer.first[1] == '200'
+
+    async def _answer(self, request: Message) -> bytes | None:
+        headers = request.headers
+        request_id = headers.get('x-request-id', '')
+        if headers.get('x-target-instance') != self.target or not self.is_up:
+            return answer_of(421, x_request_id=request_id)
+        self.witness.runs.append(
+            Run(
+                request_id,
+                self.target,
+                time.monotonic(),
+                headers.get('x-tenant-id', ''),
+                'authorization' in headers,
+            )
+        )
+        await asyncio.sleep(self.chance.uniform(*WORK_SECONDS))
+        if self.loses_answers:
+            return None
+        if request.first[1].startswith('/outer/') and not await self._call():
+            return answer_of(500, x_request_id=request_id, x_server_seal='s')
+        return answer_of(
+            200,
+            body_of(request_id),
+            x_request_id=request_id,
+            x_server_seal='s',
+        )
+
+    async def _call(self) -> bool:
+        """Make an onward call, as targets do."""
+        request_id = f'c{self.chance.getrandbits(60):x}'
+        request = (
+            f'GET /inner/1 HTTP/1.1\r\nhost: example\r\n'
+            f'x-request-id: {request_id}\r\nx-deadline-ms: 2000\r\n\r\n'
+        )
+        try:
+            answer = await call(
+                (self.ip, 7002),
+                request.encode(),
+                seconds=CALL_SECONDS,
+            )
+        except (OSError, EOFError, TimeoutError):
+            return False
+        return answer.first[1] == '200'
+
+    def _settings(self) -> dict[str, object]:
+        return {
+            'NodeName': f'node-{self.number}',
+            'Zone': f'z{self.number % 3}',
+            'ListenAddrs': {
+                'Inbound': f'{self.ip}:7003',
+                'Outbound': f'{self.ip}:7002',
+                'Ready': f'{self.ip}:7004',
+                'Control': f'{self.ip}:7005',
+            },
+            'HeartbeatMs': HEARTBEAT_SECONDS * 1000,
+            'Bounds': {'GraceS': 3},
+            'AppAddr': f'{self.ip}:7001',
+            'Service': 'walks',
+            'Provider': {'Address': f'{self.ip}:7007'},
+        }
--- /dev/null
+++ b/tests/soak_run.py
@@ -0,0 +1,364 @@
+"""Run real nodes as processes, harm them from outside, and check promises.
+
+``python tests/soak_run.py --seeds 50`` plays seeds 1 to 50; ``--first`` begins
+elsewhere. A seed that broke a promise is printed with what was seen, and its
+logs are kept.
+"""
+
+import argparse
+import asyncio
+import base64
+import json
+import random
+import signal
+import sys
+import tempfile
+import time
+from collections.abc import Callable, Coroutine
+from pathlib import Path
+from typing import Any
+
+from soak_host import SoakHost, body_of
+from soak_http import read_message, serve
+from soak_proxy import Harm
+from soak_store import SoakStore
+from soak_witness import Sent, Witness
+
+HOSTS = 6
+CALLERS = 24
+START_SECONDS = 3.0
+CALM_SECONDS = 7.0  # recovery is due well within it; its last part is checked
+CHECKED_SECONDS = 2.0
+CALLER_REST_SECONDS = (0.01, 0.15)
+FAULT_REST_SECONDS = (0.05, 0.7)
+HARM_SECONDS = (0.3, 3.0)
+STORE = ('127.8.0.250', 7000)
+TIME_LIMIT_SECONDS = 3.0
+SHOWN_FAULTS = 10
+
+Fault = Callable[['Soak'], Coroutine[Any, Any, None]]
+FAULTS: dict[str, Fault] = {}
+
+
+def fault(function: Fault) -> Fault:
+    """Register a fault by its name."""
+    FAULTS[function.__name__] = function
+    return function
+
+
+class Soak:
+    """One seed: hosts, callers, a store, and faults in series."""
+
+    def __init__(self, seed: int, folder: Path) -> None:
+        self.chance = random.Random(seed)
+        self.witness = Witness()
+        self.store = SoakStore()
+        self.version = 0
+        self.keys = {f'key-{number}': f'org-{number}' for number in range(12)}
+        self.witness.owners = {'': '', **self.keys}
+        self.played: list[str] = []
+        self.is_over = False
+        self.hosts = [
+            SoakHost(number + 1, folder, STORE, self.witness, self.chance)
+            for number in range(HOSTS)
+        ]
+
+    async def play(self, seconds: float) -> list[str]:
+        """Play all faults and return what broke."""
+        server = await serve(*STORE, self.store.handle)
+        await self.configure()
+        for host in self.hosts:
+            await host.start()
+        await asyncio.sleep(START_SECONDS)
+        callers = [
+            asyncio.create_task(self._call_on(number))
+            for number in range(CALLERS)
+        ]
+        await self._harm_for(seconds)
+        await asyncio.sleep(CALM_SECONDS)
+        calm_since = time.monotonic() - CHECKED_SECONDS
+        self.is_over = True
+        await asyncio.gather(*callers)
+        await asyncio.gather(*(host.stop() for host in self.hosts))
+        server.close()
+        return self.witness.faults(calm_since)
+
+    async def configure(self) -> None:
+        """Write a newer configuration."""
+        self.version += self.chance.randint(1, 5)
+        resources = [
+            *(_route(*terms) for terms in _ROUTES),
+            *(
+                _resource(
+                    'Tenants',
+                    owner,
+                    {'ApiKeys': [key], 'RatePerS': 0, 'Burst': 0},
+                )
+                for key, owner in self.keys.items()
+            ),
+        ]
+        document = {'Version': self.version, 'Resources': resources}
+        encoded = base64.b64encode(json.dumps(document).encode()).decode()
+        await self.store.put('op', 'config', encoded)
+
+    def some_host(self) -> SoakHost:
+        """Choose a host."""
+        return self.chance.choice(self.hosts)
+
+    async def _harm_for(self, seconds: float) -> None:
+        until = time.monotonic() + seconds
+        under_way: list[asyncio.Task[None]] = []
+        while time.monotonic() < until:
+            name = self.chance.choice(sorted(FAULTS))
+            self.played.append(name)
+            under_way.append(asyncio.create_task(FAULTS[name](self)))
+            await asyncio.sleep(self.chance.uniform(*FAULT_REST_SECONDS))
+        await asyncio.gather(*under_way)
+
+    async def _call_on(self, number: int) -> None:
+        """Send requests, on a kept connection as long as it is open."""
+        chance = random.Random(number)
+        link: tuple[asyncio.StreamReader, asyncio.StreamWriter] | None = None
+        host = chance.choice(self.hosts)
+        while not self.is_over:
+            await asyncio.sleep(chance.uniform(*CALLER_REST_SECONDS))
+            if link is None:
+                host = chance.choice(self.hosts)
+                try:
+                    link = await asyncio.open_connection(host.ip, 7002)
+                except OSError:
+                    continue  # the node is down: another one is tried
+            if not await self._request(chance, host, link):
+                link[1].transport.abort()
+                link = None
+        if link is not None:
+            link[1].transport.abort()
+
+    async def _request(
+        self,
+        chance: random.Random,
+        host: SoakHost,
+        link: tuple[asyncio.StreamReader, asyncio.StreamWriter],
+    ) -> bool:
+        """Send one request; return whether the connection can be kept."""
+        reader, writer = link
+        request_id = f'r{chance.getrandbits(60):x}'
+        prefix, _kind, _public = chance.choice(_ROUTES[:3])
+        key = chance.choice(list(self.witness.owners)[1:])
+        sent_at = time.monotonic()
+        status = 0
+        is_whole = False
+        keeps = False
+        try:
+            async with asyncio.timeout(TIME_LIMIT_SECONDS):
+                writer.write(_head(prefix, request_id, key))
+                answer = await read_message(reader)
+            status = int(answer.first[1])
+            has_seal = 'x-server-seal' in answer.headers
+            is_whole = has_seal and answer.body == body_of(request_id)
+            keeps = answer.headers.get('connection', '') != 'close'
+        except (OSError, EOFError, TimeoutError):
+            keeps = False  # counted with status 0
+        self.witness.sent.append(
+            Sent(
+                request_id,
+                host.number,
+                sent_at,
+                prefix != '/buy/',
+                key,
+                status,
+                is_whole,
+            )
+        )
+        return keeps
+
+
+_ROUTES = (
+    ('/walks/', 'idempotent', False),
+    ('/buy/', 'non_idempotent', False),
+    ('/outer/', 'idempotent', False),
+    ('/inner/', 'idempotent', True),
+)
+
+
+def _resource(kind: str, name: str, spec: dict[str, object]) -> object:
+    return {'ResourceType': kind, 'Metadata': {'Name': name}, 'Spec': spec}
+
+
+def _route(prefix: str, kind: str, public: bool) -> object:
+    spec: dict[str, object] = {
+        'Host': 'example',
+        'Prefix': prefix,
+        'Kind': kind,
+        'TimeoutMs': 2000,
+        'TargetLatencyMs': 500,
+        'MaxAttempts': 3,
+        'Public': public,
+        'Service': 'walks',
+    }
+    return _resource('Routes', f'route{prefix.replace("/", "-")}', spec)
+
+
+def _head(prefix: str, request_id: str, key: str) -> bytes:
+    return (
+        f'GET {prefix}1 HTTP/1.1\r\nhost: example\r\n'
+        f'x-request-id: {request_id}\r\nx-deadline-ms: 2500\r\n'
+        f'authorization: Bearer {key}\r\n\r\n'
+    ).encode()
+
+
+async def _harm_store(soak: Soak, hosts: list[SoakHost]) -> None:
+    for host in hosts:
+        soak.witness.disturbed[host.number].append(time.monotonic())
+        host.store_proxy.apply(soak.chance.choice(list(Harm)[1:]))
+    await asyncio.sleep(soak.chance.uniform(*HARM_SECONDS))
+    for host in hosts:
+        host.store_proxy.apply(Harm.RESET)
+        host.store_proxy.apply(Harm.NONE)
+        soak.witness.disturbed[host.number].append(time.monotonic())
+
+
+@fault
+async def store_of_one(soak: Soak) -> None:
+    """Harm one node's way to the store."""
+    await _harm_store(soak, [soak.some_host()])
+
+
+@fault
+async def store_of_all(soak: Soak) -> None:
+    """Harm all ways to the store."""
+    await _harm_store(soak, soak.hosts)
+
+
+@fault
+async def store_refuses(soak: Soak) -> None:
+    """Let the store refuse all calls, or lose the answers of writes."""
+    name = soak.chance.choice(['is_refusing', 'loses_answers'])
+    soak.witness.store_disturbed.append(time.monotonic())
+    setattr(soak.store, name, True)
+    await asyncio.sleep(soak.chance.uniform(*HARM_SECONDS))
+    setattr(soak.store, name, False)
+    soak.witness.store_disturbed.append(time.monotonic())
+
+
+@fault
+async def store_forgets(soak: Soak) -> None:
+    """Drop the store's history."""
+    soak.store.forget_history()
+
+
+@fault
+async def target_link(soak: Soak) -> None:
+    """Harm the way to a target."""
+    host = soak.some_host()
+    soak.witness.disturbed[host.number].append(time.monotonic())
+    host.target_proxy.apply(soak.chance.choice(list(Harm)[1:]))
+    await asyncio.sleep(soak.chance.uniform(*HARM_SECONDS))
+    host.target_proxy.apply(Harm.RESET)
+    host.target_proxy.apply(Harm.NONE)
+
+
+@fault
+async def target_loses_answers(soak: Soak) -> None:
+    """Let a target run requests and cut its answers."""
+    host = soak.some_host()
+    host.loses_answers = True
+    await asyncio.sleep(soak.chance.uniform(*HARM_SECONDS))
+    host.loses_answers = False
+
+
+@fault
+async def target_crash(soak: Soak) -> None:
+    """Let a target end without a word and start anew."""
+    host = soak.some_host()
+    host.is_up = False
+    host.target_proxy.apply(Harm.RESET)
+    await asyncio.sleep(soak.chance.uniform(*HARM_SECONDS))
+    host.target_proxy.apply(Harm.NONE)
+    host.restart_target()
+
+
+@fault
+async def target_drain(soak: Soak) -> None:
+    """Let a target drain and start anew."""
+    host = soak.some_host()
+    target = host.target
+    await host.drain()
+    await asyncio.sleep(soak.chance.uniform(*HARM_SECONDS))
+    if host.target == target:
+        host.restart_target()
+
+
+@fault
+async def node_kill(soak: Soak) -> None:
+    """Kill one node, or many at once."""
+    count = soak.chance.choice([1, 1, HOSTS // 2, HOSTS])
+    for host in soak.chance.sample(soak.hosts, count):
+        host.signal(signal.SIGKILL)
+
+
+@fault
+async def node_stop(soak: Soak) -> None:
+    """Stop a node as planned; it starts again."""
+    soak.some_host().signal(signal.SIGTERM)
+
+
+@fault
+async def node_pause(soak: Soak) -> None:
+    """Let a node stand still."""
+    host = soak.some_host()
+    host.signal(signal.SIGSTOP)
+    await asyncio.sleep(soak.chance.uniform(*HARM_SECONDS))
+    host.signal(signal.SIGCONT)
+
+
+@fault
+async def node_reload(soak: Soak) -> None:
+    """Tell a node that its settings have changed."""
+    soak.some_host().signal(signal.SIGHUP)
+
+
+@fault
+async def key_withdrawn(soak: Soak) -> None:
+    """Withdraw a key, as long as some are left."""
+    if len(soak.keys) > 4:
+        key = soak.chance.choice(sorted(soak.keys))
+        del soak.keys[key]
+        soak.witness.withdrawn_at[key] = time.monotonic()
+        await soak.configure()
+
+
+@fault
+async def configuration_changes(soak: Soak) -> None:
+    """Write some configurations in quick succession."""
+    for _ in range(soak.chance.randint(1, 5)):
+        await soak.configure()
+        await asyncio.sleep(soak.chance.uniform(*FAULT_REST_SECONDS))
+
+
+def play_seed(seed: int, *, seconds: float, folder: Path) -> list[str]:
+    """Play one seed and return a line for each broken promise."""
+    return asyncio.run(Soak(seed, folder).play(seconds))
+
+
+def main() -> int:
+    """Play a range of seeds; return how many broke a promise."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument('--first', type=int, default=1)
+    parser.add_argument('--seeds', type=int, default=50)
+    parser.add_argument('--seconds', type=float, default=12.0)
+    chosen = parser.parse_args()
+    broken = 0
+    for seed in range(chosen.first, chosen.first + chosen.seeds):
+        folder = Path(tempfile.mkdtemp(prefix=f'soak-{seed}-'))
+        faults = play_seed(seed, seconds=chosen.seconds, folder=folder)
+        broken += bool(faults)
+        lines = [f'seed {seed}: {len(faults)} broken, logs in {folder}']
+        lines += [f'  {line}' for line in faults[:SHOWN_FAULTS]]
+        sys.stdout.write('\n'.join([*lines, '']))
+        sys.stdout.flush()
+    return min(broken, 1)
+
+
+if __name__ == '__main__':
+    sys.exit(main())
--- /dev/null
+++ b/tests/soak_store.py
@@ -0,0 +1,111 @@
+"""The soak's stand-in for the platform's store, with its wire format."""
+
+import asyncio
+import json
+import time
+from typing import Any
+from urllib.parse import parse_qsl, urlsplit
+
+from soak_http import Message, answer_of
+
+_MAX_WAIT_SECONDS = 30.0
+_ABSENT = {'Ver': 0}
+
+
+class SoakStore:
+    """Tables with one counter of versions and a feed of changes."""
+
+    def __init__(self) -> None:
+        self.rows: dict[tuple[str, str], dict[str, Any]] = {}
+        self.history: list[dict[str, Any]] = []
+        self.version = 0
+        self.first_kept = 0
+        self.is_refusing = False
+        self.loses_answers = False
+        self.changed = asyncio.Condition()
+
+    async def put(self, table: str, key: str, value: str) -> None:
+        """Write a row, as operators do."""
+        await self._apply([{'Table': table, 'Key': key, 'Value': value}], [])
+
+    def forget_history(self) -> None:
+        """Let feeds begin at the present."""
+        self.first_kept = self.version
+        self.history.clear()
+
+    async def handle(self, request: Message) -> bytes | None:
+        """Answer a call."""
+        if self.is_refusing:
+            return answer_of(503)
+        url = urlsplit(request.first[1])
+        query = dict(parse_qsl(url.query))
+        if url.path == '/rows-tx':
+            status = await self._commit(json.loads(request.body))
+            return None if self.loses_answers else self._answer([], status)
+        if url.path == '/rows-get':
+            rows = [
+                row
+                for (table, _key), row in sorted(self.rows.items())
+                if table == query['Table']
+            ]
+            return self._answer(rows)
+        return await self._feed(query['Table'], int(query['after']), query)
+
+    async def _feed(
+        self,
+        table: str,
+        after: int,
+        query: dict[str, str],
+    ) -> bytes:
+        seconds = min(int(query['WaitMs']) / 1000, _MAX_WAIT_SECONDS)
+        try:
+            async with asyncio.timeout(seconds), self.changed:
+                await self.changed.wait_for(
+                    lambda: after < self.first_kept or self._since(table, after)
+                )
+        except TimeoutError:
+            return self._answer([])
+        if after < self.first_kept:
+            return answer_of(410)
+        return self._answer(self._since(table, after))
+
+    def _since(self, table: str, after: int) -> list[dict[str, Any]]:
+        return [
+            row
+            for row in self.history
+            if row['Table'] == table and row['Ver'] > after
+        ]
+
+    async def _commit(self, body: dict[str, Any]) -> int:
+        for wanted in body['Expect']:
+            row = self.rows.get((wanted['Table'], wanted['Key']), _ABSENT)
+            if row['Ver'] != wanted['Ver']:
+                return 412
+        await self._apply(body['Upserts'], body['Remove'])
+        return 200
+
+    async def _apply(
+        self,
+        written: list[dict[str, Any]],
+        removed: list[dict[str, Any]],
+    ) -> None:
+        self.version += 1
+        for row in written:
+            kept = {'part': '', **row, 'Ver': self.version}
+            self.rows[row['Table'], row['Key']] = kept
+            self.history.append(kept)
+        for row in removed:
+            self.rows.pop((row['Table'], row['Key']), None)
+            gone = {'part': '', **row, 'Ver': self.version, 'Tombstone': True}
+            self.history.append(gone)
+        async with self.changed:
+            self.changed.notify_all()
+
+    def _answer(self, rows: list[dict[str, Any]], status: int = 200) -> bytes:
+        body = {
+            'Rows': rows,
+            'Ver': self.version,
+            'NowMs': time.monotonic() * 1000,
+            'HasMore': False,
+        }
+        return answer_of(status, json.dumps(body).encode())
--- /dev/null
+++ b/tests/soak_witness.py
@@ -0,0 +1,116 @@
+"""What callers and targets saw, and the promises that it must keep."""
+
+from collections import Counter, defaultdict
+from dataclasses import dataclass
+
+# Configurations are in force this long after the store took them, and targets
+# may be sent requests this long after their drain was acknowledged.
+APPLY_SECONDS = 2.0
+DRAIN_SECONDS = 2.0
+SETTLED_SECONDS = 3.0  # bounds in time hold this long after the last fault
+NOT_RUN = frozenset((408, 421, 429, 503))
+DENIED = frozenset((400, 401, 403, 404))
+LEAST_CALM_SHARE = 0.95  # of requests answered in the calm at the end
+
+
+@dataclass(frozen=True, slots=True)
+class Sent:
+    """A request of a caller; ``status`` 0 stands for a cut connection."""
+
+    request_id: str
+    node: int
+    sent_at: float
+    may_repeat: bool
+    key: str
+    status: int
+    is_whole: bool
+
+
+@dataclass(frozen=True, slots=True)
+class Run:
+    """A request that a target began to run."""
+
+    request_id: str
+    target: str
+    started_at: float
+    organisation: str
+    had_key: bool
+
+
+class Witness:
+    """Keep what was seen; ``faults`` lists what broke a promise."""
+
+    def __init__(self) -> None:
+        self.sent: list[Sent] = []
+        self.runs: list[Run] = []
+        self.drained_at: dict[str, float] = {}
+        self.withdrawn_at: dict[str, float] = {}
+        self.owners: dict[str, str] = {}
+        self.disturbed: defaultdict[int, list[float]] = defaultdict(list)
+        self.store_disturbed: list[float] = []
+        self.ended: list[str] = []
+
+    def faults(self, calm_since: float) -> list[str]:
+        """Return a line for each promise that was broken."""
+        by_id = {sent.request_id: sent for sent in self.sent}
+        runs = Counter(run.request_id for run in self.runs)
+        return [
+            *self.ended,
+            *self._unsafe(runs),
+            *(line for run in self.runs for line in self._run(run, by_id)),
+            *(
+                f'{sent.request_id}: success with a wrong body'
+                for sent in self.sent
+                if sent.status == 200 and not sent.is_whole
+            ),
+            *(
+                f'{sent.request_id}: {sent.status} for a valid key'
+                for sent in self.sent
+                if sent.status in DENIED and sent.key not in self.withdrawn_at
+            ),
+            *self._calm(calm_since),
+        ]
+
+    def _unsafe(self, runs: Counter[str]) -> list[str]:
+        found = []
+        for sent in self.sent:
+            count = 0 if sent.may_repeat else runs[sent.request_id]
+            if count > 1:
+                found.append(f'{sent.request_id}: ran {count} times')
+            if count and sent.status in NOT_RUN:
+                found.append(f'{sent.request_id}: {sent.status}, but it ran')
+        return found
+
+    def _run(self, run: Run, by_id: dict[str, Sent]) -> list[str]:
+        found = []
+        if run.had_key:
+            found.append(f'{run.request_id}: the key reached a target')
+        drained = self.drained_at.get(run.target, run.started_at)
+        if run.started_at > drained + DRAIN_SECONDS:
+            found.append(f'{run.request_id}: ran at {run.target} after a drain')
+        sent = by_id.get(run.request_id)
+        if sent is None:
+            return found
+        if run.organisation != self.owners.get(sent.key):
+            found.append(f'{run.request_id}: ran for {run.organisation!r}')
+        withdrawn = self.withdrawn_at.get(sent.key, sent.sent_at)
+        is_late = sent.sent_at > withdrawn + APPLY_SECONDS
+        if is_late and self._is_in_touch(sent):
+            found.append(f'{run.request_id}: ran with a withdrawn key')
+        return found
+
+    def _is_in_touch(self, sent: Sent) -> bool:
+        disturbed = [*self.disturbed[sent.node], *self.store_disturbed]
+        since = sent.sent_at - SETTLED_SECONDS
+        return not any(since < moment < sent.sent_at for moment in disturbed)
+
+    def _calm(self, since: float) -> list[str]:
+        statuses = [
+            sent.status
+            for sent in self.sent
+            if sent.sent_at > since and sent.key not in self.withdrawn_at
+        ]
+        served = statuses.count(200)
+        if served >= LEAST_CALM_SHARE * len(statuses) and served:
+            return []
+        return [f'in the calm: {served} of {len(statuses)}, {statuses[:40]}']
--- a/tests/test_path_costs.py
+++ b/tests/test_path_costs.py
@@ -1,7 +1,8 @@
 """What requests cost outlasts the processes that learnt it."""
 
 import asyncio
-from collections.abc import Awaitable, Callable
+from collections.abc import Callable, Coroutine
+from typing import Any
 
 import pytest
 from path_builders import LineLog, chance
@@ -40,7 +41,7 @@
 
 
 def play(
-    test: Callable[[MemoryStore], Awaitable[None]],
+    test: Callable[[MemoryStore], Coroutine[Any, Any, None]],
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
     """Run a test whose archives save and ask often."""
