Choose a call's run among all under way; don't cut routes for a trace

Ruled out: media short of slots (998 slots, a third asked for). Change: a run that expires with a call stands for ten others instead of ruling them out; a route that asks less than 5% of what its group asks of a service is not cut for it.

--- a/packages/sidecar/src/boragetrestle_sidecar/admission_plan.py
+++ b/packages/sidecar/src/boragetrestle_sidecar/admission_plan.py
@@ -12,6 +12,10 @@
 
 from boragetrestle_kernel.ids import ServiceName
 
+# Of what a group of routes asks of a service: cutting a route with less would
+# refuse its callers for nothing, and costs are learnt with some noise.
+TRACE_SHARE = 0.05
+
 
 class RouteDemand(NamedTuple):
     """What callers ask of a route.
@@ -25,6 +29,14 @@
     arrivals: float
     slot_seconds: Mapping[ServiceName, float]
 
+    def asks_of(self, service: ServiceName) -> float:
+        """Return the slot-seconds a second that are asked of a service."""
+        return self.arrivals * self.slot_seconds.get(service, 0.0)
+
+    def weighs_on(self, service: ServiceName, asked: float) -> bool:
+        """Return whether cutting this route would relieve a service."""
+        return self.asks_of(service) > asked * TRACE_SHARE
+
 
 def plan_admission(
     demands: Iterable[RouteDemand],
@@ -47,10 +59,14 @@
     ranked = sorted(demands, key=_priority)
     for _priority_value, group in groupby(ranked, key=_priority):
         members = list(group)
-        fits = _fitting_scales(members, left)
+        wanted = _wanted(members)
         for demand in members:
             scale = min(
-                (fits[service] for service in demand.slot_seconds),
+                (
+                    _fitting_scale(asked, left.get(service, 0.0))
+                    for service, asked in wanted.items()
+                    if demand.weighs_on(service, asked)
+                ),
                 default=math.inf,
             )
             scales[demand.route] = scale
@@ -65,23 +81,17 @@
 ) -> None:
     """Take the room of what is admitted."""
     for service in left.keys() & demand.slot_seconds.keys():
-        taken = demand.arrivals * demand.slot_seconds[service] * share
-        left[service] -= taken
+        left[service] -= demand.asks_of(service) * share
 
 
-def _fitting_scales(
-    demands: list[RouteDemand],
-    left: Mapping[ServiceName, float],
-) -> dict[ServiceName, float]:
+def _wanted(demands: list[RouteDemand]) -> dict[ServiceName, float]:
+    """Return the slot-seconds a second that some routes ask of services."""
     wanted: dict[ServiceName, float] = {}
     for demand in demands:
-        for service, seconds in demand.slot_seconds.items():
-            asked = demand.arrivals * seconds
+        for service in demand.slot_seconds:
+            asked = demand.asks_of(service)
             wanted[service] = wanted.get(service, 0.0) + asked
-    return {
-        service: _fitting_scale(asked, left.get(service, 0.0))
-        for service, asked in wanted.items()
-    }
+    return wanted
 
 
 def _fitting_scale(asked: float, room: float) -> float:
--- a/packages/sidecar/src/boragetrestle_sidecar/call_attribution.py
+++ b/packages/sidecar/src/boragetrestle_sidecar/call_attribution.py
@@ -1,11 +1,10 @@
 """Learn which onward calls the runs on each route make.
 
-A node sees the runs at its target and the calls that the target makes. A call
-whose time is limited by its run expires with it, so the few runs that expire at
-that moment are its possible parents. Any other call may belong to each run
-under way: a route is chosen by how often its runs were found to make such
-calls, and one of its runs at random, which settles on the true numbers over a
-few hundred calls.
+A node sees the runs at its target and the calls that the target makes. Any run
+under way may have made a call, most likely one on a route whose runs were found
+to make such calls, and more likely one that expires with the call, whose time
+its run may limit. One is chosen by that, which settles on the true numbers over
+a few hundred calls.
 """
 
 import random
@@ -22,6 +21,8 @@
 # busy loop, so it seems to expire a little before or some time after its run.
 EARLIEST_MS = 1
 LATEST_MS = 12
+# Runs that a run with the same expiry stands for: some expire then by chance.
+TOGETHER_WEIGHT = 10.0
 
 
 @dataclass(slots=True, eq=False)
@@ -63,9 +64,8 @@
     >>> learnt = CallAttribution()
     >>> for number in range(10):
     ...     run = learnt.started('walks', 100.0 + number)
-    ...     for age in (0.002, 0.001):
-    ...         expires_at = 100.0 + number + age
-    ...         learnt.called('seats', expires_at, expires_with_run=True)
+    ...     learnt.called('seats', 100.002 + number)
+    ...     learnt.called('seats', 100.001 + number)
     ...     learnt.ended(run, is_whole=True)
     >>> learnt.calls_of('walks')
     {'seats': 2.0}
@@ -86,20 +86,21 @@
         self.by_expiry.setdefault(run.expires_ms, []).append(run)
         return run
 
-    def called(
-        self,
-        called: str,
-        expires_at: float,
-        *,
-        expires_with_run: bool,
-    ) -> None:
+    def called(self, called: str, expires_at: float) -> None:
         """Attribute a call to a run that may have made it."""
-        parents: list[RunCalls] = []
-        if expires_with_run:
-            parents = self._expiring_at(_milliseconds(expires_at))
-        run = self._choose(parents, called) or self._choose_any(called)
-        if run is not None:
-            run.calls[called] = run.calls.get(called, 0.0) + 1
+        together = self._expiring_at(_milliseconds(expires_at))
+        runs = [
+            *together,
+            *(self.chance.choice(runs) for runs in self.by_route.values()),
+        ]
+        if not runs:
+            return
+        weights = [
+            self._share(run.route, called) * count
+            for run, count in zip(runs, self._counts(together), strict=True)
+        ]
+        (run,) = self.chance.choices(runs, weights)
+        run.calls[called] = run.calls.get(called, 0.0) + 1
 
     def ended(self, run: RunCalls, *, is_whole: bool) -> None:
         """Learn from a run that has ended."""
@@ -112,6 +113,8 @@
         if last is not run:
             alike[run.place] = last
             last.place = run.place
+        if not alike:
+            del self.by_route[run.route]
         learnt = self.whole if is_whole else self.failed
         learnt[run.route].add(run.calls)
 
@@ -153,23 +156,10 @@
             for run in self.by_expiry.get(moment, ())
         ]
 
-    def _choose(self, runs: list[RunCalls], called: str) -> RunCalls | None:
-        if not runs:
-            return None
-        weights = [self._share(run.route, called) for run in runs]
-        return self.chance.choices(runs, weights)[0]
-
-    def _choose_any(self, called: str) -> RunCalls | None:
-        """Choose among all runs under way, first the route, then the run."""
-        routes = [route for route, alike in self.by_route.items() if alike]
-        if not routes:
-            return None
-        weights = [
-            len(self.by_route[route]) * self._share(route, called)
-            for route in routes
-        ]
-        (route,) = self.chance.choices(routes, weights)
-        return self.chance.choice(self.by_route[route])
+    def _counts(self, together: list[RunCalls]) -> list[float]:
+        """Return for how many runs each candidate stands."""
+        alone = [TOGETHER_WEIGHT for _run in together]
+        return [*alone, *(float(len(runs)) for runs in self.by_route.values())]
 
     def _share(self, route: str, called: str) -> float:
         learnt = self._learnt(route)
--- a/packages/sidecar/src/boragetrestle_sidecar/entry.py
+++ b/packages/sidecar/src/boragetrestle_sidecar/entry.py
@@ -35,8 +35,6 @@
 ANSWER_GRACE_SECONDS = 0.03
 # Kept of a caller's time for the way back of the last answer.
 RETURN_SECONDS = 0.04
-# A call with less than this of the longest time seen has it from its run.
-LIMITED_SHARE = 0.97
 LEAST_RETRY_SECONDS = 0.02  # less than that is not enough for another run
 NO_TARGET_RETRY_SECONDS = 0.4  # targets that crash are back after some seconds
 _NEEDED_HEADERS = frozenset((b'host', b'close', b'keep-alive'))
@@ -79,7 +77,6 @@
         self.connections: set[CallerConnection] = set()
         self.requests: set[EntryRequest] = set()
         self.arrivals: Counter[str] = Counter()
-        self.longest_left: dict[str, float] = {}
         self.is_stopping = False
         self.dropped_headers = frozenset((
             *HOP_HEADERS,
@@ -173,23 +170,9 @@
         if route.needs_key:
             self.arrivals[route.name] += 1
         else:
-            self._attribute(route.name, now, left)
+            self.parts.attribution.called(route.name, now + left)
         return started
 
-    def _attribute(self, route: str, now: float, left: float) -> None:
-        """Tell which run an onward call may belong to.
-
-        Each kind of call has a longest time of its own; one with less has it
-        from its run.
-        """
-        longest = max(left, self.longest_left.get(route, 0.0))
-        self.longest_left[route] = longest
-        self.parts.attribution.called(
-            route,
-            now + left,
-            expires_with_run=left < longest * LIMITED_SHARE,
-        )
-
     def _admit(self, request: EntryRequest) -> None:
         if self.suspects.crashes and self.suspects.blocks(_print_of(request)):
             self._give_up(request, Reason.SUSPECT, retry_after=1.0)
