Measure queue waits, run times and calls to the store

Change: the guard observes both durations by route; CountedStore counts calls by result. Tests render the metrics.

--- /dev/null
+++ b/packages/sidecar/src/boragetrestle_sidecar/counted_store.py
@@ -0,0 +1,61 @@
+"""Count the calls to the store by their result."""
+
+from collections.abc import Awaitable
+from typing import TYPE_CHECKING, TypeVar
+
+from boragetrestle_kernel.errors import StoreError
+
+if TYPE_CHECKING:
+    from boragetrestle_platform.table import Committed, Transaction
+    from boragetrestle_sidecar.store_client import (
+        StoreClient,
+        TableChanges,
+        TableView,
+    )
+    from boragetrestle_sidecar.telemetry import Telemetry
+
+_Answer = TypeVar('_Answer')
+
+
+class CountedStore:
+    """A store client that counts what it passes on.
+
+    The result is ``ok`` or the name of the error's class.
+    """
+
+    def __init__(self, store: 'StoreClient', telemetry: 'Telemetry') -> None:
+        self.store = store
+        self.telemetry = telemetry
+
+    async def view(self, table: str) -> 'TableView':
+        """Return all rows of a table."""
+        return await self._count('view', self.store.view(table))
+
+    async def changes(
+        self,
+        table: str,
+        position: int,
+        *,
+        wait: float,
+    ) -> 'TableChanges':
+        """Return what changed, or nothing after ``wait`` seconds."""
+        call = self.store.changes(table, position, wait=wait)
+        return await self._count('changes', call)
+
+    async def commit(
+        self,
+        table: str,
+        transaction: 'Transaction',
+    ) -> 'Committed':
+        """Apply a transaction to a table."""
+        call = self.store.commit(table, transaction)
+        return await self._count('commit', call)
+
+    async def _count(self, name: str, call: Awaitable[_Answer]) -> _Answer:
+        try:
+            answer = await call
+        except StoreError as error:
+            self.telemetry.store_calls[name, type(error).__name__] += 1
+            raise
+        self.telemetry.store_calls[name, 'ok'] += 1
+        return answer
--- a/packages/sidecar/src/boragetrestle_sidecar/guard.py
+++ b/packages/sidecar/src/boragetrestle_sidecar/guard.py
@@ -21,6 +21,7 @@
 from boragetrestle_sidecar.target_book import TargetBook
 from boragetrestle_sidecar.target_pool import TargetPool
 from boragetrestle_sidecar.target_silence import TargetSilence
+from boragetrestle_sidecar.telemetry import Telemetry
 
 if TYPE_CHECKING:
     from boragetrestle_kernel.ids import TargetId
@@ -61,11 +62,13 @@
         names: 'WireNames',
         log: 'DecisionLog',
         *,
+        telemetry: Telemetry | None = None,
         clock: Callable[[], float] = steady_now,
     ) -> None:
         self.settings = settings
         self.names = names
         self.log = log
+        self.telemetry = telemetry or Telemetry()
         self.clock = clock
         self.book = TargetBook(
             settings.target,
@@ -289,6 +292,8 @@
         job.started_at = now
         job.connection = connection
         order = job.order
+        waited = now - job.arrived_at
+        self.telemetry.observe('queue_wait_seconds', order.route, waited)
         left = max(1, int((job.expires_at - now) * 1000))
         told = now + left / 1000
         job.calls = self.attribution.started(order.route, told)
@@ -310,6 +315,8 @@
     def take_answer(self, job: GuardJob, answer: 'TargetAnswer') -> None:
         """End a run with the answer of the target."""
         now = self.clock()
+        seconds = now - job.started_at
+        self.telemetry.observe('run_seconds', job.order.route, seconds)
         connection = job.connection
         assert connection is not None
         self.pool.give_back(connection)
@@ -326,7 +333,7 @@
             self._end(job, Outcome(OutcomeKind.UNKNOWN, Reason.ANSWER_GARBLED))
         else:
             if answer.is_success:
-                self.meter.end(job.order.route, now - job.started_at)
+                self.meter.end(job.order.route, seconds)
             self._end(
                 job,
                 Outcome(
--- a/packages/sidecar/src/boragetrestle_sidecar/sidecar.py
+++ b/packages/sidecar/src/boragetrestle_sidecar/sidecar.py
@@ -15,6 +15,7 @@
 from boragetrestle_sidecar.caller_connection import CallerConnection
 from boragetrestle_sidecar.config_keeper import ConfigKeeper
 from boragetrestle_sidecar.cost_archive import CostArchive
+from boragetrestle_sidecar.counted_store import CountedStore
 from boragetrestle_sidecar.entry import Entry
 from boragetrestle_sidecar.entry_parts import EntryParts
 from boragetrestle_sidecar.fleet import Fleet
@@ -78,7 +79,12 @@
         self.chance = random.Random()
         self.address = str(self.settings.peers)
         self.telemetry = Telemetry()
-        self.guard = Guard(self.settings, adapter.names, log)
+        self.guard = Guard(
+            self.settings,
+            adapter.names,
+            log,
+            telemetry=self.telemetry,
+        )
         self.fleet = Fleet(self.address)
         self.links = MemberLinks(self.address, self.fleet, log)
         self.keeper = ConfigKeeper(adapter.decode_configuration, log)
@@ -113,7 +119,10 @@
             keeper=self.keeper,
             server=self.server,
         )
-        self.store = adapter.open_store(HttpCaller(self.settings.store))
+        self.store = CountedStore(
+            adapter.open_store(HttpCaller(self.settings.store)),
+            self.telemetry,
+        )
         self.registration = Registration(
             self.address,
             self.settings.domain,
--- a/packages/sidecar/src/boragetrestle_sidecar/telemetry.py
+++ b/packages/sidecar/src/boragetrestle_sidecar/telemetry.py
@@ -31,6 +31,7 @@
 
     def __init__(self) -> None:
         self.events: Counter[tuple[str, str, str]] = Counter()
+        self.store_calls: Counter[tuple[str, str]] = Counter()
         self.histograms: dict[tuple[str, str], Histogram] = {}
         self.gauges: dict[str, Callable[[], float]] = {}
 
@@ -60,6 +61,9 @@
         for (route, event, reason), count in sorted(self.events.items()):
             labels = f'route="{route}",event="{event}",reason="{reason}"'
             yield f'boragetrestle_requests_total{{{labels}}} {count}'
+        for (call, result), count in sorted(self.store_calls.items()):
+            labels = f'call="{call}",result="{result}"'
+            yield f'boragetrestle_store_calls_total{{{labels}}} {count}'
         for name, read in sorted(self.gauges.items()):
             yield f'boragetrestle_{name} {read():g}'
         for (name, label), histogram in sorted(self.histograms.items()):
--- a/tests/test_path_costs.py
+++ b/tests/test_path_costs.py
@@ -8,10 +8,13 @@
 from path_builders import LineLog, chance
 from path_standins import MemoryStore
 
+from boragetrestle_kernel.errors import StoreError
 from boragetrestle_sidecar import cost_archive
 from boragetrestle_sidecar.admission import Admission
 from boragetrestle_sidecar.cost_archive import COSTS_TABLE, CostArchive
+from boragetrestle_sidecar.counted_store import CountedStore
 from boragetrestle_sidecar.node_status import RouteCost
+from boragetrestle_sidecar.telemetry import Telemetry
 
 LOOKUP = RouteCost('lookup', {'seat': 8.0}, 0.2, 100.0)
 LEAST_SECONDS = 0.01
@@ -104,6 +107,25 @@
     play(test, monkeypatch)
 
 
+def test_calls_to_the_store_are_counted_by_result(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """An outage shows in the metrics."""
+
+    async def test(store: MemoryStore) -> None:
+        telemetry = Telemetry()
+        counted = CountedStore(store, telemetry)
+        await counted.view(COSTS_TABLE)
+        store.is_away = True
+        with pytest.raises(StoreError):
+            await counted.view(COSTS_TABLE)
+        text = telemetry.render()
+        assert 'store_calls_total{call="view",result="ok"} 1' in text
+        assert 'store_calls_total{call="view",result="StoreError"} 1' in text
+
+    play(test, monkeypatch)
+
+
 def test_only_one_node_saves(monkeypatch: pytest.MonkeyPatch) -> None:
     """Calls to the store are priced."""
 
--- a/tests/test_path_guard.py
+++ b/tests/test_path_guard.py
@@ -7,6 +7,20 @@
 from boragetrestle_sidecar.target_report import TargetReport, TargetState
 
 
+def test_queue_waits_and_run_times_are_measured() -> None:
+    """They tell a slow target from a full one."""
+    bench = GuardBench(slots=1)
+    first = bench.submit(run_order('r-1'))
+    second = bench.submit(run_order('r-2'))
+    bench.clock.now += 0.2
+    bench.answer(first)
+    bench.clock.now += 0.3
+    bench.answer(second)
+    text = bench.guard.telemetry.render()
+    assert 'queue_wait_seconds_sum{of="browse"} 0.2' in text
+    assert 'run_seconds_sum{of="browse"} 0.5' in text
+
+
 def test_run_names_the_target_and_the_time_left() -> None:
     """The target learns what is left and refuses what is not for it."""
     bench = GuardBench()
