--- a/packages/sidecar/src/boragetrestle_sidecar/run_meter.py
+++ b/packages/sidecar/src/boragetrestle_sidecar/run_meter.py
@@ -14,8 +14,8 @@
 
     >>> meter = RunMeter()
     >>> meter.end('walks', 0.2)
-    >>> meter.run_seconds_of('walks')
-    0.2
+    >>> meter.run_seconds, meter.by_route
+    (0.2, {'walks': 0.2})
     """
 
     def __init__(self) -> None:
@@ -69,7 +69,3 @@
             self.by_route[route] = seconds
         else:
             self.by_route[route] = known + RUN_WEIGHT * (seconds - known)
-
-    def run_seconds_of(self, route: str) -> float:
-        """Return the mean time that a run on a route holds its slot."""
-        return self.by_route.get(route, self.run_seconds)
