Give the smallest organisations whole tokens and more than one holder

Ruled out: keys that were withdrawn are refused with 401 and are not owed. Change: at least three holders; a burst of at least 6 tokens, taken from 0.3 of the slack that operators tolerate (QuotaSlack). After: 0.8 of the rate, 0.6 with a holder cut off, and no more than rate, burst and slack.

--- a/packages/sidecar/src/boragetrestle_sidecar/path_settings.py
+++ b/packages/sidecar/src/boragetrestle_sidecar/path_settings.py
@@ -32,3 +32,4 @@
     retry_ratio: float = 0.2
     retry_window: float = 10.0
     retry_slack: float = 50.0
+    rate_slack: float = 0.0
--- a/packages/sidecar/src/boragetrestle_sidecar/rate_shares.py
+++ b/packages/sidecar/src/boragetrestle_sidecar/rate_shares.py
@@ -10,15 +10,24 @@
 from typing import TYPE_CHECKING
 
 import xxhash
+from msgspec.structs import replace
 
 from boragetrestle_node.token_share import TokenShare
 
 if TYPE_CHECKING:
+    from boragetrestle_kernel.service_text import Organisation
     from boragetrestle_sidecar.organisation_policy import OrganisationPolicy
 
 # Tokens of burst in each part: fewer would often leave a part without a whole
 # token although the organisation is within its rate.
 BURST_PER_PART = 4.0
+# A holder that is cut off takes its part with it; the smallest organisations
+# would otherwise have a single one.
+LEAST_HOLDERS = 3
+# Tokens of burst for the smallest organisations, two in each part: parts below
+# one token never let a request pass. Taken from what operators tolerate.
+LEAST_BURST = 6.0
+BURST_SLACK_SHARE = 0.3  # of what operators tolerate over a rate in a window
 GRANTED_SHARE = 0.5  # of the tokens at hand, given to a node that asks
 # Granted tokens lapse, so that those in the hands of all nodes stay few beside
 # what the rate allows in a window.
@@ -37,7 +46,8 @@
     All nodes that see the same nodes get the same holders.
     """
     terms = policy.terms
-    count = max(1, min(len(nodes), int(terms.burst / BURST_PER_PART)))
+    wanted = max(LEAST_HOLDERS, int(terms.burst / BURST_PER_PART))
+    count = max(1, min(len(nodes), wanted))
     ranked = sorted(
         nodes,
         key=lambda node: xxhash.xxh64_intdigest(
@@ -48,10 +58,14 @@
 
 
 class RateShares:
-    """The parts of all rates that this node holds, and granted tokens."""
+    """The parts of all rates that this node holds, and granted tokens.
 
-    def __init__(self, node: str) -> None:
+    ``slack`` is how many requests over a rate operators tolerate in a window.
+    """
+
+    def __init__(self, node: str, *, slack: float = 0.0) -> None:
         self.node = node
+        self.least_burst = min(LEAST_BURST, slack * BURST_SLACK_SHARE)
         self.nodes: tuple[str, ...] = (node,)
         self.is_known = False
         self.is_leaving = False
@@ -149,13 +163,21 @@
         if share is None:
             share = TokenShare(rate=fraction, burst=fraction, tokens=0, now=now)
             self.shares[policy.terms.name] = share
+        terms = self._terms(policy)
         share.rate = min(share.rate, fraction)
-        share.refill(now, policy.terms)
+        share.refill(now, terms)
         share.rate = fraction
         share.burst = fraction
-        share.clip(policy.terms)
+        share.clip(terms)
         return share
 
+    def _terms(self, policy: 'OrganisationPolicy') -> 'Organisation':
+        """Return the terms with a burst of some whole tokens."""
+        terms = policy.terms
+        if terms.burst >= self.least_burst:
+            return terms
+        return replace(terms, burst=self.least_burst)
+
     def _holders(self, policy: 'OrganisationPolicy') -> tuple[str, ...]:
         name = policy.terms.name
         holders = self.holders.get(name)
--- a/packages/sidecar/src/boragetrestle_sidecar/sidecar.py
+++ b/packages/sidecar/src/boragetrestle_sidecar/sidecar.py
@@ -91,7 +91,7 @@
         self.suspects = Suspects()
         self.admission = Admission(self.chance, log, address=self.address)
         self.rates = RateGate(
-            RateShares(self.address),
+            RateShares(self.address, slack=self.settings.rate_slack),
             link_of=self.links.get,
             chance=self.chance,
         )
--- a/tests/test_path_policies.py
+++ b/tests/test_path_policies.py
@@ -33,7 +33,7 @@
 )
 from boragetrestle_sidecar.placement import GuardView, choose_guard
 from boragetrestle_sidecar.rate_gate import RateGate
-from boragetrestle_sidecar.rate_shares import RateShares
+from boragetrestle_sidecar.rate_shares import RateShares, holders_of
 from boragetrestle_sidecar.retry_budget import RetryBudget
 from boragetrestle_sidecar.run_meter import RunMeter
 
@@ -629,6 +629,47 @@
     assert passed >= 20 * 5 * 0.8
 
 
+@pytest.mark.parametrize('rate', [0.5, 1, 3])
+def test_smallest_rates_let_requests_pass(rate: float) -> None:
+    """Parts below one whole token would refuse all of them."""
+    policy = organisation(rate=rate, burst=rate)
+    names = [f'n-{number}' for number in range(86)]
+    shares = [RateShares(name, slack=20) for name in names]
+    passed = rate_passed(shares, names, policy, seconds=20)
+    assert passed >= 20 * rate * 0.8
+    assert passed <= (rate * 20 + rate) * 1.1 + 20
+
+
+def test_small_rate_outlives_a_holder_that_is_cut_off() -> None:
+    """Its part is out of reach, and no other node may take it over."""
+    policy = organisation(rate=3, burst=4)
+    names = [f'n-{number}' for number in range(16)]
+    shares = [RateShares(name, slack=20) for name in names]
+    lost = holders_of(policy, names)[0]
+    near = [share for share in shares if share.node != lost]
+    assert rate_passed(near, names, policy, seconds=20) >= 20 * 3 * 0.6
+
+
+def rate_passed(
+    shares: list[RateShares],
+    names: list[str],
+    policy: OrganisationPolicy,
+    *,
+    seconds: int,
+) -> int:
+    """Return how many of 20 requests a second pass, at nodes by chance."""
+    for share in shares:
+        share.resize(names)
+        share.refill([policy], 0.0)
+    random = chance()
+    moments = [step / 20 for step in range(1, seconds * 20 + 1)]
+    return sum(
+        random.choice(shares).take(policy, now)
+        or any(share.grant(policy, 1, now) for share in shares)
+        for now in moments
+    )
+
+
 def test_fresh_node_has_no_tokens() -> None:
     """Its predecessor may have spent them."""
     share = RateShares('n-1')
