--- a/tests/test_log_story.py
+++ b/tests/test_log_story.py
@@ -10,6 +10,7 @@
 from boragetrestle.exit_code import ExitCode
 from boragetrestle.log_story import explain_request, read_log
 from boragetrestle.main import run_command
+from boragetrestle_sidecar.admitted_rate import AdmittedRate
 from boragetrestle_sidecar.outcome import OutcomeKind, Reason
 from boragetrestle_sidecar.target_report import TargetState
 
@@ -40,7 +41,8 @@
 def test_refusal_for_a_shortage_names_the_plan(tmp_path: Path) -> None:
     """The request was refused for a service two calls away."""
     bench = EntryBench()
-    bench.admission.shares = {'browse': 0.0}
+    none = AdmittedRate(rate=0.0, now=bench.clock.now, tokens=0.0)
+    bench.admission.admitted = {'browse': none}
     bench.log.line('admission-planned', shares={'browse': 0.0})
     connection, _transport = bench.connect()
     connection.data_received(request_bytes('r-1'))
