--- a/packages/sidecar/src/boragetrestle_sidecar/admission.py
+++ b/packages/sidecar/src/boragetrestle_sidecar/admission.py
@@ -94,7 +94,7 @@
         return costs or {request.service: 1.0}
 
     def plan(self, statuses: Iterable[NodeStatus]) -> None:
-        """Work out the shares anew from what all nodes report."""
+        """Work out the admitted rates anew from what all nodes report."""
         statuses = list(statuses)
         self.graph.learn(status.costs for status in statuses)
         capacity = self._capacity(statuses)
--- a/packages/sidecar/src/boragetrestle_sidecar/admission_plan.py
+++ b/packages/sidecar/src/boragetrestle_sidecar/admission_plan.py
@@ -44,10 +44,10 @@
 ) -> dict[str, float]:
     """Return how many times each route's arrivals fit.
 
-    ``capacity`` is slot-seconds a second by service; what is not in it has no
-    slots. Routes of one priority
-    that need the same service get the same scale. Below 1 it is the share that
-    fits; above, how far the arrivals may grow before they are too many.
+    ``capacity`` is slot-seconds a second by service; a service that is not in
+    it has no slots. Routes of one priority that need the same service get the
+    same scale. Below 1 it is the share that fits; above, how far the arrivals
+    may grow before they are too many.
 
     >>> walks = RouteDemand('walks', 1, 10, {ServiceName('seats'): 0.5})
     >>> gates = RouteDemand('gates', 0, 10, {ServiceName('seats'): 0.1})
--- a/packages/sidecar/src/boragetrestle_sidecar/call_attribution.py
+++ b/packages/sidecar/src/boragetrestle_sidecar/call_attribution.py
@@ -1,10 +1,10 @@
 """Learn which onward calls the runs on each route make.
 
 A node sees the runs at its target and the calls that the target makes. Any run
-under way may have made a call, most likely one on a route whose runs were found
-to make such calls, and more likely one that expires with the call, whose time
-its run may limit. One is chosen by that, which settles on the true numbers over
-a few hundred calls.
+under way may have made a call: rather one on a route whose runs were found to
+make such calls, and rather one that expires with the call, since the time of a
+call is limited by its run. One is chosen at random with these weights, which
+settles on the true numbers over a few hundred calls.
 """
 
 import random
@@ -27,7 +27,10 @@
 
 @dataclass(slots=True, eq=False)
 class RunCalls:
-    """The onward calls of one run that is under way."""
+    """The onward calls of one run that is under way.
+
+    ``place`` is where the run stands among those on its route.
+    """
 
     route: str
     expires_ms: int
