Bound what a node costs in a fleet of hundreds

Cause: each node had a link to each other one and sent all of them its status; each asked every peer for a missing configuration; each followed the store. Change: - an entry has links to ten guards of each service, most in its own domain; guards that fail are replaced (guard_subset, member_links); - it asks up to three guards for their load before a placement when what it knows is older than 0.25 s (guard_probe); no statuses are sent to all; - arrivals, slots and costs are added up along a tree and the total comes back; rows of nodes, configurations and crashes pass along the same edges (domain_tree, tree_exchange, load_aggregation, member_table); - two nodes a domain follow the store; others read it when they are cut off, or at random when none has heard from it for 15 s (store_following); - rates are held by a pool of 16 nodes or one in 16 (rate_shares); - rows carry the epoch of the store; a node's first configuration waits until a peer confirms it (store_epochs, table_watch, first_configuration). The announcement of nodes, the statuses and their age limits are gone. Their tests (large fleets not taken for silent, statuses kept until the next ones, announced nodes) checked parts that no longer exist; test_path_tree.py checks the same needs: totals cover the fleet at any size, rows and configurations reach all, lost nodes are worked around, control under 10 KB/s a node. Conclusion: the cost of a node no longer grows with the fleet.

--- a/packages/sidecar/src/boragetrestle_sidecar/admission.py
+++ b/packages/sidecar/src/boragetrestle_sidecar/admission.py
@@ -6,14 +6,14 @@
 
 import math
 import random
-from collections.abc import Callable, Iterable, Mapping
+from collections.abc import Callable, Mapping
 from typing import TYPE_CHECKING
 
 from boragetrestle_kernel.ids import ServiceName
 from boragetrestle_sidecar.admission_plan import RouteDemand, plan_admission
 from boragetrestle_sidecar.admitted_rate import AdmittedRate
 from boragetrestle_sidecar.call_graph import CallGraph
-from boragetrestle_sidecar.node_status import NodeStatus
+from boragetrestle_sidecar.fleet_load import FleetLoad
 from boragetrestle_sidecar.steady_clock import steady_now
 
 if TYPE_CHECKING:
@@ -41,7 +41,8 @@
 class Admission:
     """Admit requests at the rate planned for each route at this entry.
 
-    ``chance`` is a random number generator, ``address`` this node's own one.
+    ``chance`` is a random number generator; ``own_arrivals`` holds the callers'
+    requests a second that come to this entry, by route.
     """
 
     def __init__(
@@ -49,12 +50,11 @@
         chance: random.Random,
         log: 'DecisionLog',
         *,
-        address: str = '',
         clock: Callable[[], float] = steady_now,
     ) -> None:
         self.chance = chance
         self.log = log
-        self.address = address
+        self.own_arrivals: dict[str, float] = {}
         self.clock = clock
         self.admitted_rates: dict[str, AdmittedRate] = {}
         self.call_graph = CallGraph(())
@@ -107,25 +107,20 @@
         costs = {service: used.runs for service, used in usage.items()}
         return costs or {request.service: 1.0}
 
-    def plan(self, statuses: Iterable[NodeStatus]) -> None:
-        """Recompute the admitted rates from the statuses of all nodes."""
-        statuses = list(statuses)
-        self.call_graph.update_costs(status.costs for status in statuses)
-        capacity = self._capacity(statuses)
-        arrivals: dict[str, float] = {}
-        for status in statuses:
-            for route, rate in status.arrivals.items():
-                arrivals[route] = arrivals.get(route, 0.0) + rate
+    def plan(self, total: FleetLoad) -> None:
+        """Recompute the admitted rates from the total of all nodes' loads."""
+        self.call_graph.update_costs(total.costs)
+        capacity = _capacity(total)
         demands = [
             self._demand(route, rate)
-            for route, rate in arrivals.items()
+            for route, rate in total.arrivals.items()
             if route in self.call_graph.routes
         ]
         scales = plan_admission(demands, capacity)
         self.admitted_shares = {
             route: min(1.0, scale) for route, scale in scales.items()
         }
-        self._update_admitted_rates(scales, statuses)
+        self._update_admitted_rates(scales, total)
         self.log.write_limited(
             'admission-planned',
             shares={
@@ -133,16 +128,16 @@
                 for route, share in self.admitted_shares.items()
                 if share < 1
             },
-            arrivals=arrivals,
+            arrivals=total.arrivals,
             capacity=capacity,
             usage={demand.route: demand.slot_seconds for demand in demands},
-            nodes=len(statuses),
+            nodes=total.nodes,
         )
 
     def _update_admitted_rates(
         self,
         scales: Mapping[str, float],
-        statuses: list[NodeStatus],
+        total: FleetLoad,
     ) -> None:
         """Set this entry's rates to its part of those of all entries."""
         now = self.clock()
@@ -150,22 +145,16 @@
         self.admitted_rates = {}
         for route, scale in scales.items():
             if math.isfinite(scale):
-                part = self._own_arrivals(route, statuses)
+                even = total.arrivals.get(route, 0.0) / max(1, total.nodes)
+                own = self.own_arrivals.get(route, 0.0)
+                part = (
+                    EVEN_ARRIVALS_SHARE * even + (1 - EVEN_ARRIVALS_SHARE) * own
+                )
                 rate = max(scale, MIN_ADMITTED_SCALE) * part
                 admitted = known.get(route) or AdmittedRate(rate, now)
                 admitted.set_rate(rate, now)
                 self.admitted_rates[route] = admitted
 
-    def _own_arrivals(self, route: str, statuses: list[NodeStatus]) -> float:
-        """Return the arrivals a second of a route that this entry plans for."""
-        rates = {
-            status.address: status.arrivals.get(route, 0.0)
-            for status in statuses
-        }
-        even = sum(rates.values()) / len(rates)
-        own = rates.get(self.address, even)
-        return EVEN_ARRIVALS_SHARE * even + (1 - EVEN_ARRIVALS_SHARE) * own
-
     def _demand(self, route: str, rate: float) -> RouteDemand:
         policy = self.call_graph.routes[route]  # type: ignore[index]
         usage = self.call_graph.usage_of(route)
@@ -174,24 +163,14 @@
         }
         return RouteDemand(route, policy.priority, rate, seconds)
 
-    def _capacity(
-        self,
-        statuses: list[NodeStatus],
-    ) -> dict[ServiceName, float]:
-        """Return the slots that new requests may fill, by service."""
-        slots: dict[ServiceName, float] = {}
-        queued: dict[ServiceName, float] = {}
-        for status in statuses:
-            if status.is_open:
-                service = ServiceName(status.service)
-                slots[service] = slots.get(service, 0.0) + status.limit
-                waiting = status.waiting * status.run_seconds
-                queued[service] = queued.get(service, 0.0) + waiting
-        return {
-            service: max(
-                count * MIN_PLANNED_SLOT_SHARE,
-                count * PLANNED_SLOT_SHARE
-                - queued[service] / QUEUE_DRAIN_SECONDS,
-            )
-            for service, count in slots.items()
-        }
+
+def _capacity(total: FleetLoad) -> dict[ServiceName, float]:
+    """Return the slots that new requests may fill, by service."""
+    return {
+        ServiceName(service): max(
+            load.slots * MIN_PLANNED_SLOT_SHARE,
+            load.slots * PLANNED_SLOT_SHARE
+            - load.waiting_seconds / QUEUE_DRAIN_SECONDS,
+        )
+        for service, load in total.services.items()
+    }
--- a/packages/sidecar/src/boragetrestle_sidecar/call_graph.py
+++ b/packages/sidecar/src/boragetrestle_sidecar/call_graph.py
@@ -5,6 +5,7 @@
 
 from boragetrestle_kernel.ids import ServiceName
 from boragetrestle_sidecar.call_attribution import MIN_COMPLETED_RUNS
+from boragetrestle_sidecar.fleet_load import CostSum
 from boragetrestle_sidecar.node_status import RouteCost
 from boragetrestle_sidecar.route_policy import RoutePolicy
 
@@ -29,17 +30,14 @@
         self.costs: dict[str, RouteCost] = {}
         self.cached_usage: dict[str, dict[ServiceName, Usage]] = {}
 
-    def update_costs(self, reports: Iterable[Iterable[RouteCost]]) -> None:
+    def update_costs(self, sums: Mapping[str, CostSum]) -> None:
         """Update each route's cost to the mean of what the nodes report.
 
         Routes that no node reports keep their last known cost.
         """
-        by_route: dict[str, list[RouteCost]] = {}
-        for costs in reports:
-            for cost in costs:
-                by_route.setdefault(cost.route, []).append(cost)
-        for route, costs in by_route.items():
-            self.costs[route] = _mean_cost(costs, self.costs.get(route))
+        for route, reported in sums.items():
+            known = self.costs.get(route)
+            self.costs[route] = _mean_cost(route, reported, known)
         self.cached_usage.clear()
 
     def add_missing_costs(self, costs: Iterable[RouteCost]) -> None:
@@ -80,25 +78,23 @@
             self._add_usage(called, runs * count, usage, depth - 1)
 
 
-def _mean_cost(costs: list[RouteCost], known: RouteCost | None) -> RouteCost:
+def _mean_cost(
+    route: str,
+    reported: CostSum,
+    known: RouteCost | None,
+) -> RouteCost:
     """Return the mean of nodes' costs, weighted by their observed runs.
 
     The last ``known`` cost stays if the reports rest on too few runs.
     """
-    route = costs[0].route
-    runs = sum(cost.runs for cost in costs)
+    runs = reported.runs
     if known is not None and runs < MIN_COMPLETED_RUNS <= known.runs:
         return known
     if not runs:
-        seconds = sum(cost.run_seconds for cost in costs) / len(costs)
+        seconds = reported.seconds / max(1, reported.reports)
         return RouteCost(route, {}, seconds, 0.0)
-    calls: dict[str, float] = {}
-    seconds = 0.0
-    for cost in costs:
-        weight = cost.runs / runs
-        seconds += cost.run_seconds * weight
-        for called, times in cost.calls.items():
-            calls[called] = calls.get(called, 0.0) + times * weight
+    calls = {called: count / runs for called, count in reported.calls.items()}
+    seconds = reported.weighted_seconds / runs
     if known is not None:
         seconds = known.run_seconds + NEWEST_RUN_TIME_WEIGHT * (
             seconds - known.run_seconds
--- a/packages/sidecar/src/boragetrestle_sidecar/config_keeper.py
+++ b/packages/sidecar/src/boragetrestle_sidecar/config_keeper.py
@@ -14,6 +14,9 @@
 # A version that a peer already has usually arrives from the store within this
 # time; only after it the peer is asked for the document.
 PEER_FETCH_DELAY_SECONDS = 0.15
+# All peers report a newer version at about the same time, and one document is
+# enough.
+PEER_FETCH_INTERVAL_SECONDS = 0.5
 
 
 class ConfigKeeper:
@@ -34,6 +37,7 @@
         self.subscribers: list[Callable[[Configuration], None]] = []
         self.missing_version = Version(0)
         self.missing_since = 0.0
+        self.asked_at = float('-inf')
 
     @property
     def version(self) -> Version:
@@ -83,13 +87,24 @@
     def should_request(self, version: int) -> bool:
         """Return whether to ask a peer for the version that it reports.
 
-        That is so when the version is newer than the one in force and has not
-        arrived from the store within ``PEER_FETCH_DELAY_SECONDS``.
+        That is so when the version is newer than the one in force, has not
+        arrived in other ways within ``PEER_FETCH_DELAY_SECONDS``, and no peer
+        was asked in the last ``PEER_FETCH_INTERVAL_SECONDS``.
         """
         if version <= self.version:
             return False
         now = self.clock()
+        if self.configuration is None:
+            # A node that has just started can't serve without one.
+            is_due = now - self.asked_at >= PEER_FETCH_INTERVAL_SECONDS
+            self.asked_at = now if is_due else self.asked_at
+            return is_due
         if version != self.missing_version:
             self.missing_version = Version(version)
             self.missing_since = now
-        return now - self.missing_since >= PEER_FETCH_DELAY_SECONDS
+            return False
+        is_late = now - self.missing_since >= PEER_FETCH_DELAY_SECONDS
+        if is_late and now - self.asked_at >= PEER_FETCH_INTERVAL_SECONDS:
+            self.asked_at = now
+            return True
+        return False
--- a/packages/sidecar/src/boragetrestle_sidecar/cost_archive.py
+++ b/packages/sidecar/src/boragetrestle_sidecar/cost_archive.py
@@ -1,4 +1,4 @@
-"""Save the costs of requests in the store, for nodes that restart.
+"""Save the costs of requests in the store, for a fleet that restarts.
 
 All nodes may lose power while demand is several times the capacity. Without
 known costs the restarted nodes would admit every request, and hardly any run
@@ -30,7 +30,8 @@
 class CostArchive:
     """Load the costs at the start and save them at intervals.
 
-    ``writes`` returns whether this node is the one that saves for all nodes.
+    ``reads`` returns whether this node loads the costs, which it passes on to
+    others, and ``writes`` whether it is the one that saves them.
     """
 
     def __init__(
@@ -40,11 +41,13 @@
         log: 'DecisionLog',
         *,
         writes: Callable[[], bool],
+        reads: Callable[[], bool],
     ) -> None:
         self.admission = admission
         self.store = store
         self.log = log
         self.writes = writes
+        self.reads = reads
 
     async def run(self) -> None:
         """Load the costs once, then save them until cancelled."""
@@ -56,9 +59,11 @@
                 await self._save()
 
     async def _load(self) -> bool:
-        """Load costs unless some are known; return false if that failed."""
+        """Load costs; return whether some are known or none are stored."""
         if self.admission.call_graph.costs:
             return True
+        if not self.reads():
+            return False
         try:
             view = await self.store.view(COSTS_TABLE)
         except StoreError as error:
--- a/packages/sidecar/src/boragetrestle_sidecar/entry.py
+++ b/packages/sidecar/src/boragetrestle_sidecar/entry.py
@@ -16,6 +16,7 @@
     parse_connection_header,
 )
 from boragetrestle_sidecar.entry_request import EntryRequest
+from boragetrestle_sidecar.guard_probe import GuardProbe
 from boragetrestle_sidecar.outcome import Outcome, OutcomeKind, Reason
 from boragetrestle_sidecar.placement import choose_guard
 from boragetrestle_sidecar.run_order import RunOrder
@@ -82,6 +83,7 @@
         self.suspects = parts.suspects
         self.telemetry = parts.telemetry
         self.clock = clock
+        self.probe = GuardProbe(parts.chance, clock)
         self.service_split = ServiceSplit(parts.chance)
         self.configuration: Configuration | None = None
         self.connections: set[CallerConnection] = set()
@@ -220,6 +222,21 @@
             )
 
     def _place(self, request: EntryRequest) -> None:
+        """Send a request to a guard, after asking some for their load."""
+        if not request.placements:
+            guards = self.fleet.guards_of(request.service)
+            unknown = self.probe.choose_guards(guards)
+            if unknown and self.probe.ask(
+                unknown, lambda: self._choose_guard(request)
+            ):
+                return
+            if guards:
+                self.probe.refresh_one(guards)
+        self._choose_guard(request)
+
+    def _choose_guard(self, request: EntryRequest) -> None:
+        if request.is_over:
+            return
         now = self.clock()
         guard = choose_guard(
             self.fleet.guards_of(request.service),
--- a/packages/sidecar/src/boragetrestle_sidecar/hop.py
+++ b/packages/sidecar/src/boragetrestle_sidecar/hop.py
@@ -31,6 +31,9 @@
     def unanswered_seconds(self, now: float) -> float:
         """Return the seconds since the guard should have sent something."""
 
+    def probe(self, now: float) -> bool:
+        """Ask the guard for its load; return whether an answer is due."""
+
 
 class LocalHop:
     """The channel to the guard in the same process."""
@@ -67,3 +70,7 @@
     def unanswered_seconds(self, now: float) -> float:
         """Return 0: the guard runs on the same event loop."""
         return 0.0
+
+    def probe(self, now: float) -> bool:
+        """Return false: the load of this guard is always known."""
+        return False
--- a/packages/sidecar/src/boragetrestle_sidecar/node_status.py
+++ b/packages/sidecar/src/boragetrestle_sidecar/node_status.py
@@ -1,4 +1,4 @@
-"""The status that a node sends to all other nodes."""
+"""What a node reports of itself to the total of the fleet."""
 
 from typing import NamedTuple
 
@@ -23,21 +23,16 @@
 
     ``service`` is the service of the target beside the node; ``is_open`` tells
     whether the guard, which enforces the target's limits, accepts runs.
-    ``limit`` is how many runs the guard admits to the target at once.
+    ``limit`` is how many runs the guard admits to the target at once,
+    ``waiting`` how many wait, ``run_seconds`` how long one takes.
     ``arrivals`` holds the callers' requests per second by route, ``costs`` the
-    measured cost of the runs at the target. ``version`` is that of the
-    configuration in force.
+    measured cost of the runs at the target.
     """
 
-    address: str
-    domain: str
-    version: int
     service: str
     is_open: bool
     limit: int
-    running: int
     waiting: int
     run_seconds: float
-    failing_share: float
     arrivals: dict[str, float]
     costs: list[RouteCost]
--- a/packages/sidecar/src/boragetrestle_sidecar/path_settings.py
+++ b/packages/sidecar/src/boragetrestle_sidecar/path_settings.py
@@ -20,7 +20,8 @@
     from ``stop_seconds`` on are bounds that the operators' platform promises or
     expects: the grace period of a stop; the retries allowed in a window, as a
     ratio of requests and an absolute slack; and the requests over an
-    organisation's rate that are tolerated.
+    organisation's rate that are tolerated. ``is_first_start`` tells that all
+    nodes start together for the first time.
     """
 
     node: 'NodeId'
@@ -39,3 +40,4 @@
     retry_window: float = 10.0
     retry_slack: float = 50.0
     rate_slack: float = 0.0
+    is_first_start: bool = False
--- a/packages/sidecar/src/boragetrestle_sidecar/peer_frames.py
+++ b/packages/sidecar/src/boragetrestle_sidecar/peer_frames.py
@@ -2,13 +2,15 @@
 
 from enum import IntEnum
 from struct import Struct
-from typing import Any, NamedTuple
+from typing import Any, NamedTuple, TypeVar
 
 import cbor2
+import msgspec
 
 from boragetrestle_kernel.errors import WireError
 
 _LENGTH = Struct('>I')
+_Fields = TypeVar('_Fields')
 # A body of the largest size with its header fields.
 MAX_FRAME_BYTES = 80_000_000
 
@@ -20,7 +22,7 @@
     RUN = 1
     CANCEL = 2
     OUTCOME = 3
-    STATUS = 4
+    LOAD = 4
     CONFIGURATION = 5
     ASK_TOKENS = 6
     GRANT_TOKENS = 7
@@ -28,6 +30,9 @@
     PING = 9
     ASK_CONFIGURATION = 10
     PONG = 11
+    TREE_LOAD = 12
+    TREE_TOTAL = 13
+    ROWS = 14
 
 
 class Frame(NamedTuple):
@@ -48,6 +53,21 @@
     return _LENGTH.pack(len(payload)) + payload
 
 
+def decode_fields(frame: Frame, kind: type[_Fields]) -> _Fields:
+    """Return the fields of a frame as a named tuple with checked types.
+
+    Raises ``WireError`` for fields that do not match the type.
+    """
+    try:
+        return msgspec.convert(frame.fields, kind)
+    except msgspec.ValidationError as error:
+        raise WireError(
+            f'a {frame.kind.name} frame from a peer has invalid fields: '
+            f'{error}',
+            remedy='run the same version on all nodes',
+        ) from error
+
+
 class FrameReader:
     """Split a stream of bytes into frames."""
 
--- a/packages/sidecar/src/boragetrestle_sidecar/peer_link.py
+++ b/packages/sidecar/src/boragetrestle_sidecar/peer_link.py
@@ -11,13 +11,14 @@
 from boragetrestle_kernel.errors import WireError
 from boragetrestle_sidecar.frame_writer import FrameWriter
 from boragetrestle_sidecar.link_socket import set_user_timeout
-from boragetrestle_sidecar.outcome import (
-    GuardLoad,
-    Outcome,
-    OutcomeKind,
-    Reason,
+from boragetrestle_sidecar.outcome import Outcome, OutcomeKind, Reason
+from boragetrestle_sidecar.peer_frames import (
+    Frame,
+    FrameKind,
+    FrameReader,
+    decode_fields,
+    encode_frame,
 )
-from boragetrestle_sidecar.peer_frames import Frame, FrameKind, FrameReader
 from boragetrestle_sidecar.steady_clock import steady_now
 
 if TYPE_CHECKING:
@@ -36,9 +37,9 @@
 # A peer that owes a reply for this long is pinged, since a run may take longer
 # than the silence that is tolerated.
 PING_AFTER_SECONDS = 0.2
-# Below the silence after which the peer drops the link. Every two nodes have a
-# link, so the cost of idle links grows with the square of the fleet's size.
+# Below the silence after which the peer drops the link.
 IDLE_PING_INTERVAL_SECONDS = 3.0
+MAX_UNSENT_FRAMES = 64  # more requests than wait for tokens of one node
 _LINK_LOST = Outcome(OutcomeKind.UNKNOWN, Reason.LINK_LOST)
 _NOT_CONNECTED = Outcome(OutcomeKind.NOT_SENT, Reason.UNREACHABLE)
 
@@ -46,7 +47,8 @@
 class PeerLink(asyncio.Protocol):
     """Maintain one connection to a node and send runs over it.
 
-    ``replies`` holds the callback of each run that has no outcome yet.
+    ``replies`` holds the callback of each run that has no outcome yet, and
+    ``unsent`` frames for a peer to which the link is being opened.
     ``reply_due_since`` is when the peer was first sent something that it has
     to answer, or None if nothing is unanswered.
     """
@@ -68,13 +70,21 @@
         self.reply_due_since: float | None = None
         self.pinged_at = 0.0
         self.disconnected = asyncio.Event()
-        self.disconnected_at = steady_now()
+        self.down_since = steady_now()
+        self.used_at = self.down_since
+        self.unsent: list[bytes] = []
+        self.has_tried = False
 
     @property
     def is_up(self) -> bool:
         """Whether the connection is open."""
         return self.writer is not None
 
+    @property
+    def is_new(self) -> bool:
+        """Whether the first attempt to connect is still going on."""
+        return not self.has_tried and self.writer is None
+
     def run(
         self,
         order: 'RunOrder',
@@ -85,11 +95,12 @@
         Without a connection ``reply`` gets the outcome that nothing was sent.
         """
         self.last_number += 1
+        self.used_at = steady_now()
         if self.writer is None:
             asyncio.get_running_loop().call_soon(reply, _NOT_CONNECTED)
         else:
             self.replies[self.last_number] = reply
-            self._expect_reply(steady_now())
+            self._expect_reply(self.used_at)
             self.writer.send(FrameKind.RUN, self.last_number, order)
         return self.last_number
 
@@ -122,18 +133,36 @@
         if reply is not None and self.writer is not None:
             self.writer.send(FrameKind.CANCEL, number, ())
 
-    def send(self, kind: FrameKind, number: int, fields: object) -> bool:
-        """Send a message that is no run; return whether the link is up."""
+    def probe(self, now: float) -> bool:
+        """Ask the guard for its load; return whether an answer is due."""
         if self.writer is None:
             return False
-        self.writer.send(kind, number, fields)
+        if self.pinged_at <= self.received_at:
+            self._ping(now)
         return True
 
+    def send(self, kind: FrameKind, number: int, fields: object) -> bool:
+        """Send a message that is no run; return false if the link is down.
+
+        What is sent while the link is opened for the first time is kept until
+        it is up.
+        """
+        if self.writer is not None:
+            self.writer.send(kind, number, fields)
+            return True
+        if self.is_new and len(self.unsent) < MAX_UNSENT_FRAMES:
+            self.unsent.append(encode_frame(kind, number, fields))
+            return True
+        return False
+
     async def stay_connected(self) -> None:
         """Connect, and reconnect with backoff when the connection is lost."""
         backoff = INITIAL_BACKOFF_SECONDS
         while True:
-            if await self._connect():
+            is_connected = await self._connect()
+            self.has_tried = True
+            self.unsent.clear()
+            if is_connected:
                 backoff = INITIAL_BACKOFF_SECONDS
                 await self.disconnected.wait()
             await asyncio.sleep(backoff)
@@ -148,13 +177,16 @@
         self.reply_due_since = None
         self.disconnected.clear()
         self.writer.send(FrameKind.HELLO, 0, self.messages.hello_fields())
+        for encoded in self.unsent:
+            self.writer.send_bytes(encoded)
+        self.unsent.clear()
         self._ping(self.received_at)
         self.log.write_unlimited('peer-found', peer=str(self.address))
 
     def connection_lost(self, error: Exception | None) -> None:
         """End the runs sent over the connection with an unknown outcome."""
         self.writer = None
-        self.disconnected_at = steady_now()
+        self.down_since = steady_now()
         self.disconnected.set()
         self.log.write_unlimited(
             'peer-lost',
@@ -174,15 +206,14 @@
         try:
             frames = self.reader.feed(received)
         except WireError as error:
-            self.log.write_unlimited(
-                'peer-frame-refused',
-                peer=str(self.address),
-                error=str(error),
-            )
-            self.abort()
+            self._refuse(error)
+            return
+        try:
+            for frame in frames:
+                self._handle_frame(frame)
+        except WireError as error:
+            self._refuse(error)
             return
-        for frame in frames:
-            self._handle_frame(frame)
         if not self.replies:
             self.reply_due_since = None
 
@@ -191,21 +222,22 @@
         if self.writer is not None:
             self.writer.transport.abort()
 
+    def _refuse(self, error: WireError) -> None:
+        self.log.write_limited(
+            'peer-frame-refused',
+            peer=str(self.address),
+            error=str(error),
+        )
+        self.abort()
+
     def _handle_frame(self, frame: Frame) -> None:
         if frame.kind is not FrameKind.OUTCOME:
             self.messages.handle(frame, self.send, self.address)
             return
-        reply = self.replies.pop(frame.number, None)
-        if reply is None:
+        if frame.number not in self.replies:
             return
-        outcome = Outcome(*frame.fields)
-        reply(
-            outcome._replace(
-                kind=OutcomeKind(outcome.kind),
-                reason=Reason(outcome.reason),
-                load=GuardLoad(*outcome.load),
-            )
-        )
+        outcome = decode_fields(frame, Outcome)
+        self.replies.pop(frame.number)(outcome)
 
     async def _connect(self) -> bool:
         loop = asyncio.get_running_loop()
--- a/packages/sidecar/src/boragetrestle_sidecar/peer_server.py
+++ b/packages/sidecar/src/boragetrestle_sidecar/peer_server.py
@@ -6,13 +6,18 @@
 
 import asyncio
 import math
-from typing import TYPE_CHECKING, cast
+from typing import TYPE_CHECKING, NamedTuple, cast
 
 from boragetrestle_kernel.errors import WireError
 from boragetrestle_sidecar.frame_writer import FrameWriter
 from boragetrestle_sidecar.guard_job import GuardJob, JobState
 from boragetrestle_sidecar.link_socket import set_user_timeout
-from boragetrestle_sidecar.peer_frames import Frame, FrameKind, FrameReader
+from boragetrestle_sidecar.peer_frames import (
+    Frame,
+    FrameKind,
+    FrameReader,
+    decode_fields,
+)
 from boragetrestle_sidecar.run_order import RunOrder
 from boragetrestle_sidecar.steady_clock import steady_now
 
@@ -25,6 +30,12 @@
 ENTRY_SILENCE_SECONDS = 8.0  # entries ping idle links every 3 s
 
 
+class Ping(NamedTuple):
+    """A question for the guard's load; ``sent_at`` is on the entry's clock."""
+
+    sent_at: float
+
+
 class PeerServer:
     """The connections of all entries to this node's guard."""
 
@@ -83,15 +94,13 @@
         """Handle the frames that the entry sent; close on an invalid one."""
         self.received_at = steady_now()
         try:
-            frames = self.reader.feed(received)
+            for frame in self.reader.feed(received):
+                self._handle_frame(frame)
         except WireError as error:
-            self.server.log.write_unlimited(
+            self.server.log.write_limited(
                 'peer-frame-refused', error=str(error)
             )
             self.abort()
-            return
-        for frame in frames:
-            self._handle_frame(frame)
 
     def abort(self) -> None:
         """Close the connection without flushing what is still unsent."""
@@ -113,8 +122,9 @@
             if job is not None:
                 self.server.guard.cancel(job)
         elif frame.kind is FrameKind.PING:
-            self._delivery_delay(frame.fields[0])
-            self.send(FrameKind.PONG, frame.number, ())
+            self._delivery_delay(decode_fields(frame, Ping).sent_at)
+            load = self.server.messages.own_load()
+            self.send(FrameKind.PONG, frame.number, load)
         else:
             self.server.messages.handle(frame, self.send, None)
 
@@ -136,7 +146,7 @@
             self.jobs.pop(number, None)
             self.send(FrameKind.OUTCOME, number, outcome)
 
-        order = RunOrder(*frame.fields)
+        order = decode_fields(frame, RunOrder)
         job = self.server.guard.submit(
             order,
             reply,
--- a/packages/sidecar/src/boragetrestle_sidecar/placement.py
+++ b/packages/sidecar/src/boragetrestle_sidecar/placement.py
@@ -11,7 +11,7 @@
 import math
 import random
 from collections.abc import Callable, Sequence
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
 from boragetrestle_sidecar.run_meter import ASSUMED_RUN_SECONDS
@@ -41,7 +41,7 @@
 
     ``unconfirmed_runs`` counts runs sent since the guard last reported its
     load, at ``heard_at``. ``is_open`` tells whether the guard accepts runs, and
-    ``limit`` how many run at once.
+    ``limit`` how many run at once. ``waits`` are called when it is heard again.
     """
 
     address: str
@@ -57,6 +57,7 @@
     unconfirmed_runs: int = 0
     heard_at: float = 0.0
     is_local: bool = False
+    waits: list[Callable[[], None]] = field(default_factory=list)
 
     def expected_seconds(self, run_seconds: float) -> float:
         """Return the seconds until a run that is sent now has ended."""
--- a/packages/sidecar/src/boragetrestle_sidecar/rate_shares.py
+++ b/packages/sidecar/src/boragetrestle_sidecar/rate_shares.py
@@ -24,6 +24,10 @@
 # A holder that is cut off makes its share unavailable, and the smallest
 # organisations would otherwise have a single holder.
 MIN_HOLDERS = 3
+# Nodes among which the holders of all organisations are chosen. Entries have
+# links to the holders that they ask, so these must be few in a large fleet.
+MIN_POOL_NODES = 16
+NODES_PER_POOL_NODE = 16
 # The burst of the smallest organisations, two tokens in each share: a share
 # below one token never admits a request. The excess over the organisation's
 # own burst counts against the requests over a rate that operators tolerate.
@@ -39,19 +43,32 @@
 NO_TOKENS_BACKOFF_SECONDS = 0.1  # before asking the holders again
 
 
+def select_pool(nodes: Sequence[str]) -> tuple[str, ...]:
+    """Choose the nodes that hold shares of any rate.
+
+    >>> len(select_pool([f'n-{number}' for number in range(200)]))
+    16
+    """
+    count = max(MIN_POOL_NODES, len(nodes) // NODES_PER_POOL_NODE)
+    ranked = sorted(
+        nodes, key=lambda node: xxhash.xxh64_intdigest(f'pool {node}'.encode())
+    )
+    return tuple(ranked[:count])
+
+
 def select_holders(
     policy: 'OrganisationPolicy',
-    nodes: Sequence[str],
+    pool: Sequence[str],
 ) -> tuple[str, ...]:
-    """Choose the nodes that hold shares of an organisation's rate.
+    """Choose the nodes of a pool that hold shares of an organisation's rate.
 
     Nodes that know the same nodes choose the same holders.
     """
     terms = policy.terms
     wanted = max(MIN_HOLDERS, int(terms.burst / BURST_TOKENS_PER_HOLDER))
-    count = max(1, min(len(nodes), wanted))
+    count = max(1, min(len(pool), wanted))
     ranked = sorted(
-        nodes,
+        pool,
         key=lambda node: xxhash.xxh64_intdigest(
             f'{terms.name} {node}'.encode()
         ),
@@ -68,19 +85,21 @@
     def __init__(self, node: str, *, slack: float = 0.0) -> None:
         self.node = node
         self.min_burst = min(MIN_BURST_TOKENS, slack * MIN_BURST_SLACK_FRACTION)
-        self.nodes: tuple[str, ...] = (node,)
+        self.pool: tuple[str, ...] = (node,)
         self.knows_nodes = False
         self.is_leaving = False
         self.shares: dict[str, TokenShare] = {}
         self.granted_tokens: dict[str, tuple[float, float]] = {}
-        self.holders: dict[str, tuple[str, ...]] = {}
+        self.holders: dict[tuple[str, float], tuple[str, ...]] = {}
         self.no_tokens_until: dict[str, float] = {}
 
     def set_nodes(self, nodes: Sequence[str]) -> None:
         """Set the nodes among which rates are divided."""
-        self.nodes = tuple(sorted({*nodes, self.node}))
+        pool = select_pool(sorted({*nodes, self.node}))
+        if pool != self.pool:
+            self.pool = pool
+            self.holders.clear()
         self.knows_nodes = not self.is_leaving
-        self.holders.clear()
 
     def refill_own_shares(
         self,
@@ -186,9 +205,10 @@
         return replace(terms, burst=self.min_burst)
 
     def _holders_for(self, policy: 'OrganisationPolicy') -> tuple[str, ...]:
-        name = policy.terms.name
-        holders = self.holders.get(name)
+        # The number of holders follows the burst, which operators may change.
+        known_as = (policy.terms.name, policy.terms.burst)
+        holders = self.holders.get(known_as)
         if holders is None:
-            holders = select_holders(policy, self.nodes)
-            self.holders[name] = holders
+            holders = select_holders(policy, self.pool)
+            self.holders[known_as] = holders
         return holders
--- a/packages/sidecar/src/boragetrestle_sidecar/sidecar.py
+++ b/packages/sidecar/src/boragetrestle_sidecar/sidecar.py
@@ -14,39 +14,40 @@
 from boragetrestle_sidecar.admission import Admission
 from boragetrestle_sidecar.caller_connection import CallerConnection
 from boragetrestle_sidecar.config_keeper import ConfigKeeper
-from boragetrestle_sidecar.cost_archive import CostArchive
-from boragetrestle_sidecar.counted_store import CountedStore
 from boragetrestle_sidecar.endpoint_server import EndpointConnection
 from boragetrestle_sidecar.entry import Entry
 from boragetrestle_sidecar.entry_parts import EntryParts
+from boragetrestle_sidecar.first_configuration import FirstConfiguration
 from boragetrestle_sidecar.fleet import Fleet
+from boragetrestle_sidecar.fleet_load import load_of
 from boragetrestle_sidecar.guard import Guard
 from boragetrestle_sidecar.hop import LocalHop
-from boragetrestle_sidecar.http_caller import HttpCaller
+from boragetrestle_sidecar.load_aggregation import LoadAggregation
+from boragetrestle_sidecar.member import Member
 from boragetrestle_sidecar.member_links import MemberLinks
 from boragetrestle_sidecar.node_endpoints import NodeEndpoints
 from boragetrestle_sidecar.peer_messages import PeerMessages
 from boragetrestle_sidecar.peer_server import PeerConnection, PeerServer
 from boragetrestle_sidecar.rate_gate import RateGate
 from boragetrestle_sidecar.rate_shares import RateShares
-from boragetrestle_sidecar.registration import NODES_TABLE, Registration
 from boragetrestle_sidecar.retry_budget import RetryBudget
 from boragetrestle_sidecar.status_reporter import StatusReporter
 from boragetrestle_sidecar.steady_clock import steady_now
+from boragetrestle_sidecar.store_sync import StoreSync
 from boragetrestle_sidecar.suspects import Suspects, fingerprint_of
-from boragetrestle_sidecar.table_watch import TableWatch
 from boragetrestle_sidecar.telemetry import Telemetry
+from boragetrestle_sidecar.tree_exchange import TreeExchange
 
 if TYPE_CHECKING:
-    from boragetrestle_platform.table import Row
     from boragetrestle_sidecar.configuration import Configuration
     from boragetrestle_sidecar.decision_log import DecisionLog
     from boragetrestle_sidecar.platform_adapter import PlatformAdapter
     from boragetrestle_sidecar.run_order import RunOrder
 
 SWEEP_INTERVAL_SECONDS = 0.02  # largest delay in noticing an expired time limit
-# Half of the silence after which peers are pinged.
-LINK_CHECK_INTERVAL_SECONDS = 0.1
+IDLE_SWEEP_INTERVAL_SECONDS = 0.1  # without requests or runs
+# The silence after which peers are pinged.
+LINK_CHECK_INTERVAL_SECONDS = 0.2
 # Idle connections are closed at most this late.
 MAINTENANCE_INTERVAL_SECONDS = 1.0
 IDLE_MARGIN_SECONDS = 1.0  # callers reuse connections up to their idle limit
@@ -57,11 +58,10 @@
 CLOSE_MARGIN_FRACTION = 0.1
 # A node that has just started is ready when its links are up, or after this.
 LINK_WAIT_SECONDS = 1.0
-# Joining nodes announce themselves to their peers and the table only confirms
-# it, so it can be read late. Often many nodes change it at once.
-NODES_POLL_DELAY_SECONDS = 0.8
-# Changes come in quick succession; peers that poll earlier pass them on.
-CONFIG_POLL_DELAY_SECONDS = 0.6
+LOAD_INTERVAL_SECONDS = 0.25  # arrivals are averaged over about a second
+# In fleets up to this size loads are reported at each interval; in larger ones
+# at each second one, which halves the traffic of nodes with many children.
+MAX_SMALL_FLEET = 17
 LISTEN_BACKLOG = 1024  # after a restart all callers connect at once
 MAX_TRACE_ENTRIES = 6  # last entries of a traceback in a log line
 _INCARNATION_BITS = 48  # random numbers of two starts don't coincide
@@ -91,14 +91,23 @@
             log,
             telemetry=self.telemetry,
         )
-        self.fleet = Fleet(self.address)
-        self.links = MemberLinks(self.address, self.fleet, log)
+        self.fleet = Fleet(
+            Member(
+                self.address,
+                self.settings.domain,
+                self.settings.service,
+            )
+        )
+        self.links = MemberLinks(self.fleet, log)
         self.keeper = ConfigKeeper(adapter.decode_configuration, log)
+        self.first_configuration = FirstConfiguration(
+            self.keeper, self._use_configuration
+        )
         self.suspects = Suspects()
-        self.admission = Admission(self.chance, log, address=self.address)
+        self.admission = Admission(self.chance, log)
         self.rates = RateGate(
             RateShares(self.address, slack=self.settings.rate_slack),
-            link_of=self.links.get,
+            link_of=self.links.open,
             chance=self.chance,
         )
         self.budget = RetryBudget(
@@ -107,40 +116,45 @@
             window=self.settings.retry_window,
         )
         self.entry = self._build_entry()
+        self.sync = StoreSync(
+            adapter,
+            self.settings,
+            log,
+            fleet=self.fleet,
+            links=self.links,
+            keeper=self.keeper,
+            admission=self.admission,
+            telemetry=self.telemetry,
+            chance=self.chance,
+        )
+        self.tree = TreeExchange(
+            self.address,
+            fleet=self.fleet,
+            links=self.links,
+            keeper=self.keeper,
+            aggregation=LoadAggregation(),
+            store=self.sync.following,
+        )
+        self.sync.connect(self.tree)
         messages = PeerMessages(
-            address=self.address,
             fleet=self.fleet,
             keeper=self.keeper,
             rates=self.rates,
             suspects=self.suspects,
+            tree=self.tree,
+            own_load=lambda: self.reporter.own_load(),
+            on_peer_heard=self.first_configuration.compare,
         )
         self.links.messages = messages
         self.server = PeerServer(self.guard, messages, log)
         self.reporter = StatusReporter(
-            self.settings,
+            self.fleet.own,
             incarnation=random.SystemRandom().getrandbits(_INCARNATION_BITS),
             guard=self.guard,
             entry=self.entry,
-            fleet=self.fleet,
             keeper=self.keeper,
             server=self.server,
         )
-        self.store = CountedStore(
-            adapter.open_store(HttpCaller(self.settings.store)),
-            self.telemetry,
-        )
-        self.registration = Registration(
-            self.address,
-            self.settings.domain,
-            self.store,
-            log,
-        )
-        self.costs = CostArchive(
-            self.admission,
-            self.store,
-            log,
-            writes=lambda: self.fleet.has_lowest_address,
-        )
         self.tasks: set[asyncio.Task[None]] = set()
         self.listeners: list[asyncio.Server] = []
         self.started_at = steady_now()
@@ -150,7 +164,7 @@
     @property
     def is_ready(self) -> bool:
         """Whether the node accepts requests of callers."""
-        if self.entry.is_stopping or self.keeper.configuration is None:
+        if self.entry.is_stopping or self.entry.configuration is None:
             return False
         waited = steady_now() - self.started_at
         return self.links.all_connected or waited > LINK_WAIT_SECONDS
@@ -203,7 +217,7 @@
         self.rates.shares.release_shares()
         self.reporter.send()
         loop = asyncio.get_running_loop()
-        removal = loop.create_task(self.registration.remove())
+        removal = loop.create_task(self.sync.registration.remove())
         longest = self.settings.stop_seconds * (1 - CLOSE_MARGIN_FRACTION)
         while steady_now() - began < longest:
             is_idle = not self.entry.requests and not self.guard.running
@@ -254,10 +268,11 @@
         return Entry(self.settings, self.adapter.names, parts)
 
     def _connect_components(self) -> None:
-        self.fleet.add(self.address, LocalHop(self.guard), is_local=True)
+        self.fleet.add_local(self.guard, LocalHop(self.guard))
         self.fleet.on_members_changed = self._apply_members
         self.keeper.subscribers.append(self._apply_configuration)
-        self.suspects.notify_nodes = self.links.broadcast_suspect
+        self.suspects.notify_nodes = self.tree.report_crash
+        self.tree.on_total = self._plan_admission
         self.guard.crash_watch.on_crash = self._record_crash
         self.telemetry.gauges.update({
             'guard_running': lambda: self.guard.running,
@@ -265,6 +280,10 @@
             'configuration_version': lambda: self.keeper.version,
             'configuration_age_seconds': lambda: self.keeper.age,
             'members': lambda: len(self.fleet.members),
+            'links': lambda: len(self.links.links),
+            'peer_connections': lambda: len(self.server.connections),
+            'store_epoch': lambda: self.tree.epoch,
+            'store_heard_seconds': lambda: self.sync.following.age,
         })
 
     async def _listen(self) -> None:
@@ -294,31 +313,12 @@
             self.listeners.append(listener)
 
     def _start_tasks(self) -> None:
-        watch = partial(
-            TableWatch,
-            store=self.store,
-            log=self.log,
-            chance=self.chance,
-        )
-        nodes = watch(
-            NODES_TABLE,
-            on_change=self._apply_node_rows,
-            poll_delay=NODES_POLL_DELAY_SECONDS,
-        )
-        operators = watch(
-            self.adapter.config_table,
-            on_change=self._apply_configuration_row,
-            poll_delay=CONFIG_POLL_DELAY_SECONDS,
-        )
         for job in (
-            operators.run(),
-            nodes.run(),
-            self.registration.run(),
-            self.costs.run(),
+            *self.sync.jobs(),
             self._sweep_deadlines(),
             self._check_links(),
             self._run_maintenance(),
-            self._send_statuses(),
+            self._exchange_loads(),
         ):
             task = asyncio.get_running_loop().create_task(job)
             task.add_done_callback(self._stop_on_task_failure)
@@ -347,7 +347,12 @@
 
     async def _sweep_deadlines(self) -> None:
         while True:
-            await asyncio.sleep(SWEEP_INTERVAL_SECONDS)
+            is_busy = self.entry.requests or self.guard.jobs
+            await asyncio.sleep(
+                SWEEP_INTERVAL_SECONDS
+                if is_busy
+                else IDLE_SWEEP_INTERVAL_SECONDS
+            )
             self.guard.sweep()
             self.entry.expire_overdue_requests()
             self.reporter.send_if_guard_changed()
@@ -370,35 +375,44 @@
             self.server.abort_silent_connections()
             self.rates.refill_shares()
 
-    async def _send_statuses(self) -> None:
+    async def _exchange_loads(self) -> None:
         last = steady_now()
+        interval = 0
         while True:
-            await asyncio.sleep(self.fleet.status_interval)
+            await asyncio.sleep(LOAD_INTERVAL_SECONDS)
             now = steady_now()
             self.reporter.update_rates(max(now - last, SWEEP_INTERVAL_SECONDS))
             last = now
-            self.reporter.send()
-            self.admission.plan(self.fleet.current_statuses())
+            self.first_configuration.check_wait()
+            self.sync.check_epoch()
+            self.links.refresh()
+            interval += 1
+            is_small = len(self.fleet.members) <= MAX_SMALL_FLEET
+            if is_small or interval % 2:
+                self.tree.aggregation.own = load_of(
+                    self.reporter.build_status()
+                )
+                self.tree.report(self.admission.call_graph.costs.values())
+
+    def _plan_admission(self) -> None:
+        total = self.tree.aggregation.total_to_plan(len(self.fleet.members))
+        if total is not None:
+            self.admission.own_arrivals = self.reporter.arrivals.rates
+            self.admission.plan(total)
 
     def _apply_configuration(self, configuration: 'Configuration') -> None:
+        self.tree.pass_configuration_on()
+        self.first_configuration.apply(configuration)
+
+    def _use_configuration(self, configuration: 'Configuration') -> None:
         self.entry.configuration = configuration
         self.rates.configuration = configuration
         self.admission.configure(configuration)
 
-    def _apply_configuration_row(self, rows: 'dict[str, Row]') -> None:
-        row = rows.get(self.adapter.config_key)
-        if row is not None and self.keeper.apply_if_newer(
-            row.content, source='store'
-        ):
-            self.reporter.send()
-
-    def _apply_node_rows(self, rows: 'dict[str, Row]') -> None:
-        self.registration.update_row(rows)
-        self.fleet.set_members({*rows, self.address})
-
-    def _apply_members(self, members: Sequence[str]) -> None:
-        self.rates.shares.set_nodes(members)
-        self.budget.nodes = len(members)
+    def _apply_members(self, members: 'Sequence[Member]') -> None:
+        addresses = [member.address for member in members]
+        self.rates.shares.set_nodes(addresses)
+        self.budget.nodes = len(addresses)
         self.links.set_members(members)
 
     def _record_crash(self, orders: 'list[RunOrder]') -> None:
--- a/packages/sidecar/src/boragetrestle_sidecar/status_reporter.py
+++ b/packages/sidecar/src/boragetrestle_sidecar/status_reporter.py
@@ -1,7 +1,8 @@
-"""Send the status of this node to all nodes, several times a second."""
+"""Measure what this node reports, and tell entries when its guard changes."""
 
 from typing import TYPE_CHECKING
 
+from boragetrestle_sidecar.node_load import NodeLoad
 from boragetrestle_sidecar.node_status import NodeStatus, RouteCost
 from boragetrestle_sidecar.peer_frames import FrameKind, encode_frame
 from boragetrestle_sidecar.rate_meter import RateMeter
@@ -9,35 +10,28 @@
 if TYPE_CHECKING:
     from boragetrestle_sidecar.config_keeper import ConfigKeeper
     from boragetrestle_sidecar.entry import Entry
-    from boragetrestle_sidecar.fleet import Fleet
     from boragetrestle_sidecar.guard import Guard
-    from boragetrestle_sidecar.path_settings import PathSettings
+    from boragetrestle_sidecar.member import Member
     from boragetrestle_sidecar.peer_server import PeerServer
 
 
 class StatusReporter:
-    """Measure arrival rates and send the status of this node.
-
-    Nodes connect to this node's peer server; the status goes out over all its
-    open connections.
-    """
+    """Report the load of this node's guard and the arrivals at its entry."""
 
     def __init__(
         self,
-        settings: 'PathSettings',
+        own: 'Member',
         *,
         incarnation: int,
         guard: 'Guard',
         entry: 'Entry',
-        fleet: 'Fleet',
         keeper: 'ConfigKeeper',
         server: 'PeerServer',
     ) -> None:
-        self.settings = settings
+        self.own = own
         self.incarnation = incarnation
         self.guard = guard
         self.entry = entry
-        self.fleet = fleet
         self.keeper = keeper
         self.server = server
         self.arrivals = RateMeter()
@@ -49,33 +43,38 @@
         self.guard.attribution.decay()
 
     def send_if_guard_changed(self) -> None:
-        """Send the status if the guard opened or closed since the last one."""
+        """Send the load if the guard opened or closed since the last time."""
         if self.guard.is_open != self.sent_as_open:
             self.send()
 
     def send(self) -> None:
-        """Send the status to all nodes and record it in this node's fleet."""
-        status = self.build_status()
-        self.sent_as_open = status.is_open
-        self.fleet.update_status(status)
-        self.server.broadcast(encode_frame(FrameKind.STATUS, 0, status))
+        """Send the load to all entries that have a link to this node."""
+        load = self.own_load()
+        self.sent_as_open = load.load.is_open
+        self.server.broadcast(encode_frame(FrameKind.LOAD, 0, load))
+
+    def own_load(self) -> NodeLoad:
+        """Return what entries get to know about this node."""
+        report = self.guard.reported_target.report
+        return NodeLoad(
+            address=self.own.address,
+            domain=self.own.domain,
+            service=report.service if report else '',
+            version=self.keeper.version,
+            load=self.guard.load,
+        )
 
     def build_status(self) -> NodeStatus:
-        """Return the current status of this node."""
+        """Return what this node adds to the total of the fleet."""
         guard = self.guard
         report = guard.reported_target.report
         load = guard.load
         return NodeStatus(
-            address=self.fleet.address,
-            domain=self.settings.domain,
-            version=self.keeper.version,
             service=report.service if report else '',
-            is_open=guard.is_open,
+            is_open=load.is_open,
             limit=load.limit,
-            running=load.running,
             waiting=load.waiting,
             run_seconds=round(load.run_seconds, 4),
-            failing_share=load.failing_share,
             arrivals=self.arrivals.reported_rates(),
             costs=[
                 RouteCost(
--- a/packages/sidecar/src/boragetrestle_sidecar/store_client.py
+++ b/packages/sidecar/src/boragetrestle_sidecar/store_client.py
@@ -6,18 +6,27 @@
 
 
 class TableView(NamedTuple):
-    """A snapshot of a table; changes after it begin at ``position``."""
+    """A snapshot of a table; changes after it begin at ``position``.
+
+    ``epoch`` counts how often the store came back from an older copy. Versions
+    and positions of one epoch say nothing in another.
+    """
 
     rows: tuple[Row, ...]
     position: int
+    epoch: int = 0
 
 
 class TableChanges(NamedTuple):
-    """Rows written and keys removed since a position, and the next position."""
+    """Rows written and keys removed since a position, and the next position.
+
+    If ``epoch`` is not that of the position, the changes mean nothing.
+    """
 
     written: tuple[Row, ...]
     removed: tuple[str, ...]
     position: int
+    epoch: int = 0
 
 
 class StoreClient(Protocol):
--- /dev/null
+++ b/packages/sidecar/src/boragetrestle_sidecar/store_following.py
@@ -0,0 +1,88 @@
+"""Decide which nodes read the store for all others.
+
+Calls to the store cost money and load it, and hundreds of nodes need the same
+few rows. Two nodes of each domain follow the store's changes and pass them on.
+A node reads the store itself when it is cut off from the others, and a few
+random ones do when none has heard from the store for long: it may turn away
+just those that follow it.
+"""
+
+import random
+from collections.abc import Callable
+from typing import TYPE_CHECKING
+
+from boragetrestle_sidecar.table_watch import (
+    IDLE_CHECK_SECONDS,
+    LONG_POLL_SECONDS,
+)
+
+if TYPE_CHECKING:
+    from boragetrestle_sidecar.member_links import MemberLinks
+    from boragetrestle_sidecar.tree_exchange import TreeExchange
+
+# A follower hears from the store at least after each long poll.
+STORE_SILENCE_SECONDS = LONG_POLL_SECONDS + LONG_POLL_SECONDS / 2
+# In a fleet that does not hear from the store, one node more tries it this
+# often on average.
+VOLUNTEER_INTERVAL_SECONDS = 0.5
+NEVER_HEARD_SECONDS = 1e6
+# When a whole fleet starts, its nodes write their rows within this time, and a
+# single read then finds them all.
+FIRST_START_DELAY_SECONDS = 0.8
+
+
+class StoreFollowing:
+    """What this node knows of the store's reachability, and what it reads.
+
+    ``was_read`` tells whether this node has read the table of nodes once.
+    """
+
+    def __init__(
+        self,
+        *,
+        is_first_start: bool,
+        links: 'MemberLinks',
+        chance: random.Random,
+        clock: Callable[[], float],
+    ) -> None:
+        self.links = links
+        self.chance = chance
+        self.clock = clock
+        delay = FIRST_START_DELAY_SECONDS if is_first_start else 0.0
+        self.first_read_at = clock() + delay
+        self.was_read = False
+        self.heard_at = clock() - NEVER_HEARD_SECONDS
+        self.tree: TreeExchange | None = None
+
+    @property
+    def has_nodes(self) -> bool:
+        """Whether the table of nodes is known, from the store or from peers."""
+        return self.was_read or bool(self.links.fleet.table.rows)
+
+    @property
+    def age(self) -> float:
+        """Seconds since this node or another heard from the store."""
+        return self.clock() - self.heard_at
+
+    def record_age(self, age: float) -> None:
+        """Take over how long ago another node heard from the store."""
+        self.heard_at = max(self.heard_at, self.clock() - age)
+
+    def needs_nodes(self) -> bool:
+        """Return whether this node has to read the table of nodes."""
+        if self.clock() < self.first_read_at:
+            return False
+        return not self.has_nodes or self.needs_changes()
+
+    def needs_changes(self) -> bool:
+        """Return whether this node has to follow the store's changes."""
+        if not self.has_nodes:
+            return False
+        is_cut_off = self.tree is not None and self.tree.is_cut_off
+        if self.links.is_follower or is_cut_off:
+            return True
+        if self.age < STORE_SILENCE_SECONDS:
+            return False
+        nodes = len(self.links.fleet.members)
+        interval = VOLUNTEER_INTERVAL_SECONDS * nodes
+        return self.chance.random() * interval < IDLE_CHECK_SECONDS
