--- a/tests/tree_builders.py
+++ b/tests/tree_builders.py
@@ -9,6 +9,7 @@
 from entry_builders import status
 from path_builders import LineLog, ManualClock, configuration
 
+from boragetrestle_kernel.errors import WireError
 from boragetrestle_platform.table import Row
 from boragetrestle_sidecar.config_keeper import ConfigKeeper
 from boragetrestle_sidecar.configuration import Configuration
@@ -54,6 +55,11 @@
 
 def document(content: bytes) -> Configuration:
     """Decode a configuration whose document is its version."""
+    if not content.isdigit():
+        raise WireError(
+            f'the document {content!r} is no version',
+            remedy='send a number',
+        )
     return configuration(version=int(content))
 
 
