Replace a silent parent in the tree before a change is due

Cause: found by reading the redesign: a parent that is cut off without a reset was noticed after 2 s, while a change of the configuration must be in force within 2 s on the smallest sites; its children don't follow the store themselves. Ruled out: the time-out of unacknowledged bytes alone (2 s as well).

--- a/packages/sidecar/src/boragetrestle_sidecar/member_links.py
+++ b/packages/sidecar/src/boragetrestle_sidecar/member_links.py
@@ -28,6 +28,8 @@
 OPENING_SECONDS = 0.3
 # A link that was opened to ask for tokens closes when unused for this long.
 UNUSED_LINK_SECONDS = 10.0
+# A parent that went silent is tried again after this.
+SKIPPED_PARENT_SECONDS = 5.0
 
 
 class MemberLinks:
@@ -51,6 +53,7 @@
         self.tasks: dict[str, asyncio.Task[None]] = {}
         self.retired: list[PeerLink] = []
         self.parents: list[str] = []
+        self.skipped_parents: dict[str, float] = {}
         self.is_follower = True
         self.rankings: dict[str, GuardRanking] = {}
         self.messages: PeerMessages | None = None
@@ -74,9 +77,13 @@
         """Whether all links are open."""
         return all(link.is_up for link in self.links.values())
 
+    def skip_parent(self, address: str) -> None:
+        """Pass over a candidate for the parent for some time."""
+        self.skipped_parents[address] = self.clock() + SKIPPED_PARENT_SECONDS
+
     def connected_parent(self) -> str | None:
         """Return the first candidate for the parent whose link is open."""
-        for address in self.parents:
+        for address in self._parents_to_try():
             link = self.links.get(address)
             if link is not None and link.is_up:
                 return address
@@ -128,8 +135,16 @@
                 retired.abort()
                 self.retired.remove(retired)
 
+    def _parents_to_try(self) -> list[str]:
+        now = self.clock()
+        return [
+            address
+            for address in self.parents
+            if self.skipped_parents.get(address, 0.0) <= now
+        ]
+
     def _needed(self) -> Iterable[str]:
-        for address in self.parents:
+        for address in self._parents_to_try():
             yield address
             if self._is_connected_or_opening(address):
                 break
--- a/packages/sidecar/src/boragetrestle_sidecar/sidecar.py
+++ b/packages/sidecar/src/boragetrestle_sidecar/sidecar.py
@@ -36,7 +36,10 @@
 from boragetrestle_sidecar.store_sync import StoreSync
 from boragetrestle_sidecar.suspects import Suspects, fingerprint_of
 from boragetrestle_sidecar.telemetry import Telemetry
-from boragetrestle_sidecar.tree_exchange import TreeExchange
+from boragetrestle_sidecar.tree_exchange import (
+    LOAD_INTERVAL_SECONDS,
+    TreeExchange,
+)
 
 if TYPE_CHECKING:
     from boragetrestle_sidecar.configuration import Configuration
@@ -58,10 +61,10 @@
 CLOSE_MARGIN_FRACTION = 0.1
 # A node that has just started is ready when its links are up, or after this.
 LINK_WAIT_SECONDS = 1.0
-LOAD_INTERVAL_SECONDS = 0.25  # arrivals are averaged over about a second
 # In fleets up to this size loads are reported at each interval; in larger ones
 # at each second one, which halves the traffic of nodes with many children.
 MAX_SMALL_FLEET = 17
+TICKS_IN_LARGE_FLEET = 2
 LISTEN_BACKLOG = 1024  # after a restart all callers connect at once
 MAX_TRACE_ENTRIES = 6  # last entries of a traceback in a log line
 _INCARNATION_BITS = 48  # random numbers of two starts don't coincide
@@ -377,7 +380,7 @@
 
     async def _exchange_loads(self) -> None:
         last = steady_now()
-        interval = 0
+        ticks = 0
         while True:
             await asyncio.sleep(LOAD_INTERVAL_SECONDS)
             now = steady_now()
@@ -386,9 +389,12 @@
             self.first_configuration.check_wait()
             self.sync.check_epoch()
             self.links.refresh()
-            interval += 1
-            is_small = len(self.fleet.members) <= MAX_SMALL_FLEET
-            if is_small or interval % 2:
+            ticks += 1
+            every = 1
+            if len(self.fleet.members) > MAX_SMALL_FLEET:
+                every = TICKS_IN_LARGE_FLEET
+            if ticks % every == 0:
+                self.tree.interval = LOAD_INTERVAL_SECONDS * every
                 self.tree.aggregation.own = load_of(
                     self.reporter.build_status()
                 )
--- a/packages/sidecar/src/boragetrestle_sidecar/tree_exchange.py
+++ b/packages/sidecar/src/boragetrestle_sidecar/tree_exchange.py
@@ -24,9 +24,11 @@
 # A configuration that was sent is not sent again to the same node before this,
 # and neither is the whole table of nodes.
 RESEND_SECONDS = 0.6
-# Without a report from the parent for this long the node is on its own and
-# reads the store itself.
-PARENT_SILENCE_SECONDS = 2.0
+LOAD_INTERVAL_SECONDS = 0.25  # arrivals are averaged over about a second
+# After this many intervals without the total the parent is taken for cut off.
+# Configurations must be in force within seconds of their change, and until
+# another parent has spoken the node reads the store itself.
+PARENT_SILENCE_INTERVALS = 3
 MAX_REMEMBERED_CRASHES = 4000
 _CRASH_ID_BITS = 48  # random numbers of two crashes don't coincide
 
@@ -36,6 +38,7 @@
     """A parent or child in the tree, and what it was last known to have.
 
     ``send`` sends a frame and returns whether the connection is open.
+    ``has_spoken`` tells whether a report of it has come.
     """
 
     address: str
@@ -43,13 +46,17 @@
     version: int = 0
     has_equal_table: bool = True
     heard_at: float = 0.0
+    has_spoken: bool = False
     sent_version: int = 0
     configuration_sent_at: float = 0.0
     rows_sent_at: float = 0.0
 
 
 class TreeExchange:
-    """Send and receive what is passed along the edges of the tree."""
+    """Send and receive what is passed along the edges of the tree.
+
+    ``interval`` is how often reports are sent, in seconds.
+    """
 
     def __init__(
         self,
@@ -72,6 +79,8 @@
         self.parent: Neighbour | None = None
         self.children: dict[str, Neighbour] = {}
         self.known_crashes: dict[int, None] = {}
+        self.interval = LOAD_INTERVAL_SECONDS
+        self.has_lost_parent = False
         self.epoch = 0
         self.epoch_known_at = 0.0
         self.on_total: Callable[[], None] | None = None
@@ -84,11 +93,20 @@
 
     @property
     def is_cut_off(self) -> bool:
-        """Whether a parent is wanted but none has been heard lately."""
-        if self.parent is not None:
-            silent = self.clock() - self.parent.heard_at
-            return silent > PARENT_SILENCE_SECONDS
-        return bool(self.links.parents) and not self.children
+        """Whether a parent was lost and no other has been heard yet."""
+        if self.parent is None:
+            return bool(self.links.parents) and not self.children
+        if not self.parent.has_spoken:
+            return self.has_lost_parent
+        return self.is_parent_silent
+
+    @property
+    def is_parent_silent(self) -> bool:
+        """Whether the parent has not sent the total for too long."""
+        if self.parent is None:
+            return False
+        longest = PARENT_SILENCE_INTERVALS * self.interval
+        return self.clock() - self.parent.heard_at > longest
 
     @property
     def leads_most(self) -> bool:
@@ -197,7 +215,11 @@
         return True
 
     def _choose_parent(self) -> None:
+        if self.parent is not None and self.is_parent_silent:
+            self.links.skip_parent(self.parent.address)
         address = self.links.connected_parent()
+        if self.parent is not None and self.parent.address != address:
+            self.has_lost_parent = True
         if address is None:
             self.parent = None
         elif self.parent is None or self.parent.address != address:
@@ -226,6 +248,7 @@
 
     def _update(self, neighbour: Neighbour, report: TreeReport) -> None:
         neighbour.heard_at = self.clock()
+        neighbour.has_spoken = True
         neighbour.version = report.version
         self.store.record_age(report.store_age)
         self.record_epoch(report.epoch)
--- a/tests/test_path_tree.py
+++ b/tests/test_path_tree.py
@@ -226,6 +226,29 @@
     assert alone.following.needs_changes()
 
 
+def test_parent_that_goes_silent_is_replaced_before_changes_are_due() -> None:
+    """A cut sends no reset, and its children must not miss a change.
+
+    From the last total on, another parent is asked and the store is read
+    within two seconds.
+    """
+    fleet = ModelFleet(60)
+    fleet.read_table()
+    fleet.play(4)
+    silent = next(node for node in fleet.running if len(node.tree.children) > 3)
+    children = [fleet.nodes[address] for address in silent.tree.children]
+    fleet.silent = {silent.own.address}
+    fleet.play(2)
+    assert all(child.following.needs_changes() for child in children)
+    fleet.play(3)
+    left = {
+        node.aggregation.total.nodes
+        for node in fleet.running
+        if node is not silent
+    }
+    assert left == {59}
+
+
 def test_random_nodes_read_a_store_that_followers_do_not_reach() -> None:
     """The store may turn some hosts away and serve the others."""
     fleet = ModelFleet(60)
--- a/tests/tree_builders.py
+++ b/tests/tree_builders.py
@@ -85,6 +85,7 @@
         self.node = node
         self.fleet = fleet
         self.parents: list[str] = []
+        self.skipped: set[str] = set()
         self.is_follower = True
 
     def set_members(self, known: Sequence[Member]) -> None:
@@ -93,11 +94,15 @@
         self.parents = tree.parents
         self.is_follower = tree.is_follower
 
+    def skip_parent(self, address: str) -> None:
+        """Pass over a candidate for good."""
+        self.skipped.add(address)
+
     def connected_parent(self) -> str | None:
         """Return the first candidate that can be reached."""
         reachable = self.node.model.reachable_from(self.node)
         for address in self.parents:
-            if address in reachable:
+            if address in reachable and address not in self.skipped:
                 return address
         return None
 
@@ -133,6 +138,7 @@
             store=self.following,
             clock=model.clock,
         )
+        self.tree.interval = STEP_SECONDS
         self.following.tree = self.tree
         self.fleet.on_members_changed = links.set_members
         self.keeper.subscribers.append(
@@ -168,6 +174,8 @@
         """Handle a frame of another node; return whether it arrived."""
         if sender.own.address not in self.model.reachable_from(self):
             return False
+        if {sender.own.address, self.own.address} & self.model.silent:
+            return True
         encoded = encode_frame(kind, number, fields)
         self.model.count_bytes(sender, self, kind, len(encoded))
         (frame,) = FrameReader().feed(encoded)
@@ -187,13 +195,17 @@
 
 
 class ModelFleet:
-    """Nodes on one clock; those in ``cut`` reach only each other."""
+    """Nodes on one clock; those in ``cut`` reach only each other.
+
+    What those in ``silent`` send or are sent is lost without a reset.
+    """
 
     def __init__(self, count: int, *, domains: int = DOMAINS) -> None:
         self.clock = ManualClock()
         self.log = LineLog(self.clock)
         self.chance = random.Random(1)
         self.cut: set[str] = set()
+        self.silent: set[str] = set()
         self.bytes_sent: Counter[str] = Counter()
         self.bytes_by_kind: Counter[FrameKind] = Counter()
         self.bytes_between_domains = 0
