Take a configuration from a peer as confirmed by it

Cause: a node that has just started held back the document that its parent sent until the parent's next report, 0.25 to 0.5 s later, and refused its callers meanwhile. Change: the document says itself that the peer has no newer one. Before: test_configuration_from_a_peer_is_confirmed_by_it failed; after, it passes.

--- a/packages/sidecar/src/boragetrestle_sidecar/peer_messages.py
+++ b/packages/sidecar/src/boragetrestle_sidecar/peer_messages.py
@@ -223,6 +223,8 @@
 ) -> None:
     document = decode_fields(frame, Document)
     messages.keeper.apply_if_newer(document.content, source='peer')
+    # Whether it was newer or not, the peer has none that is newer than this.
+    messages.on_peer_heard(messages.keeper.version)
 
 
 @_handles(FrameKind.ASK_TOKENS)
--- a/tests/test_path_tree.py
+++ b/tests/test_path_tree.py
@@ -21,6 +21,7 @@
 )
 from boragetrestle_sidecar.load_aggregation import LoadAggregation
 from boragetrestle_sidecar.member_table import MemberRow, MemberTable
+from boragetrestle_sidecar.peer_frames import FrameKind
 
 CONTROL_BYTES_PER_SECOND = 10_000  # what one node may spend
 SIZES = [16, 194, 2200]
@@ -163,6 +164,14 @@
     assert fresh.keeper.version == 5
 
 
+def test_configuration_from_a_peer_is_confirmed_by_it() -> None:
+    """A node that has just started need not wait for a report as well."""
+    fleet = ModelFleet(2)
+    peer, fresh = fleet.running
+    fresh.receive(peer, FrameKind.CONFIGURATION, 0, [b'5'])
+    assert fresh.heard_versions == [5]
+
+
 def test_row_of_a_new_node_is_passed_on_to_all() -> None:
     """One node that follows the store is enough."""
     fleet = ModelFleet(194)
--- a/tests/tree_builders.py
+++ b/tests/tree_builders.py
@@ -145,6 +145,7 @@
             lambda _configuration: self.tree.pass_configuration_on()
         )
         self.crashes: list[str] = []
+        self.heard_versions: list[int] = []
         suspects: Any = self
         rates: Any = None
         self.messages = PeerMessages(
@@ -154,7 +155,7 @@
             suspects=suspects,
             tree=self.tree,
             own_load=lambda: None,  # type: ignore[arg-type,return-value]
-            on_peer_heard=lambda _version: None,
+            on_peer_heard=self.heard_versions.append,
         )
 
     def record_crash(self, found: str, *, is_own: bool) -> None:
