Stop at the first connected candidate for a parent

Change: the list is walked lazily. Run: make check, test_path_nodes, test_path_tree and test_path_links pass.

--- a/packages/sidecar/src/boragetrestle_sidecar/member_links.py
+++ b/packages/sidecar/src/boragetrestle_sidecar/member_links.py
@@ -5,7 +5,7 @@
 """
 
 import asyncio
-from collections.abc import Callable, Iterable, Sequence
+from collections.abc import Callable, Iterable, Iterator, Sequence
 from typing import TYPE_CHECKING
 
 from boragetrestle_kernel.address import Address
@@ -135,13 +135,12 @@
                 retired.abort()
                 self.retired.remove(retired)
 
-    def _parents_to_try(self) -> list[str]:
+    def _parents_to_try(self) -> Iterator[str]:
+        """Yield candidates; callers stop at the first one that is connected."""
         now = self.clock()
-        return [
-            address
-            for address in self.parents
-            if self.skipped_parents.get(address, 0.0) <= now
-        ]
+        for address in self.parents:
+            if self.skipped_parents.get(address, 0.0) <= now:
+                yield address
 
     def _needed(self) -> Iterable[str]:
         for address in self._parents_to_try():
