CONFIG: log how long a failed poll had been open, and silent connections

The hypotheses differ in how long a poll of the store waits for nothing and in whether its connection was closed or went silent; store-lost said neither. It now carries polled_for and store-regained lost_for, and a connection that the kernel gives up for silence is reported as such, not as closed.

No decision changes. make check and 114 tests of the connections, guards and watches pass.

--- a/packages/sidecar/src/boragetrestle_sidecar/server_connection.py
+++ b/packages/sidecar/src/boragetrestle_sidecar/server_connection.py
@@ -20,6 +20,7 @@
     """Why an exchange ended without a usable answer."""
 
     CLOSED = 'closed'
+    SILENT = 'silent'
     GARBLED = 'garbled'
 
 
@@ -105,8 +106,13 @@
         return False
 
     def connection_lost(self, error: Exception | None) -> None:
-        """Fail a running exchange."""
-        self._fail(Loss.CLOSED)
+        """Fail a running exchange.
+
+        The kernel reports a time-out for a connection whose other end no longer
+        acknowledges anything.
+        """
+        is_silent = isinstance(error, TimeoutError)
+        self._fail(Loss.SILENT if is_silent else Loss.CLOSED)
 
     def _accept_answer(self, answer: 'TargetAnswer') -> None:
         if self.matching_answer is not None:
--- a/packages/sidecar/src/boragetrestle_sidecar/table_watch.py
+++ b/packages/sidecar/src/boragetrestle_sidecar/table_watch.py
@@ -66,6 +66,8 @@
         self.on_confirmed = on_confirmed
         self.is_reachable = True
         self.is_confirmed = True
+        self.polled_at = clock()
+        self.lost_at = 0.0
 
     @property
     def is_rejoining(self) -> bool:
@@ -104,6 +106,7 @@
         await asyncio.sleep(seconds * self.chance.uniform(*JITTER))
 
     async def _poll(self) -> None:
+        self.polled_at = self.clock()
         if self.is_rejoining and self.clock() > self.rejoining_until:
             self.rejoining_until = 0.0
             self.position = None
@@ -161,8 +164,12 @@
     def _log_lost(self, error: StoreError) -> None:
         if self.is_reachable:
             self.is_reachable = False
+            self.lost_at = self.clock()
             self.log.write_unlimited(
-                'store-lost', table=self.table, error=str(error)
+                'store-lost',
+                table=self.table,
+                error=str(error),
+                polled_for=self.lost_at - self.polled_at,
             )
 
     def _confirm(self) -> None:
@@ -171,4 +178,8 @@
             self.on_confirmed(0.0)
         if not self.is_reachable:
             self.is_reachable = True
-            self.log.write_unlimited('store-regained', table=self.table)
+            self.log.write_unlimited(
+                'store-regained',
+                table=self.table,
+                lost_for=self.clock() - self.lost_at,
+            )
