Notice connections to the store that went silent within two seconds

Cause: the nodes that follow the store wait for its changes in a poll that may stay open for 10 s, 25 s in the landing that was reported. If the connection goes silent without a reset, only the poll's own time-out ends it, 12 s or 27 s later; until then no node hears of a change. The class: trust in a quiet connection.

Change: the kernel probes connections to the store each second and closes one that acknowledges nothing; after a failed call the idle connections are closed too, since each would cost the same wait again.

test_path_silent_store: 5 of 5 failed before; now 5 of 5 pass in each of three runs, the change is seen 2.1 to 2.4 s after the silence (bound 3 s). 899 tests on the virtual clock pass.

--- a/packages/sidecar/src/boragetrestle_sidecar/http_caller.py
+++ b/packages/sidecar/src/boragetrestle_sidecar/http_caller.py
@@ -4,6 +4,7 @@
 from typing import TYPE_CHECKING
 
 from boragetrestle_kernel.errors import OutcomeUnknownError, StoreError
+from boragetrestle_sidecar.link_socket import set_keepalive
 from boragetrestle_sidecar.server_connection import Loss, ServerConnection
 from boragetrestle_sidecar.steady_clock import steady_now
 
@@ -49,10 +50,14 @@
             async with asyncio.timeout(wait):
                 answer = await pending.answer_future
         except TimeoutError as error:
+            self._close_idle()
             raise OutcomeUnknownError(
                 f'{self.address} did not answer {method} in {wait:g} s',
                 remedy='check that the store is reachable and not overloaded',
             ) from error
+        except OutcomeUnknownError:
+            self._close_idle()
+            raise
         finally:
             if (
                 not pending.answer_future.done()
@@ -72,7 +77,7 @@
         loop = asyncio.get_running_loop()
         try:
             async with asyncio.timeout(CONNECT_TIMEOUT_SECONDS):
-                _transport, connection = await loop.create_connection(
+                transport, connection = await loop.create_connection(
                     ServerConnection,
                     self.address.host,
                     self.address.port,
@@ -82,8 +87,19 @@
                 f'no connection to the store at {self.address}: {error!r}',
                 remedy='check that the store runs and is reachable from here',
             ) from error
+        set_keepalive(transport)
         return connection
 
+    def _close_idle(self) -> None:
+        """Close the idle connections after one has failed.
+
+        What silenced or closed one connection has usually met the others too,
+        and each would cost the time until that is noticed.
+        """
+        for connection in self.idle_connections:
+            connection.close()
+        self.idle_connections.clear()
+
 
 class _PendingAnswer:
     """Complete a future with the answer of an exchange or its failure."""
--- a/packages/sidecar/src/boragetrestle_sidecar/link_socket.py
+++ b/packages/sidecar/src/boragetrestle_sidecar/link_socket.py
@@ -1,19 +1,42 @@
-"""Socket options of connections between nodes."""
+"""Socket options that let the kernel notice connections that went silent.
+
+A host that has lost power or is cut off sends no reset, and an open connection
+may go silent for good although new ones work.
+"""
 
 import asyncio
 import socket
 
-# A peer that has lost power or is cut off sends no reset, so the kernel closes
-# the connection once sent bytes stay unacknowledged for this long. Statuses are
-# sent several times within it.
-USER_TIMEOUT_MS = 2000
+# The kernel closes a connection between nodes once sent bytes stay
+# unacknowledged for this long. Statuses are sent several times within it.
+LINK_USER_TIMEOUT_MS = 2000
+# Some retransmissions over a link that loses packets.
+CALL_USER_TIMEOUT_MS = 1200
+KEEPALIVE_SECONDS = 1  # the kernel counts whole seconds
+KEEPALIVE_PROBES = 1
 
 
-def set_user_timeout(transport: asyncio.BaseTransport) -> None:
+def set_user_timeout(
+    transport: asyncio.BaseTransport,
+    milliseconds: int = LINK_USER_TIMEOUT_MS,
+) -> None:
     """Let the kernel close a connection whose peer acknowledges nothing."""
-    link: socket.socket = transport.get_extra_info('socket')
-    link.setsockopt(
-        socket.IPPROTO_TCP,
-        socket.TCP_USER_TIMEOUT,
-        USER_TIMEOUT_MS,
-    )
+    _set(transport, socket.TCP_USER_TIMEOUT, milliseconds)
+
+
+def set_keepalive(transport: asyncio.BaseTransport) -> None:
+    """Let the kernel probe a connection that waits for the other end.
+
+    A silent connection is closed at most two seconds after its last packet.
+    """
+    set_user_timeout(transport, CALL_USER_TIMEOUT_MS)
+    _set(transport, socket.TCP_KEEPIDLE, KEEPALIVE_SECONDS)
+    _set(transport, socket.TCP_KEEPINTVL, KEEPALIVE_SECONDS)
+    _set(transport, socket.TCP_KEEPCNT, KEEPALIVE_PROBES)
+    opened: socket.socket = transport.get_extra_info('socket')
+    opened.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
+
+
+def _set(transport: asyncio.BaseTransport, option: int, number: int) -> None:
+    opened: socket.socket = transport.get_extra_info('socket')
+    opened.setsockopt(socket.IPPROTO_TCP, option, number)
