LIMIT: read and log the rate limit that a target names

Nothing in the logs spoke of a limit, so the hypotheses could not be told apart. A guard now reads the header in each answer and writes target-limit when it changes, target-limit-refused when it is no number, and a line when a target says that it leaves.

--- a/packages/sidecar/src/boragetrestle_sidecar/guard.py
+++ b/packages/sidecar/src/boragetrestle_sidecar/guard.py
@@ -18,6 +18,7 @@
 from boragetrestle_sidecar.reported_target import ReportedTarget
 from boragetrestle_sidecar.run_meter import RunMeter
 from boragetrestle_sidecar.server_connection import Loss, ServerConnection
+from boragetrestle_sidecar.stated_terms import StatedTerms
 from boragetrestle_sidecar.steady_clock import steady_now
 from boragetrestle_sidecar.target_pool import TargetPool
 from boragetrestle_sidecar.target_silence import TargetSilence
@@ -81,6 +82,7 @@
         self.pool = TargetPool(settings.target, id_header=names.request_id)
         self.queue = GuardQueue()
         self.meter = RunMeter()
+        self.terms = StatedTerms(names, log)
         self.attribution = CallAttribution()
         self.jobs: set[GuardJob] = set()
         self.running = 0
@@ -127,6 +129,7 @@
         if is_new:
             self.crash_watch.report_crash(self.clock())
             self.pool.close()
+            self.terms.forget()
             self.unreachable_until = 0.0
             self.log.write_unlimited(
                 'target-found',
@@ -327,6 +330,7 @@
         self.pool.release(connection)
         self._release_slot(job, is_whole=answer.is_success)
         self.silence_detector.record_answer(now, is_idle=not self.running)
+        self._record_terms(job, answer, now)
         is_rejection = self._is_rejection(answer)
         is_failure = is_rejection or answer.status in FAILURE_STATUSES
         self.meter.record_result(is_failure=is_failure, now=now)
@@ -362,6 +366,24 @@
         self._finish(job, Outcome(OutcomeKind.UNKNOWN, _LOSS_REASON[loss]))
         self._dispatch()
 
+    def _record_terms(
+        self,
+        job: GuardJob,
+        answer: 'TargetAnswer',
+        now: float,
+    ) -> None:
+        """Take over what the target says of itself in an answer."""
+        report = self.reported_target.report
+        assert report is not None
+        if self.terms.record_answer(
+            answer, report, sent_at=job.started_at, now=now
+        ):
+            self.log.write_limited(
+                'target-says-it-leaves',
+                target=report.target,
+                request=job.order.request_id.decode('latin-1'),
+            )
+
     def _is_rejection(self, answer: 'TargetAnswer') -> bool:
         return (
             answer.header(self.names.not_run) is not None
--- /dev/null
+++ b/packages/sidecar/src/boragetrestle_sidecar/stated_terms.py
@@ -0,0 +1,75 @@
+"""The terms that the target beside a guard has stated in its answers."""
+
+import math
+from typing import TYPE_CHECKING
+
+from boragetrestle_kernel.errors import WireError
+from boragetrestle_sidecar.target_terms import read_terms
+
+if TYPE_CHECKING:
+    from boragetrestle_sidecar.decision_log import DecisionLog
+    from boragetrestle_sidecar.target_answer import TargetAnswer
+    from boragetrestle_sidecar.target_report import TargetReport
+    from boragetrestle_sidecar.wire_names import WireNames
+
+
+class StatedTerms:
+    """Keep the newest terms of the current incarnation of a target.
+
+    A rate limit holds for as long as the target's answers name it.
+    """
+
+    def __init__(self, names: 'WireNames', log: 'DecisionLog') -> None:
+        self.names = names
+        self.log = log
+        self.rate_limit: float | None = None
+        self.limited_at = -math.inf
+
+    def forget(self) -> None:
+        """Start anew with another incarnation."""
+        self.rate_limit = None
+        self.limited_at = -math.inf
+
+    def record_answer(
+        self,
+        answer: 'TargetAnswer',
+        report: 'TargetReport',
+        *,
+        sent_at: float,
+        now: float,
+    ) -> bool:
+        """Take over what an answer says; return whether the target leaves.
+
+        Answers may overtake each other, so only one to a request that was sent
+        after the limit was last named can lift it.
+        """
+        try:
+            terms = read_terms(answer, self.names)
+        except WireError as error:
+            self.log.write_limited(
+                'target-limit-refused',
+                target=report.target,
+                error=str(error),
+                in_force=self.rate_limit,
+            )
+            return False
+        if terms.rate_limit is not None:
+            self.limited_at = now
+        if terms.rate_limit is not None or sent_at > self.limited_at:
+            self._set_rate_limit(terms.rate_limit, report)
+        return terms.is_leaving
+
+    def _set_rate_limit(
+        self,
+        rate_limit: float | None,
+        report: 'TargetReport',
+    ) -> None:
+        if rate_limit == self.rate_limit:
+            return
+        self.log.write_limited(
+            'target-limit',
+            target=report.target,
+            rate_limit=rate_limit,
+            before=self.rate_limit,
+        )
+        self.rate_limit = rate_limit
--- a/packages/sidecar/src/boragetrestle_sidecar/wire_names.py
+++ b/packages/sidecar/src/boragetrestle_sidecar/wire_names.py
@@ -7,6 +7,8 @@
 class WireNames:
     """Header names in lower case, as bytes.
 
+    In ``rate_limit`` a target names the requests a second that it takes from
+    all nodes together; ``leaving`` is ``1`` in the answers of one that leaves.
     ``key_scheme`` is no header but the scheme before a key in the
     authorization header.
     """
@@ -17,5 +19,7 @@
     organisation: bytes
     expected_target: bytes
     not_run: bytes
+    rate_limit: bytes
+    leaving: bytes
     caller_service: bytes
     key_scheme: bytes
--- a/tests/path_builders.py
+++ b/tests/path_builders.py
@@ -35,6 +35,8 @@
     organisation=b'organisation',
     expected_target=b'target',
     not_run=b'not-run',
+    rate_limit=b'rate-limit',
+    leaving=b'leaving',
     caller_service=b'caller',
     key_scheme=b'bearer',
 )
