LIMIT: tests that fail: limits and leaves that targets name

A guard under a load of 100 requests a second whose target names a limit of 0 to 60 a second, lifts it, changes it in series or names no number; a target that says it leaves; and two real nodes over loopback whose node beside the target is restarted while callers of the other node go on.

--- a/packages/sidecar/src/boragetrestle_sidecar/outcome.py
+++ b/packages/sidecar/src/boragetrestle_sidecar/outcome.py
@@ -29,6 +29,7 @@
     DRAINING = 'target-draining'
     NO_TARGET = 'no-target'
     UNREACHABLE = 'target-unreachable'
+    TARGET_LIMIT = 'target-limit'
     TARGET_REJECTED = 'target-rejected'
     CONNECTION_LOST = 'connection-lost'
     ANSWER_GARBLED = 'answer-garbled'
--- a/tests/path_standins.py
+++ b/tests/path_standins.py
@@ -37,6 +37,7 @@
 )
 from boragetrestle_sidecar.path_settings import PathSettings
 from boragetrestle_sidecar.sidecar import Sidecar
+from boragetrestle_sidecar.steady_clock import steady_now
 from boragetrestle_sidecar.store_client import TableChanges, TableView
 from boragetrestle_sidecar.target_report import TargetReport
 
@@ -196,6 +197,8 @@
     def __init__(self) -> None:
         self.listener: asyncio.Server | None = None
         self.runs: list[CallerRequest] = []
+        self.run_times: list[float] = []
+        self.extra_headers = b''
         self.connections: list[StandinConnection] = []
         self.answer: Callable[[CallerRequest], EndpointAnswer | None] = (
             _echo_target
@@ -224,6 +227,7 @@
         while self.reader.ready:
             request = self.reader.ready.popleft()
             self.target.runs.append(request)
+            self.target.run_times.append(steady_now())
             answer = self.target.answer(request)
             if answer is not None:
                 self.respond(request, answer)
@@ -233,10 +237,11 @@
         assert self.transport is not None
         self.transport.write(
             b'HTTP/1.1 %d OK\r\nCall-Id: %s\r\nSeal: s\r\n'
-            b'Content-Length: %d\r\n\r\n%s'
+            b'%sContent-Length: %d\r\n\r\n%s'
             % (
                 answer.status,
                 request.header(b'call-id') or b'',
+                self.target.extra_headers,
                 len(answer.body),
                 answer.body,
             )
@@ -274,13 +279,23 @@
             store=Address(self.ip, 7007),
             stop_seconds=2.0,
         )
-        self.node = Sidecar(StandinAdapter(self.settings, store), log)
+        self.adapter = StandinAdapter(self.settings, store)
+        self.node = Sidecar(self.adapter, log)
 
     async def start(self) -> None:
         """Start node and target."""
         await self.target.listen(self.target_address)
         await self.node.start()
 
+    async def restart_node(self) -> None:
+        """Replace the node by a new process; its target runs on."""
+        self.node.close()
+        for connection in list(self.node.server.connections):
+            connection.abort()
+        await asyncio.sleep(0.1)
+        self.node = Sidecar(self.adapter, self.node.log)
+        await self.node.start()
+
     def close(self) -> None:
         """End node and target."""
         self.node.close()
--- /dev/null
+++ b/tests/test_path_target_terms.py
@@ -0,0 +1,257 @@
+"""Targets that name a rate limit or say that they leave."""
+
+import asyncio
+from collections.abc import Sequence
+from typing import Any
+
+import pytest
+from entry_builders import request_bytes
+from path_builders import GuardHarness, report, run_order
+from path_standins import Host, MemoryStore
+from test_path_nodes import call, run_with_hosts, sees_open_guards, wait_until
+
+from boragetrestle_sidecar.outcome import OutcomeKind, Reason
+from boragetrestle_sidecar.steady_clock import steady_now
+
+WINDOW_SECONDS = 4.0
+STEP_SECONDS = 0.02
+RUN_SECONDS = 0.1
+
+
+def allowed(rate_limit: float) -> float:
+    """Return the requests that are allowed in a window."""
+    return 1.5 * rate_limit * WINDOW_SECONDS + 5
+
+
+def most_in_window(times: Sequence[float]) -> int:
+    """Return the largest number of times within a window."""
+    return max(
+        (
+            sum(began <= at < began + WINDOW_SECONDS for at in times)
+            for began in times
+        ),
+        default=0,
+    )
+
+
+class LimitedTarget:
+    """A guard under heavy load, with a target that names a limit."""
+
+    def __init__(self, *, slots: int = 20) -> None:
+        self.slots = slots
+        self.bench = GuardHarness(slots=slots, connections=200)
+        self.rate_limit: bytes | None = None
+        self.sent_at: list[float] = []
+        self.running: list[Any] = []
+        self.jobs: list[Any] = []
+        self.count = 0
+        self.reports = 1
+
+    def play(self, seconds: float, *, a_second: float = 100.0) -> None:
+        """Submit runs at a rate and let the target answer each in time."""
+        clock = self.bench.clock
+        due = 0.0
+        for _ in range(round(seconds / STEP_SECONDS)):
+            clock.now += STEP_SECONDS
+            due += a_second * STEP_SECONDS
+            self._report()
+            while due >= 1:
+                due -= 1
+                self.count += 1
+                order = run_order(f'r-{self.count}')
+                self.jobs.append(self.bench.submit(order))
+            self.bench.guard.sweep()
+            self._answer_due()
+
+    def _report(self) -> None:
+        self.reports += 1
+        self.bench.guard.handle_heartbeat(
+            report(sequence=self.reports, slots=self.slots)
+        )
+
+    def _answer_due(self) -> None:
+        for job in list(self.jobs):
+            if job.connection is not None and job not in self.running:
+                self.running.append(job)
+                self.sent_at.append(job.started_at)
+            if job.state.value == 'ended':
+                self.jobs.remove(job)
+            elif self.bench.clock.now - job.started_at >= RUN_SECONDS and (
+                job.connection is not None
+            ):
+                self.bench.answer(job, extra=self._headers())
+                job.connection.idle_since = self.bench.clock.now
+
+    def _headers(self) -> bytes:
+        if self.rate_limit is None:
+            return b'seal: s\r\n'
+        return b'seal: s\r\nrate-limit: %s\r\n' % self.rate_limit
+
+
+@pytest.mark.parametrize('named', [b'0', b'0.1', b'1', b'2.3', b'18.8', b'60'])
+def test_target_gets_no_more_requests_than_the_limit_that_it_named(
+    named: bytes,
+) -> None:
+    """The load is a hundred a second, and the slots allow twice as much."""
+    target = LimitedTarget()
+    target.play(3)
+    target.rate_limit = named
+    target.play(1)
+    began = target.bench.clock.now
+    target.play(16)
+    since = [at for at in target.sent_at if at >= began]
+    assert most_in_window(since) <= allowed(float(named))
+    assert len(since) >= 0.8 * min(100.0, float(named)) * 16
+
+
+def test_target_that_lifts_its_limit_gets_all_requests_again() -> None:
+    """The limit holds as long as its answers name it."""
+    target = LimitedTarget()
+    target.rate_limit = b'2'
+    target.play(5)
+    target.rate_limit = None
+    target.play(2)
+    before = len(target.sent_at)
+    target.play(4)
+    assert len(target.sent_at) - before >= 390
+
+
+def test_limit_that_changes_in_series_holds_each_time() -> None:
+    """Between two values the target may lift it."""
+    target = LimitedTarget()
+    for named in (b'5', None, b'1', b'30', b'1', None, b'0.5'):
+        target.rate_limit = named
+        target.play(1.5)
+        began = target.bench.clock.now
+        target.play(6)
+        since = [at for at in target.sent_at if at >= began]
+        if named is not None:
+            assert most_in_window(since) <= allowed(float(named))
+
+
+def test_runs_beyond_the_limit_are_refused_at_once_as_not_sent() -> None:
+    """Callers learn when the target takes one again."""
+    target = LimitedTarget()
+    target.rate_limit = b'1'
+    target.play(6)
+    outcomes = target.bench.outcomes.values()
+    refused = [each for each in outcomes if each.kind is OutcomeKind.NOT_SENT]
+    assert any(each.reason is Reason.TARGET_LIMIT for each in refused)
+    assert all(
+        each.retry_after > 0
+        for each in refused
+        if each.reason is Reason.TARGET_LIMIT
+    )
+
+
+@pytest.mark.parametrize('named', [b'', b'-1', b'nan', b'1e3', b'x', b'9' * 40])
+def test_limit_that_is_no_number_changes_nothing(named: bytes) -> None:
+    """The limit that was named before holds."""
+    target = LimitedTarget()
+    target.rate_limit = b'2'
+    target.play(3)
+    target.rate_limit = named
+    target.play(2)
+    began = target.bench.clock.now
+    target.play(6)
+    since = [at for at in target.sent_at if at >= began]
+    assert most_in_window(since) <= allowed(2)
+    assert 'target-limit-refused' in target.bench.log.kinds()
+
+
+def test_target_that_says_it_leaves_gets_no_more_requests() -> None:
+    """It may report for seconds that it is ready."""
+    bench = GuardHarness(slots=2)
+    running = bench.submit(run_order('r-1'))
+    bench.submit(run_order('r-2'))
+    bench.submit(run_order('r-3'))
+    sent = bench.sent()
+    bench.answer(running, extra=b'seal: s\r\nleaving: 1\r\n')
+    bench.guard.handle_heartbeat(report(sequence=2, slots=2))
+    late = bench.submit(run_order('r-4'))
+    assert bench.outcomes['r-1'].kind is OutcomeKind.ANSWERED
+    assert bench.outcomes['r-3'].kind is OutcomeKind.NOT_SENT
+    assert bench.outcomes['r-4'].kind is OutcomeKind.NOT_SENT
+    assert late.connection is None
+    assert bench.sent() == sent
+
+
+def test_next_incarnation_of_a_target_that_left_gets_requests() -> None:
+    """It may come back under the same id."""
+    bench = GuardHarness()
+    running = bench.submit(run_order('r-1'))
+    bench.answer(running, extra=b'seal: s\r\nleaving: 1\r\n')
+    bench.guard.handle_heartbeat(report(started_at=2))
+    assert bench.guard.is_open
+
+
+async def keep_calling(host: Host, name: str, seconds: float) -> None:
+    """Let callers of one host send forty requests a second."""
+    tasks = set()
+    until = steady_now() + seconds
+    number = 0
+    while steady_now() < until:
+        number += 1
+        sent = request_bytes(f'{name}-{number}')
+        tasks.add(asyncio.create_task(call(host, sent)))
+        await asyncio.sleep(0.025)
+    await asyncio.gather(*tasks, return_exceptions=True)
+
+
+@pytest.mark.loopback
+def test_limit_holds_over_restarts_of_the_node_beside_the_target() -> None:
+    """The callers' node was told of the limit and goes on."""
+
+    async def test(hosts: list[Host], _store: MemoryStore) -> None:
+        limited, other = hosts
+        limited.target.extra_headers = b'Rate-Limit: 2\r\n'
+        await keep_calling(other, 'before', 1.5)
+        began = steady_now()
+        for number in range(3):
+            await limited.restart_node()
+            limited.report(sequence=number + 2)
+            await keep_calling(other, f'after-{number}', 1.2)
+        since = [at for at in limited.target.run_times if at >= began]
+        assert most_in_window(since) <= allowed(2)
+
+    run_with_hosts(test)
+
+
+@pytest.mark.loopback
+def test_target_that_left_is_not_used_after_a_restart_of_its_node() -> None:
+    """Its report that it is ready may come late."""
+
+    async def test(hosts: list[Host], _store: MemoryStore) -> None:
+        leaving, other = hosts
+        leaving.target.extra_headers = b'Leaving: 1\r\n'
+        await keep_calling(other, 'before', 1.0)
+        runs = len(leaving.target.runs)
+        assert runs
+        for number in range(2):
+            await leaving.restart_node()
+            leaving.report(sequence=number + 2)
+            await keep_calling(other, f'after-{number}', 1.0)
+        assert len(leaving.target.runs) == runs
+
+    run_with_hosts(test)
+
+
+@pytest.mark.loopback
+def test_drain_that_was_acknowledged_holds_after_a_restart_of_the_node() -> (
+    None
+):
+    """A report from before the drain may come late."""
+
+    async def test(hosts: list[Host], _store: MemoryStore) -> None:
+        leaving, other = hosts
+        leaving.node.guard.handle_leaving(
+            report(target=f't-{leaving.ip}').target
+        )
+        await wait_until(lambda: not sees_open_guards(other, 2))
+        runs = len(leaving.target.runs)
+        await leaving.restart_node()
+        leaving.report(sequence=2)
+        await keep_calling(other, 'after', 1.0)
+        assert len(leaving.target.runs) == runs
+
+    run_with_hosts(test)
