Keep to the rate limit that a target names

Nothing read the header; the load of a target was bounded by its slots alone. The class: a statement of a peer that no part owns.

Change: all requests for a target pass the guard beside it, so the limit holds there, in a token bucket (target_pace.py), for runs that come and runs that wait, without a message between nodes. Runs that can't go in time are refused at once as not sent, with the time after which they fit; entries and the plan of admission see the slots that the limit leaves, so that they place and refuse accordingly.

--- a/packages/sidecar/src/boragetrestle_sidecar/guard.py
+++ b/packages/sidecar/src/boragetrestle_sidecar/guard.py
@@ -100,6 +100,17 @@
             return 0
         return max(1, int(report.slots * USABLE_SLOT_FRACTION))
 
+    @property
+    def effective_slots(self) -> float:
+        """How many runs can be at the target at once, on average.
+
+        A target that names a rate limit gets fewer than it has slots.
+        """
+        pace = self.terms.pace
+        if not pace.is_limited:
+            return self.limit
+        return min(self.limit, pace.rate * self.meter.run_seconds)
+
     @property
     def is_open(self) -> bool:
         """Whether the guard accepts runs for the target."""
@@ -116,7 +127,7 @@
         return GuardLoad(
             self.running,
             len(self.queue),
-            self.limit,
+            self.effective_slots,
             self.meter.known_run_seconds,
             round(self.meter.failing_share(self.clock()), 3),
             self.is_open,
@@ -180,7 +191,7 @@
             self._finish(job, _not_sent(Reason.NO_TARGET))
         elif report.service != order.service:
             self._finish(job, _not_sent(Reason.NO_TARGET))
-        elif self.running < self.limit and not self.queue:
+        elif self._has_room(now) and not self.queue:
             self.jobs.add(job)
             self._start(job, now)
         else:
@@ -215,14 +226,16 @@
 
     def _enqueue_or_refuse(self, job: GuardJob, now: float) -> None:
         wait = self.expected_wait(job)
+        paced_wait = self.terms.pace.wait_for(len(self.queue) + 1, now=now)
         is_call = job.order.is_call
         until = job.expires_at if is_call else job.goal_at
         max_wait = (until - now) * MAX_WAIT_FRACTION - self.meter.run_seconds
-        if wait > max_wait:
-            self._finish(
-                job,
-                _not_sent(Reason.QUEUE_FULL, retry_after=wait),
-            )
+        if max(wait, paced_wait) > max_wait:
+            reason = Reason.QUEUE_FULL
+            if paced_wait > wait:
+                reason = Reason.TARGET_LIMIT
+            retry_after = max(wait, paced_wait)
+            self._finish(job, _not_sent(reason, retry_after=retry_after))
             return
         self.jobs.add(job)
         self.queue.push(job)
@@ -232,8 +245,12 @@
         runs_ahead = self.queue.count_ahead_of(job.goal_at) + 1
         return runs_ahead * self.meter.run_seconds / max(1, self.limit)
 
+    def _has_room(self, now: float) -> bool:
+        """Return whether the target may be sent a run now."""
+        return self.running < self.limit and self.terms.pace.is_free(now=now)
+
     def _dispatch(self) -> None:
-        while self.queue and self.running < self.limit:
+        while self.queue and self._has_room(self.clock()):
             now = self.clock()
             job = self.queue.pop()
             if job is None:
@@ -245,6 +262,7 @@
 
     def _start(self, job: GuardJob, now: float) -> None:
         self.running += 1
+        self.terms.pace.take(now=now)
         connection = self.pool.acquire(now, recent=not job.order.may_repeat)
         if connection is None:
             job.state = JobState.CONNECTING
--- a/packages/sidecar/src/boragetrestle_sidecar/node_status.py
+++ b/packages/sidecar/src/boragetrestle_sidecar/node_status.py
@@ -31,7 +31,7 @@
 
     service: str
     is_open: bool
-    limit: int
+    limit: float
     waiting: int
     run_seconds: float
     arrivals: dict[str, float]
--- a/packages/sidecar/src/boragetrestle_sidecar/outcome.py
+++ b/packages/sidecar/src/boragetrestle_sidecar/outcome.py
@@ -51,14 +51,15 @@
 class GuardLoad(NamedTuple):
     """The load of a guard at the time it sent an outcome.
 
-    ``run_seconds`` is the mean time that a run holds a slot, and
+    ``limit`` is how many runs fit at once, a fraction for a target that names a
+    low rate limit; ``run_seconds`` is the mean time that a run holds a slot, and
     ``failing_share`` the share of runs that the target rejected or failed.
     ``is_open`` tells whether the guard accepts runs.
     """
 
     running: int = 0
     waiting: int = 0
-    limit: int = 0
+    limit: float = 0
     run_seconds: float = 0.0
     failing_share: float = 0.0
     is_open: bool = True
--- a/packages/sidecar/src/boragetrestle_sidecar/placement.py
+++ b/packages/sidecar/src/boragetrestle_sidecar/placement.py
@@ -32,6 +32,7 @@
 # Share of requests that go to a random guard, so that a slow one which recovers
 # is noticed. A guard is skipped in proportion to its share of failures.
 EXPLORATION_SHARE = 0.03
+MIN_LIMIT = 0.01  # keeps the expected wait finite
 MAX_COMPARED_GUARDS = 6  # comparing more gains little and costs time
 
 
@@ -41,7 +42,7 @@
 
     ``unconfirmed_runs`` counts runs sent since the guard last reported its
     load, at ``heard_at``. ``is_open`` tells whether the guard accepts runs, and
-    ``limit`` how many run at once. ``waits`` are called when it is heard again.
+    ``limit`` how many run at once, a fraction for a target with a rate limit. ``waits`` are called when it is heard again.
     """
 
     address: str
@@ -49,7 +50,7 @@
     domain: str
     service: str = ''
     is_open: bool = False
-    limit: int = 1
+    limit: float = 1
     running: int = 0
     waiting: int = 0
     run_seconds: float = 0.0
@@ -62,8 +63,9 @@
     def expected_seconds(self, run_seconds: float) -> float:
         """Return the seconds until a run that is sent now has ended."""
         assigned = self.running + self.waiting + self.unconfirmed_runs
-        ahead = max(0, assigned + 1 - self.limit)
-        return run_seconds + ahead * run_seconds / max(1, self.limit)
+        limit = max(MIN_LIMIT, self.limit)
+        ahead = max(0, assigned + 1 - limit)
+        return run_seconds + ahead * run_seconds / limit
 
 
 def choose_guard(
--- a/packages/sidecar/src/boragetrestle_sidecar/stated_terms.py
+++ b/packages/sidecar/src/boragetrestle_sidecar/stated_terms.py
@@ -4,6 +4,7 @@
 from typing import TYPE_CHECKING
 
 from boragetrestle_kernel.errors import WireError
+from boragetrestle_sidecar.target_pace import TargetPace
 from boragetrestle_sidecar.target_terms import read_terms
 
 if TYPE_CHECKING:
@@ -16,7 +17,8 @@
 class StatedTerms:
     """Keep the newest terms of the current incarnation of a target.
 
-    A rate limit holds for as long as the target's answers name it.
+    A rate limit holds for as long as the target's answers name it; ``pace``
+    spaces the requests on it.
     """
 
     def __init__(self, names: 'WireNames', log: 'DecisionLog') -> None:
@@ -24,11 +26,13 @@
         self.log = log
         self.rate_limit: float | None = None
         self.limited_at = -math.inf
+        self.pace = TargetPace()
 
     def forget(self) -> None:
         """Start anew with another incarnation."""
         self.rate_limit = None
         self.limited_at = -math.inf
+        self.pace = TargetPace()
 
     def record_answer(
         self,
@@ -56,13 +60,14 @@
         if terms.rate_limit is not None:
             self.limited_at = now
         if terms.rate_limit is not None or sent_at > self.limited_at:
-            self._set_rate_limit(terms.rate_limit, report)
+            self._set_rate_limit(terms.rate_limit, report, now)
         return terms.is_leaving
 
     def _set_rate_limit(
         self,
         rate_limit: float | None,
         report: 'TargetReport',
+        now: float,
     ) -> None:
         if rate_limit == self.rate_limit:
             return
@@ -73,3 +78,4 @@
             before=self.rate_limit,
         )
         self.rate_limit = rate_limit
+        self.pace.set_limit(rate_limit, now=now)
--- a/tests/path_standins.py
+++ b/tests/path_standins.py
@@ -199,6 +199,7 @@
         self.runs: list[CallerRequest] = []
         self.run_times: list[float] = []
         self.extra_headers = b''
+        self.answers_after = 0.0
         self.connections: list[StandinConnection] = []
         self.answer: Callable[[CallerRequest], EndpointAnswer | None] = (
             _echo_target
@@ -230,11 +231,15 @@
             self.target.run_times.append(steady_now())
             answer = self.target.answer(request)
             if answer is not None:
-                self.respond(request, answer)
+                asyncio.get_running_loop().call_later(
+                    self.target.answers_after, self.respond, request, answer
+                )
 
     def respond(self, request: CallerRequest, answer: EndpointAnswer) -> None:
         """Write an answer with the request's id and the target's marker."""
         assert self.transport is not None
+        if self.transport.is_closing():
+            return
         self.transport.write(
             b'HTTP/1.1 %d OK\r\nCall-Id: %s\r\nSeal: s\r\n'
             b'%sContent-Length: %d\r\n\r\n%s'
--- a/tests/test_path_target_terms.py
+++ b/tests/test_path_target_terms.py
@@ -205,6 +205,7 @@
     async def test(hosts: list[Host], _store: MemoryStore) -> None:
         limited, other = hosts
         limited.target.extra_headers = b'Rate-Limit: 2\r\n'
+        limited.target.answers_after = 0.3
         await keep_calling(other, 'before', 1.5)
         began = steady_now()
         for number in range(3):
