Send nothing more to a target whose answers say that it leaves

Nothing read the header. The guard, which all requests for a target pass, now takes it like the target's own call: what waits is refused as not sent and goes elsewhere, what runs goes on. An answer of an earlier incarnation says nothing of the next, of its limit neither. target-left says by what it was told.

--- a/packages/sidecar/src/boragetrestle_sidecar/guard.py
+++ b/packages/sidecar/src/boragetrestle_sidecar/guard.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections.abc import Callable
+from enum import Enum
 from typing import TYPE_CHECKING
 
 from boragetrestle_sidecar.answer_head import answer_head
@@ -53,6 +54,13 @@
 }
 
 
+class LeaveSource(Enum):
+    """By what a target told that it leaves."""
+
+    CALL = 'call'
+    ANSWER = 'answer'
+
+
 class Guard:
     """Send runs to one target, never more at once than its slots.
 
@@ -87,6 +95,7 @@
         self.jobs: set[GuardJob] = set()
         self.running = 0
         self.unreachable_until = 0.0
+        self.found_at = 0.0
         self.silence_detector = TargetSilence()
         self.crash_watch = CrashWatch()
         self.tasks: set[asyncio.Task[None]] = set()
@@ -138,7 +147,8 @@
         is_new = self.reported_target.update(report, self.clock())
         self.silence_detector.is_suspected = False
         if is_new:
-            self.crash_watch.report_crash(self.clock())
+            self.found_at = self.clock()
+            self.crash_watch.report_crash(self.found_at)
             self.pool.close()
             self.terms.forget()
             self.unreachable_until = 0.0
@@ -156,8 +166,7 @@
     def handle_leaving(self, target: 'TargetId') -> None:
         """Process the message of a target that it is leaving."""
         if self.reported_target.mark_leaving(target):
-            self.log.write_unlimited('target-left', target=target)
-            self._refuse_waiting(Reason.DRAINING)
+            self._stop_sending(target, LeaveSource.CALL)
 
     def stop(self) -> None:
         """Accept no more runs; those at the target continue."""
@@ -393,14 +402,13 @@
         """Take over what the target says of itself in an answer."""
         report = self.reported_target.report
         assert report is not None
-        if self.terms.record_answer(
+        if job.started_at < self.found_at:
+            return  # an earlier incarnation speaks of itself
+        is_leaving = self.terms.record_answer(
             answer, report, sent_at=job.started_at, now=now
-        ):
-            self.log.write_limited(
-                'target-says-it-leaves',
-                target=report.target,
-                request=job.order.request_id.decode('latin-1'),
-            )
+        )
+        if is_leaving and self.reported_target.mark_leaving(report.target):
+            self._stop_sending(report.target, LeaveSource.ANSWER)
 
     def _is_rejection(self, answer: 'TargetAnswer') -> bool:
         return (
@@ -422,6 +430,17 @@
         self._finish(job, Outcome(OutcomeKind.UNKNOWN, reason))
         self._dispatch()
 
+    def _stop_sending(self, target: 'TargetId', source: 'LeaveSource') -> None:
+        """Refuse what waits for a target that leaves."""
+        self.log.write_unlimited(
+            'target-left',
+            target=target,
+            told_by=source.value,
+            running=self.running,
+            waiting=len(self.queue),
+        )
+        self._refuse_waiting(Reason.DRAINING)
+
     def _refuse_waiting(self, reason: Reason) -> None:
         """Refuse all runs that wait for a slot; those started continue."""
         for job in self.queue.pop_all():
--- a/packages/sidecar/src/boragetrestle_sidecar/reported_target.py
+++ b/packages/sidecar/src/boragetrestle_sidecar/reported_target.py
@@ -40,12 +40,13 @@
         return is_new
 
     def mark_leaving(self, target: 'TargetId') -> bool:
-        """Note that a target is leaving; return whether it is this one."""
+        """Note that a target is leaving; return whether that was not known."""
         known = self.report
         if known is None or known.target != target:
             return False
+        was_known = self.leaving.get(target) == known.started_at
         self.leaving[target] = known.started_at
-        return True
+        return not was_known
 
     def is_available(self, now: float) -> bool:
         """Return whether the target accepts requests now."""
--- a/tests/test_path_target_terms.py
+++ b/tests/test_path_target_terms.py
@@ -185,6 +185,18 @@
     assert bench.guard.is_open
 
 
+def test_answer_of_an_earlier_incarnation_says_nothing_of_the_next() -> None:
+    """It may come after the report of the new one."""
+    bench = GuardHarness()
+    running = bench.submit(run_order('r-1'))
+    bench.clock.now += 1
+    bench.guard.handle_heartbeat(report(started_at=2))
+    extra = b'seal: s\r\nleaving: 1\r\nrate-limit: 1\r\n'
+    bench.answer(running, extra=extra)
+    assert bench.guard.is_open
+    assert not bench.guard.terms.pace.is_limited
+
+
 async def keep_calling(host: Host, name: str, seconds: float) -> None:
     """Let callers of one host send forty requests a second."""
     tasks = set()
