Let entries remember limits and leaves over restarts of a guard's node

What callers' nodes would have done: after a restart of the node beside a target, its guard knew neither the limit nor the leave that the target had stated, nor a drain that its predecessor had acknowledged; a late report that the target is ready opened it again.

Cause: the statement lived in one process only. The class: a target that left, in use again after a restart. Change: each load that a guard tells entries carries a notice of its target if there is one; entries keep it by address, longer than their links, and repeat it in the first message of a new link, so that it is there before any run. It names the incarnation; a limit from a peer holds until the target has answered; one that no target can name closes the link. Weighed and not taken: few runs until the first answer, which delays all starts and lets one request through to a target that left.

--- a/packages/sidecar/src/boragetrestle_sidecar/fleet.py
+++ b/packages/sidecar/src/boragetrestle_sidecar/fleet.py
@@ -7,6 +7,7 @@
 from boragetrestle_sidecar.member_table import MemberRow, MemberTable
 from boragetrestle_sidecar.placement import GuardView
 from boragetrestle_sidecar.steady_clock import steady_now
+from boragetrestle_sidecar.target_notice import TargetNotice
 
 if TYPE_CHECKING:
     from boragetrestle_platform.table import Row
@@ -17,6 +18,7 @@
 
 # Other guards are preferred to one that has not been heard for this long.
 GUARD_SILENCE_SECONDS = 0.7
+MAX_NOTICES = 4000  # more than nodes; those of nodes that are gone stay
 
 
 class Fleet:
@@ -24,7 +26,8 @@
 
     ``table`` has all nodes. The guard of a node enforces the limits of the
     target beside it; ``views`` holds the last known state of the guards to
-    which this node has links, by address. ``on_members_changed`` is called with
+    which this node has links, by address. ``notices`` is what this node was told
+    of their targets; it outlasts the links. ``on_members_changed`` is called with
     all nodes after a change.
     """
 
@@ -40,6 +43,7 @@
         self.table = MemberTable()
         self.members: dict[str, Member] = {own.address: own}
         self.local_guard: Guard | None = None
+        self.notices: dict[str, TargetNotice] = {}
         self.views: dict[str, GuardView] = {}
         self.views_by_service: dict[str, list[GuardView]] = {}
         self.on_members_changed: Callable[[Sequence[Member]], None] | None = (
@@ -143,6 +147,7 @@
         view counts as unconfirmed until their outcome is known.
         """
         view.heard_at = self.clock()
+        self._remember_notice(view.address, load)
         view.is_open = load.is_open
         view.running = max(0, load.running - view.unconfirmed_runs)
         view.waiting = load.waiting
@@ -154,6 +159,19 @@
             self._rebuild_service_index()
         _call_waits(view)
 
+    def _remember_notice(self, address: str, load: 'GuardLoad') -> None:
+        """Keep what a guard says of its target.
+
+        A guard that has just started may not know it any more; one that is open
+        and says nothing has a target without limit.
+        """
+        if load.notice is not None:
+            self.notices[address] = load.notice
+            if len(self.notices) > MAX_NOTICES:
+                self.notices.pop(next(iter(self.notices)))
+        elif load.is_open:
+            self.notices.pop(address, None)
+
     def _update_local_view(self, guard: 'Guard') -> None:
         report = guard.reported_target.report
         service = report.service if report else ''
--- a/packages/sidecar/src/boragetrestle_sidecar/guard.py
+++ b/packages/sidecar/src/boragetrestle_sidecar/guard.py
@@ -1,10 +1,13 @@
 """Enforce the limits of the target beside this node."""
 
 import asyncio
+import math
 from collections.abc import Callable
 from enum import Enum
 from typing import TYPE_CHECKING
 
+from boragetrestle_kernel.errors import WireError
+from boragetrestle_kernel.ids import TargetId
 from boragetrestle_sidecar.answer_head import answer_head
 from boragetrestle_sidecar.call_attribution import CallAttribution
 from boragetrestle_sidecar.crash_watch import CrashWatch
@@ -21,12 +24,12 @@
 from boragetrestle_sidecar.server_connection import Loss, ServerConnection
 from boragetrestle_sidecar.stated_terms import StatedTerms
 from boragetrestle_sidecar.steady_clock import steady_now
+from boragetrestle_sidecar.target_notice import TargetNotice
 from boragetrestle_sidecar.target_pool import TargetPool
 from boragetrestle_sidecar.target_silence import TargetSilence
 from boragetrestle_sidecar.telemetry import Telemetry
 
 if TYPE_CHECKING:
-    from boragetrestle_kernel.ids import TargetId
     from boragetrestle_sidecar.decision_log import DecisionLog
     from boragetrestle_sidecar.path_settings import PathSettings
     from boragetrestle_sidecar.run_order import RunOrder
@@ -59,6 +62,7 @@
 
     CALL = 'call'
     ANSWER = 'answer'
+    PEER = 'peer'
 
 
 class Guard:
@@ -140,8 +144,19 @@
             self.meter.known_run_seconds,
             round(self.meter.failing_share(self.clock()), 3),
             self.is_open,
+            self.notice,
         )
 
+    @property
+    def notice(self) -> TargetNotice | None:
+        """What entries remember of the target, so that a restart keeps it."""
+        report = self.reported_target.report
+        rate_limit = self.terms.rate_limit
+        is_leaving = self.reported_target.is_leaving
+        if report is None or (rate_limit is None and not is_leaving):
+            return None
+        return TargetNotice(*report.incarnation, rate_limit, is_leaving)
+
     def handle_heartbeat(self, report: 'TargetReport') -> None:
         """Process a heartbeat of the target."""
         is_new = self.reported_target.update(report, self.clock())
@@ -150,7 +165,7 @@
             self.found_at = self.clock()
             self.crash_watch.report_crash(self.found_at)
             self.pool.close()
-            self.terms.forget()
+            self.terms.start(report, self.found_at)
             self.unreachable_until = 0.0
             self.log.write_unlimited(
                 'target-found',
@@ -163,11 +178,30 @@
         if not self.is_open:
             self._refuse_waiting(Reason.DRAINING)
 
-    def handle_leaving(self, target: 'TargetId') -> None:
+    def handle_leaving(self, target: TargetId) -> None:
         """Process the message of a target that it is leaving."""
         if self.reported_target.mark_leaving(target):
             self._stop_sending(target, LeaveSource.CALL)
 
+    def handle_notice(self, notice: TargetNotice) -> None:
+        """Process what an entry remembers of the target.
+
+        Raises ``WireError`` for a rate limit that no target can name.
+        """
+        rate_limit = notice.rate_limit
+        if rate_limit is not None and not 0 <= rate_limit < math.inf:
+            raise WireError(
+                f'a peer remembers the rate limit {rate_limit!r}',
+                remedy='run the same version on all nodes',
+            )
+        report = self.reported_target.report
+        self.terms.remember(notice, report, self.clock())
+        target = TargetId(notice.target)
+        if notice.is_leaving and self.reported_target.note_leaving(
+            target, notice.started_at
+        ):
+            self._stop_sending(target, LeaveSource.PEER)
+
     def stop(self) -> None:
         """Accept no more runs; those at the target continue."""
         self.is_stopping = True
@@ -430,7 +464,7 @@
         self._finish(job, Outcome(OutcomeKind.UNKNOWN, reason))
         self._dispatch()
 
-    def _stop_sending(self, target: 'TargetId', source: 'LeaveSource') -> None:
+    def _stop_sending(self, target: TargetId, source: 'LeaveSource') -> None:
         """Refuse what waits for a target that leaves."""
         self.log.write_unlimited(
             'target-left',
--- a/packages/sidecar/src/boragetrestle_sidecar/outcome.py
+++ b/packages/sidecar/src/boragetrestle_sidecar/outcome.py
@@ -6,6 +6,8 @@
 from enum import IntEnum, StrEnum
 from typing import NamedTuple
 
+from boragetrestle_sidecar.target_notice import TargetNotice
+
 
 class OutcomeKind(IntEnum):
     """Whether the target ran the request.
@@ -54,7 +56,8 @@
     ``limit`` is how many runs fit at once, a fraction for a target that names a
     low rate limit; ``run_seconds`` is the mean time that a run holds a slot, and
     ``failing_share`` the share of runs that the target rejected or failed.
-    ``is_open`` tells whether the guard accepts runs.
+    ``is_open`` tells whether the guard accepts runs, and ``notice`` what entries
+    have to remember of its target.
     """
 
     running: int = 0
@@ -63,6 +66,7 @@
     run_seconds: float = 0.0
     failing_share: float = 0.0
     is_open: bool = True
+    notice: TargetNotice | None = None
 
 
 class Outcome(NamedTuple):
--- a/packages/sidecar/src/boragetrestle_sidecar/peer_link.py
+++ b/packages/sidecar/src/boragetrestle_sidecar/peer_link.py
@@ -176,7 +176,8 @@
         self.received_at = steady_now()
         self.reply_due_since = None
         self.disconnected.clear()
-        self.writer.send(FrameKind.HELLO, 0, self.messages.hello_fields())
+        hello = self.messages.hello_fields(self.address)
+        self.writer.send(FrameKind.HELLO, 0, hello)
         for encoded in self.unsent:
             self.writer.send_bytes(encoded)
         self.unsent.clear()
--- a/packages/sidecar/src/boragetrestle_sidecar/peer_messages.py
+++ b/packages/sidecar/src/boragetrestle_sidecar/peer_messages.py
@@ -6,6 +6,7 @@
 from boragetrestle_sidecar.member_table import MemberRow
 from boragetrestle_sidecar.node_load import NodeLoad
 from boragetrestle_sidecar.peer_frames import Frame, FrameKind, decode_fields
+from boragetrestle_sidecar.target_notice import TargetNotice
 from boragetrestle_sidecar.tree_messages import TreeReport
 
 if TYPE_CHECKING:
@@ -20,10 +21,15 @@
 
 
 class Hello(NamedTuple):
-    """The first message on a connection: who connects and what it has."""
+    """The first message on a connection: who connects and what it has.
+
+    ``notice`` is what it remembers of the target beside the node it connects
+    to; on a connection messages arrive in order, so no run goes before it.
+    """
 
     address: str
     version: int
+    notice: TargetNotice | None = None
 
 
 class Rows(NamedTuple):
@@ -90,7 +96,8 @@
     """Handle messages of peers: update this node's state or answer from it.
 
     ``own_load`` returns what this node tells entries about its guard;
-    ``on_peer_heard`` is called with the version of a peer's configuration.
+    ``on_peer_heard`` is called with the version of a peer's configuration, and
+    ``on_notice`` with what a peer remembers of the target beside this node.
     """
 
     def __init__(
@@ -103,6 +110,7 @@
         tree: 'TreeExchange',
         own_load: Callable[[], NodeLoad],
         on_peer_heard: Callable[[int], None],
+        on_notice: Callable[[TargetNotice], None],
     ) -> None:
         self.fleet = fleet
         self.keeper = keeper
@@ -111,10 +119,12 @@
         self.tree = tree
         self.own_load = own_load
         self.on_peer_heard = on_peer_heard
+        self.on_notice = on_notice
 
-    def hello_fields(self) -> list[Any]:
-        """Return the fields of the first message on a new connection."""
-        return [self.fleet.address, self.keeper.version]
+    def hello_fields(self, peer: 'Address') -> list[Any]:
+        """Return the fields of the first message on a connection to a peer."""
+        notice = self.fleet.notices.get(str(peer))
+        return [self.fleet.address, self.keeper.version, notice]
 
     def handle(
         self,
@@ -150,6 +160,8 @@
     peer: 'Address | None',
 ) -> None:
     hello = decode_fields(frame, Hello)
+    if hello.notice is not None:
+        messages.on_notice(hello.notice)
     messages.compare_version(hello.version, answer)
 
 
--- a/packages/sidecar/src/boragetrestle_sidecar/reported_target.py
+++ b/packages/sidecar/src/boragetrestle_sidecar/reported_target.py
@@ -34,7 +34,7 @@
             return False
         if report.address != self.address:
             return False
-        is_new = known is None or _incarnation(known) != _incarnation(report)
+        is_new = known is None or known.incarnation != report.incarnation
         self.report = report
         self.reported_at = now
         return is_new
@@ -48,15 +48,29 @@
         self.leaving[target] = known.started_at
         return not was_known
 
-    def is_available(self, now: float) -> bool:
-        """Return whether the target accepts requests now."""
+    def note_leaving(self, target: 'TargetId', started_at: int) -> bool:
+        """Note that an incarnation leaves; return whether it is this one.
+
+        It may not have reported to this process yet.
+        """
+        if self.leaving.get(target, 0) >= started_at:
+            return False
+        self.leaving[target] = started_at
+        known = self.report
+        return known is not None and known.incarnation == (target, started_at)
+
+    @property
+    def is_leaving(self) -> bool:
+        """Whether the target drains or has said that it leaves."""
         report = self.report
-        if report is None or report.state is not TargetState.READY:
+        if report is None:
             return False
-        if self.leaving.get(report.target) == report.started_at:
+        if report.state is TargetState.DRAINING:
+            return True
+        return self.leaving.get(report.target) == report.started_at
+
+    def is_available(self, now: float) -> bool:
+        """Return whether the target accepts requests now."""
+        if self.report is None or self.is_leaving:
             return False
         return now - self.reported_at < MAX_MISSED_HEARTBEATS * self.heartbeat
-
-
-def _incarnation(report: 'TargetReport') -> tuple[str, int]:
-    return (report.target, report.started_at)
--- a/packages/sidecar/src/boragetrestle_sidecar/sidecar.py
+++ b/packages/sidecar/src/boragetrestle_sidecar/sidecar.py
@@ -147,6 +147,7 @@
             tree=self.tree,
             own_load=lambda: self.reporter.own_load(),
             on_peer_heard=self.first_configuration.compare,
+            on_notice=self.guard.handle_notice,
         )
         self.links.messages = messages
         self.server = PeerServer(self.guard, messages, log)
--- a/packages/sidecar/src/boragetrestle_sidecar/stated_terms.py
+++ b/packages/sidecar/src/boragetrestle_sidecar/stated_terms.py
@@ -4,6 +4,7 @@
 from typing import TYPE_CHECKING
 
 from boragetrestle_kernel.errors import WireError
+from boragetrestle_sidecar.target_notice import TargetNotice
 from boragetrestle_sidecar.target_pace import TargetPace
 from boragetrestle_sidecar.target_terms import read_terms
 
@@ -18,7 +19,8 @@
     """Keep the newest terms of the current incarnation of a target.
 
     A rate limit holds for as long as the target's answers name it; ``pace``
-    spaces the requests on it.
+    spaces the requests on it. ``remembered`` is what other nodes know from
+    before this process started.
     """
 
     def __init__(self, names: 'WireNames', log: 'DecisionLog') -> None:
@@ -27,12 +29,30 @@
         self.rate_limit: float | None = None
         self.limited_at = -math.inf
         self.pace = TargetPace()
+        self.has_answered = False
+        self.remembered: TargetNotice | None = None
 
-    def forget(self) -> None:
+    def start(self, report: 'TargetReport', now: float) -> None:
         """Start anew with another incarnation."""
         self.rate_limit = None
         self.limited_at = -math.inf
         self.pace = TargetPace()
+        self.has_answered = False
+        self._apply_remembered(report, now)
+
+    def remember(
+        self,
+        notice: TargetNotice,
+        report: 'TargetReport | None',
+        now: float,
+    ) -> None:
+        """Use a limit that another node knows until an answer has come."""
+        known = self.remembered
+        if known is not None and known.started_at > notice.started_at:
+            return
+        self.remembered = notice
+        if report is not None and not self.has_answered:
+            self._apply_remembered(report, now)
 
     def record_answer(
         self,
@@ -57,12 +77,21 @@
                 in_force=self.rate_limit,
             )
             return False
+        self.has_answered = True
         if terms.rate_limit is not None:
             self.limited_at = now
         if terms.rate_limit is not None or sent_at > self.limited_at:
             self._set_rate_limit(terms.rate_limit, report, now)
         return terms.is_leaving
 
+    def _apply_remembered(self, report: 'TargetReport', now: float) -> None:
+        notice = self.remembered
+        if notice is None or notice.rate_limit is None:
+            return
+        if (notice.target, notice.started_at) == report.incarnation:
+            self.limited_at = now
+            self._set_rate_limit(notice.rate_limit, report, now)
+
     def _set_rate_limit(
         self,
         rate_limit: float | None,
--- a/packages/sidecar/src/boragetrestle_sidecar/status_reporter.py
+++ b/packages/sidecar/src/boragetrestle_sidecar/status_reporter.py
@@ -13,6 +13,7 @@
     from boragetrestle_sidecar.guard import Guard
     from boragetrestle_sidecar.member import Member
     from boragetrestle_sidecar.peer_server import PeerServer
+    from boragetrestle_sidecar.target_notice import TargetNotice
 
 
 class StatusReporter:
@@ -36,6 +37,7 @@
         self.server = server
         self.arrivals = RateMeter()
         self.sent_as_open = False
+        self.sent_notice: TargetNotice | None = None
 
     def update_rates(self, elapsed: float) -> None:
         """Update the arrival rates after an interval of ``elapsed`` seconds."""
@@ -43,14 +45,18 @@
         self.guard.attribution.decay()
 
     def send_if_guard_changed(self) -> None:
-        """Send the load if the guard opened or closed since the last time."""
-        if self.guard.is_open != self.sent_as_open:
+        """Send the load if the guard or its target's terms have changed."""
+        if (
+            self.guard.is_open != self.sent_as_open
+            or self.guard.notice != self.sent_notice
+        ):
             self.send()
 
     def send(self) -> None:
         """Send the load to all entries that have a link to this node."""
         load = self.own_load()
         self.sent_as_open = load.load.is_open
+        self.sent_notice = load.load.notice
         self.server.broadcast(encode_frame(FrameKind.LOAD, 0, load))
 
     def own_load(self) -> NodeLoad:
--- a/packages/sidecar/src/boragetrestle_sidecar/target_report.py
+++ b/packages/sidecar/src/boragetrestle_sidecar/target_report.py
@@ -35,6 +35,11 @@
     sequence: int
     cold_seconds: float = 0.0
 
+    @property
+    def incarnation(self) -> 'tuple[TargetId, int]':
+        """The id and start, which one lifetime has for itself."""
+        return (self.target, self.started_at)
+
     @property
     def sort_key(self) -> tuple[int, int]:
         """The sort key that orders all reports of a host by age."""
--- a/tests/test_path_links.py
+++ b/tests/test_path_links.py
@@ -20,7 +20,7 @@
 class _Messages:
     """A message handler of a node without a fleet."""
 
-    def hello_fields(self) -> list[Any]:
+    def hello_fields(self, _peer: Any) -> list[Any]:
         """Return the fields of the first message on a connection."""
         return ['a', 0, []]
 
--- a/tests/test_path_target_terms.py
+++ b/tests/test_path_target_terms.py
@@ -1,17 +1,20 @@
 """Targets that name a rate limit or say that they leave."""
 
 import asyncio
+import math
 from collections.abc import Sequence
 from typing import Any
 
 import pytest
-from entry_builders import request_bytes
+from entry_builders import EntryHarness, node_load, request_bytes
 from path_builders import GuardHarness, report, run_order
 from path_standins import Host, MemoryStore
 from test_path_nodes import call, run_with_hosts, sees_open_guards, wait_until
 
+from boragetrestle_kernel.errors import WireError
 from boragetrestle_sidecar.outcome import OutcomeKind, Reason
 from boragetrestle_sidecar.steady_clock import steady_now
+from boragetrestle_sidecar.target_notice import TargetNotice
 
 WINDOW_SECONDS = 4.0
 STEP_SECONDS = 0.02
@@ -197,6 +200,75 @@
     assert not bench.guard.terms.pace.is_limited
 
 
+def test_limit_that_peers_remember_holds_until_the_target_has_answered() -> (
+    None
+):
+    """The node beside the target has restarted and knows nothing yet."""
+    bench = GuardHarness(slots=20, connections=20)
+    bench.guard.handle_notice(TargetNotice('t-1', 1, rate_limit=2.0))
+    bench.clock.now += 1
+    first = bench.submit(run_order('r-1'))
+    later = [bench.submit(run_order(f'r-{number}')) for number in range(2, 6)]
+    assert first.connection is not None
+    assert all(job.connection is None for job in later)
+    bench.answer(first)
+    assert not bench.guard.terms.pace.is_limited
+    bench.guard.handle_notice(TargetNotice('t-1', 1, rate_limit=2.0))
+    assert not bench.guard.terms.pace.is_limited
+
+
+@pytest.mark.parametrize('started_at', [0, 2])
+def test_what_peers_remember_of_another_incarnation_is_not_applied(
+    started_at: int,
+) -> None:
+    """A target may come back under the id that it had."""
+    bench = GuardHarness()
+    notice = TargetNotice('t-1', started_at, rate_limit=1.0, is_leaving=True)
+    bench.guard.handle_notice(notice)
+    assert bench.guard.is_open
+    assert not bench.guard.terms.pace.is_limited
+
+
+def test_what_peers_remember_is_applied_to_a_target_that_reports_later() -> (
+    None
+):
+    """Links are often up before the first report."""
+    bench = GuardHarness()
+    bench.guard.handle_notice(TargetNotice('t-2', 5, rate_limit=1.0))
+    bench.guard.handle_notice(TargetNotice('t-1', 4, is_leaving=True))
+    bench.guard.handle_heartbeat(report(target='t-2', started_at=5))
+    assert bench.guard.terms.pace.is_limited
+    assert bench.guard.is_open
+
+
+@pytest.mark.parametrize('rate_limit', [math.nan, math.inf, -1.0])
+def test_limit_that_no_target_can_name_is_not_believed_from_a_peer(
+    rate_limit: float,
+) -> None:
+    """The link on which it came is closed."""
+    bench = GuardHarness()
+    with pytest.raises(WireError):
+        bench.guard.handle_notice(TargetNotice('t-1', 1, rate_limit))
+    assert not bench.guard.terms.pace.is_limited
+
+
+def test_entry_remembers_a_notice_over_the_loss_of_its_link() -> None:
+    """A guard that is not open yet may not know it any more."""
+    entry = EntryHarness()
+    fleet = entry.fleet
+    notice = TargetNotice('t-1', 1, rate_limit=2.0)
+    known = node_load('a')
+    fleet.update_load(known._replace(load=known.load._replace(notice=notice)))
+    fleet.mark_unreachable('a')
+    fleet.remove('a')
+    assert fleet.notices == {'a': notice}
+    fleet.add('a', entry.hops['a'])
+    fleet.update_load(known._replace(load=known.load._replace(is_open=False)))
+    assert fleet.notices == {'a': notice}
+    fleet.update_load(known)
+    assert not fleet.notices
+
+
 async def keep_calling(host: Host, name: str, seconds: float) -> None:
     """Let callers of one host send forty requests a second."""
     tasks = set()
--- a/tests/tree_builders.py
+++ b/tests/tree_builders.py
@@ -25,6 +25,7 @@
 )
 from boragetrestle_sidecar.peer_messages import PeerMessages
 from boragetrestle_sidecar.store_following import StoreFollowing
+from boragetrestle_sidecar.target_notice import TargetNotice
 from boragetrestle_sidecar.tree_exchange import TreeExchange
 
 STEP_SECONDS = 0.5
@@ -146,6 +147,7 @@
         )
         self.crashes: list[str] = []
         self.heard_versions: list[int] = []
+        self.notices: list[TargetNotice] = []
         suspects: Any = self
         rates: Any = None
         self.messages = PeerMessages(
@@ -156,6 +158,7 @@
             tree=self.tree,
             own_load=lambda: None,  # type: ignore[arg-type,return-value]
             on_peer_heard=self.heard_versions.append,
+            on_notice=self.notices.append,
         )
 
     def record_crash(self, found: str, *, is_own: bool) -> None:
