End answers that go on without end, in heads, framing or bodies

Heads, header names, empty lines, interim answers, chunk sizes and extensions, trailers and answers with other ids were read until the time limit of the run, in memory or in a busy loop; bodies were bounded one by one at 16 MB, which all slots of a target together pass. A body of many chunks also took an object for each.

The reader now counts what an exchange receives: 64 KiB beside eight bytes for each of the body, 24 MB in all. The outcome is unknown, never not run; answer-refused says what was wrong.

--- a/packages/sidecar/src/boragetrestle_sidecar/answer_reader.py
+++ b/packages/sidecar/src/boragetrestle_sidecar/answer_reader.py
@@ -10,6 +10,12 @@
 
 # Larger answers are refused, since a node buffers each answer completely.
 MAX_ANSWER_BYTES = 16_000_000
+# Heads, interim answers, trailers and the framing of chunks may take this much
+# beside the body, since a server in trouble may send any of them without end.
+MAX_HEAD_BYTES = 65_536
+MAX_FRAMING_RATIO = 8  # a chunk of one byte takes six
+# With answers to earlier requests, which are discarded.
+MAX_EXCHANGE_BYTES = MAX_ANSWER_BYTES + MAX_ANSWER_BYTES // 2
 _BODILESS = frozenset((HTTPStatus.NO_CONTENT, HTTPStatus.NOT_MODIFIED))
 
 
@@ -25,10 +31,30 @@
         self.on_answer = on_answer
         self.parser = httptools.HttpResponseParser(self)
         self.expects_no_body = False
+        self.body: bytes | bytearray = b''
+        self.begin_exchange()
         self._reset()
 
+    @property
+    def held_bytes(self) -> int:
+        """How many bytes of an unfinished body are held."""
+        return len(self.body)
+
+    def begin_exchange(self) -> None:
+        """Count the bytes that are received from now on."""
+        self.exchange_bytes = 0
+        self.exchange_body_bytes = 0
+
     def feed(self, received: bytes) -> None:
-        """Parse bytes; raise ``HttpError`` if they are no HTTP response."""
+        """Parse bytes.
+
+        Raises ``HttpError`` if they are no HTTP response or go on for too long.
+        """
+        self.exchange_bytes += len(received)
+        self._parse(received)
+        self._check_size()
+
+    def _parse(self, received: bytes) -> None:
         try:
             self.parser.feed_data(received)
         except (
@@ -73,13 +99,13 @@
 
     def on_body(self, body: bytes) -> None:
         """Append a part of the body."""
-        self.body_bytes += len(body)
-        if self.body_bytes > MAX_ANSWER_BYTES:
-            raise HttpError(
-                f'the response body is over {MAX_ANSWER_BYTES} bytes',
-                remedy='change the service to send smaller responses',
-            )
-        self.chunks.append(body)
+        self.exchange_body_bytes += len(body)
+        if not self.body:
+            self.body = body
+            return
+        if isinstance(self.body, bytes):
+            self.body = bytearray(self.body)
+        self.body += body
 
     def on_message_complete(self) -> None:
         """Deliver a complete answer; interim (1xx) answers are skipped."""
@@ -90,19 +116,38 @@
     def _reset(self) -> None:
         self.status = 0
         self.headers: list[tuple[bytes, bytes]] = []
-        self.chunks: list[bytes] = []
-        self.body_bytes = 0
+        self.body = b''
         self.has_head = False
         self.is_framed = False
         self.is_amid_answer = False
 
     def _deliver(self, *, keeps_open: bool) -> None:
         self.has_head = False
+        body = bytes(self.body)
+        self.body = b''
         self.on_answer(
             TargetAnswer(
                 self.status,
                 self.headers,
-                b''.join(self.chunks),
+                body,
                 keeps_open,
             )
         )
+
+    def _check_size(self) -> None:
+        body_bytes = self.exchange_body_bytes
+        if len(self.body) > MAX_ANSWER_BYTES:
+            raise HttpError(
+                f'the response body is over {MAX_ANSWER_BYTES} bytes',
+                remedy='change the service to send smaller responses',
+            )
+        other_bytes = self.exchange_bytes - body_bytes
+        is_endless = self.exchange_bytes > MAX_EXCHANGE_BYTES
+        if is_endless or (
+            other_bytes > MAX_HEAD_BYTES + MAX_FRAMING_RATIO * body_bytes
+        ):
+            raise HttpError(
+                f'the server sent {other_bytes} bytes of heads and framing '
+                f'and {body_bytes} of bodies without ending its response',
+                remedy='check the server for faults',
+            )
--- a/packages/sidecar/src/boragetrestle_sidecar/guard.py
+++ b/packages/sidecar/src/boragetrestle_sidecar/guard.py
@@ -422,6 +422,15 @@
         """Finish a run whose connection broke."""
         self._release_slot(job)
         self.meter.record_result(is_failure=True, now=self.clock())
+        connection = job.connection
+        if connection is not None and connection.error is not None:
+            self.log.write_limited(
+                'answer-refused',
+                request=job.order.request_id.decode('latin-1'),
+                route=job.order.route,
+                after=self.clock() - job.started_at,
+                error=str(connection.error),
+            )
         if loss is Loss.CLOSED:
             self.crash_watch.record_loss(job.order, self.clock())
         self._finish(job, Outcome(OutcomeKind.UNKNOWN, _LOSS_REASON[loss]))
--- a/packages/sidecar/src/boragetrestle_sidecar/server_connection.py
+++ b/packages/sidecar/src/boragetrestle_sidecar/server_connection.py
@@ -5,6 +5,7 @@
 from typing import TYPE_CHECKING, Protocol, cast
 
 from boragetrestle_kernel.errors import HttpError
+from boragetrestle_sidecar.answer_buffers import AnswerBuffers
 from boragetrestle_sidecar.answer_reader import AnswerReader
 from boragetrestle_sidecar.steady_clock import steady_now
 
@@ -39,11 +40,19 @@
 
     ``id_header`` names the header with the id. An answer that echoes another id
     belongs to an earlier exchange and is discarded. A connection on which
-    anything unexpected arrived is closed.
+    anything unexpected arrived is closed, and ``error`` then says what.
+    ``buffers`` bounds what connections hold of unfinished answers together.
     """
 
-    def __init__(self, *, id_header: bytes = b'') -> None:
+    def __init__(
+        self,
+        *,
+        id_header: bytes = b'',
+        buffers: AnswerBuffers | None = None,
+    ) -> None:
         self.id_header = id_header
+        self.buffers = buffers or AnswerBuffers()
+        self.error: HttpError | None = None
         self.reader = AnswerReader(self._accept_answer)
         self.listener: ExchangeListener | None = None
         self.request_id: RequestId | None = None
@@ -71,6 +80,7 @@
         assert self.transport is not None
         self.listener = listener
         self.request_id = request_id
+        self.reader.begin_exchange()
         self.reader.expects_no_body = is_head
         self.transport.write(request)
 
@@ -81,6 +91,7 @@
 
     def close(self) -> None:
         """Close at once, without telling the listener of a running exchange."""
+        self.buffers.record(self, 0)
         self.listener = None
         self.is_usable = False
         if self.transport is not None:
@@ -93,10 +104,16 @@
             return
         try:
             self.reader.feed(received)
-        except HttpError:
-            self._fail(Loss.GARBLED)
+        except HttpError as error:
+            self.refuse(error)
             return
         self._deliver()
+        self.buffers.record(self, self.reader.held_bytes)
+
+    def refuse(self, error: HttpError) -> None:
+        """Fail a running exchange for what was received."""
+        self.error = error
+        self._fail(Loss.GARBLED)
 
     def eof_received(self) -> bool:
         """Complete an answer that is delimited by the end of the connection."""
--- a/packages/sidecar/src/boragetrestle_sidecar/target_pool.py
+++ b/packages/sidecar/src/boragetrestle_sidecar/target_pool.py
@@ -3,6 +3,7 @@
 import asyncio
 from typing import TYPE_CHECKING
 
+from boragetrestle_sidecar.answer_buffers import AnswerBuffers
 from boragetrestle_sidecar.server_connection import ServerConnection
 
 if TYPE_CHECKING:
@@ -23,6 +24,7 @@
         self.id_header = id_header
         self.idle: list[ServerConnection] = []
         self.opened = 0
+        self.buffers = AnswerBuffers()
 
     def acquire(self, now: float, *, recent: bool) -> ServerConnection | None:
         """Take an idle connection that the target should still keep open."""
@@ -68,4 +70,7 @@
         self.idle.clear()
 
     def _new_connection(self) -> ServerConnection:
-        return ServerConnection(id_header=self.id_header)
+        return ServerConnection(
+            id_header=self.id_header,
+            buffers=self.buffers,
+        )
--- a/tests/path_builders.py
+++ b/tests/path_builders.py
@@ -16,6 +16,7 @@
     Version,
 )
 from boragetrestle_kernel.service_text import Organisation
+from boragetrestle_sidecar.answer_buffers import AnswerBuffers
 from boragetrestle_sidecar.configuration import Configuration
 from boragetrestle_sidecar.decision_log import DecisionLog
 from boragetrestle_sidecar.guard import Guard
@@ -117,9 +118,11 @@
         """Continue reading."""
 
 
-def open_connection() -> tuple[ServerConnection, Any]:
+def open_connection(
+    buffers: AnswerBuffers | None = None,
+) -> tuple[ServerConnection, Any]:
     """Return an open connection and its transport."""
-    connection = ServerConnection(id_header=NAMES.request_id)
+    connection = ServerConnection(id_header=NAMES.request_id, buffers=buffers)
     transport: Any = FakeTransport()
     connection.connection_made(transport)
     return connection, transport
@@ -219,7 +222,7 @@
         self.outcomes: dict[str, Outcome] = {}
         self.transports: list[Any] = []
         for _ in range(connections):
-            connection, transport = open_connection()
+            connection, transport = open_connection(self.guard.pool.buffers)
             connection.idle_since = self.clock.now
             connection.idle_seconds = LONG
             self.guard.pool.idle.append(connection)
