Notice connections to the target that went silent

Connections to the target are now probed like those to the store; a silent one closes the idle ones and explains the silence of the target. An answer that only takes long is still awaited.

--- a/packages/sidecar/src/boragetrestle_sidecar/guard.py
+++ b/packages/sidecar/src/boragetrestle_sidecar/guard.py
@@ -431,6 +431,11 @@
                 after=self.clock() - job.started_at,
                 error=str(connection.error),
             )
+        if loss is Loss.SILENT:
+            self.pool.close()  # the others have usually gone silent as well
+            self.silence_detector.restart(
+                self.clock(), is_idle=not self.running
+            )
         if loss is Loss.CLOSED:
             self.crash_watch.record_loss(job.order, self.clock())
         self._finish(job, Outcome(OutcomeKind.UNKNOWN, _LOSS_REASON[loss]))
--- a/packages/sidecar/src/boragetrestle_sidecar/target_pool.py
+++ b/packages/sidecar/src/boragetrestle_sidecar/target_pool.py
@@ -4,6 +4,7 @@
 from typing import TYPE_CHECKING
 
 from boragetrestle_sidecar.answer_buffers import AnswerBuffers
+from boragetrestle_sidecar.link_socket import set_keepalive
 from boragetrestle_sidecar.server_connection import ServerConnection
 
 if TYPE_CHECKING:
@@ -47,11 +48,12 @@
         """Open a connection; raise ``OSError`` or ``TimeoutError``."""
         loop = asyncio.get_running_loop()
         async with asyncio.timeout(CONNECT_SECONDS):
-            _transport, connection = await loop.create_connection(
+            transport, connection = await loop.create_connection(
                 self._new_connection,
                 self.address.host,
                 self.address.port,
             )
+        set_keepalive(transport)
         self.opened += 1
         return connection
 
--- a/packages/sidecar/src/boragetrestle_sidecar/target_silence.py
+++ b/packages/sidecar/src/boragetrestle_sidecar/target_silence.py
@@ -23,6 +23,10 @@
 
     def record_answer(self, now: float, *, is_idle: bool) -> None:
         """Record an answer; ``is_idle`` tells that no run is left."""
+        self.restart(now, is_idle=is_idle)
+
+    def restart(self, now: float, *, is_idle: bool) -> None:
+        """Begin anew, also when the silence was that of a connection."""
         self.is_suspected = False
         self.since = None if is_idle else now
 
--- a/tests/path_standins.py
+++ b/tests/path_standins.py
@@ -220,6 +220,7 @@
     def __init__(self, target: StandinTarget) -> None:
         super().__init__(self._never)
         self.target = target
+        self.is_mute = False
         target.connections.append(self)
 
     def data_received(self, received: bytes) -> None:
@@ -238,7 +239,7 @@
     def respond(self, request: CallerRequest, answer: EndpointAnswer) -> None:
         """Write an answer with the request's id and the target's marker."""
         assert self.transport is not None
-        if self.transport.is_closing():
+        if self.is_mute or self.transport.is_closing():
             return
         self.transport.write(
             b'HTTP/1.1 %d OK\r\nCall-Id: %s\r\nSeal: s\r\n'
