Soak: limits, leaves, bytes without end and silent connections

Targets name limits that fall and end, say in their answers only that they leave, and send heads or bytes without end; open connections to the store and to targets go silent for good, beside the faults that were there. Its own checks show that it sees a limit and a leave that are not kept.

--- a/tests/soak_host.py
+++ b/tests/soak_host.py
@@ -59,6 +59,8 @@
         self.state = 'ready'
         self.is_up = True
         self.loses_answers = False
+        self.terms: dict[str, str] = {}
+        self.endless = b''
         self.tasks: list[asyncio.Task[None]] = []
 
     async def start(self) -> None:
@@ -110,6 +112,7 @@
         self.sequence = 0
         self.state = 'ready'
         self.is_up = True
+        self.terms = {}
 
     async def drain(self) -> None:
         """Report that the target leaves, and note the acknowledgement."""
@@ -188,6 +191,8 @@
         await asyncio.sleep(self.chance.uniform(*WORK_SECONDS))
         if self.loses_answers:
             return None
+        if self.endless:
+            return self.endless
         if request.first[1].startswith('/outer/') and not await self._call():
             return answer_of(500, x_request_id=request_id, x_server_seal='s')
         return answer_of(
@@ -195,6 +200,8 @@
             body_of(request_id),
             x_request_id=request_id,
             x_server_seal='s',
+            x_soak_target=self.target,
+            **self.terms,
         )
 
     async def _call(self) -> bool:
--- a/tests/soak_proxy.py
+++ b/tests/soak_proxy.py
@@ -3,6 +3,8 @@
 import asyncio
 from enum import Enum
 
+from silent_sockets import silence
+
 CHUNK_BYTES = 65536
 DELAY_SECONDS = 0.3  # a few times the usual time of an answer
 
@@ -24,6 +26,7 @@
         self.target = target
         self.harm = Harm.NONE
         self.writers: set[asyncio.StreamWriter] = set()
+        self.silent: set[asyncio.StreamWriter] = set()
         self.tasks: set[asyncio.Task[None]] = set()
         self.server: asyncio.Server | None = None
 
@@ -38,6 +41,12 @@
             for writer in list(self.writers):
                 writer.transport.abort()
 
+    def silence_connections(self) -> None:
+        """Let the open connections go silent for good; new ones work."""
+        for writer in self.writers - self.silent:
+            silence(writer.get_extra_info('socket')._sock)
+        self.silent |= self.writers
+
     def close(self) -> None:
         """End the proxy."""
         if self.server is not None:
@@ -79,11 +88,13 @@
                 if self.harm is Harm.DELAY:
                     await asyncio.sleep(DELAY_SECONDS)
                 is_cut = self.harm is Harm.ONE_WAY and is_back
-                if self.harm is not Harm.SILENT and not is_cut:
+                is_lost = is_cut or sink in self.silent
+                if self.harm is not Harm.SILENT and not is_lost:
                     sink.write(received)
                     await sink.drain()
         except OSError:
             return  # an end that was reset ends the other one
         finally:
             self.writers.discard(sink)
+            self.silent.discard(sink)
             sink.transport.abort()
--- a/tests/soak_run.py
+++ b/tests/soak_run.py
@@ -19,10 +19,10 @@
 from typing import Any
 
 from soak_host import SoakHost, body_of
-from soak_http import read_message, serve
+from soak_http import Message, read_message, serve
 from soak_proxy import Harm
 from soak_store import SoakStore
-from soak_witness import Sent, Witness
+from soak_witness import Limit, Sent, Witness
 
 HOSTS = 6
 CALLERS = 24
@@ -32,9 +32,17 @@
 CALLER_REST_SECONDS = (0.01, 0.15)
 FAULT_REST_SECONDS = (0.05, 0.7)
 HARM_SECONDS = (0.3, 3.0)
+LIMIT_SECONDS = (3.0, 7.0)  # longer than it takes until a limit binds
 STORE = ('127.8.0.250', 7000)
 TIME_LIMIT_SECONDS = 3.0
 SHOWN_FAULTS = 10
+_ENDLESS_BYTES = 2_000_000  # nodes close the connection long before
+ENDLESS = (
+    b'HTTP/1.1 200 OK\r\na: ' + b'x' * _ENDLESS_BYTES,
+    b'HTTP/1.1 100 Continue\r\n\r\n' * (_ENDLESS_BYTES // 25),
+    b'\r\n' * (_ENDLESS_BYTES // 2),
+    b'\x00' * _ENDLESS_BYTES,
+)
 
 Fault = Callable[['Soak'], Coroutine[Any, Any, None]]
 FAULTS: dict[str, Fault] = {}
@@ -134,6 +142,15 @@
         if link is not None:
             link[1].transport.abort()
 
+    def _record_terms(self, node: int, answer: Message) -> None:
+        """Note what a node has passed on of a target's own statements."""
+        place = (node, answer.headers.get('x-soak-target', ''))
+        now = time.monotonic()
+        if 'server-limit' in answer.headers:
+            self.witness.told_limit.setdefault(place, now)
+        if 'server-leaving' in answer.headers:
+            self.witness.told_leaving.setdefault(place, now)
+
     async def _request(
         self,
         chance: random.Random,
@@ -154,6 +171,7 @@
                 writer.write(_head(prefix, request_id, key))
                 answer = await read_message(reader)
             status = int(answer.first[1])
+            self._record_terms(host.number, answer)
             has_seal = 'x-server-seal' in answer.headers
             is_whole = has_seal and answer.body == body_of(request_id)
             keeps = answer.headers.get('connection', '') != 'close'
@@ -289,6 +307,60 @@
         host.restart_target()
 
 
+@fault
+async def target_names_limit(soak: Soak) -> None:
+    """Let a target name a limit, lower it, and lift it again."""
+    host = soak.some_host()
+    if host.terms:
+        return
+    rates = (soak.chance.choice([4.0, 10.0]), soak.chance.choice([0.5, 2.0]))
+    for rate in rates:
+        limit = Limit(host.target, rate, time.monotonic())
+        soak.witness.limits.append(limit)
+        host.terms = {**host.terms, 'server_limit': f'{rate:g}'}
+        await asyncio.sleep(soak.chance.uniform(*LIMIT_SECONDS))
+        limit.lifted_at = time.monotonic()
+        if host.target != limit.target:
+            return
+    host.terms = {}
+
+
+@fault
+async def target_says_it_leaves(soak: Soak) -> None:
+    """Let a target say so in its answers only, then start anew."""
+    host = soak.some_host()
+    target = host.target
+    host.terms = {**host.terms, 'server_leaving': '1'}
+    await asyncio.sleep(soak.chance.uniform(*LIMIT_SECONDS))
+    if host.target == target:
+        host.restart_target()
+
+
+@fault
+async def target_sends_without_end(soak: Soak) -> None:
+    """Let a target answer with bytes that are no answer and don't end."""
+    host = soak.some_host()
+    host.endless = soak.chance.choice(ENDLESS)
+    await asyncio.sleep(soak.chance.uniform(*HARM_SECONDS))
+    host.endless = b''
+
+
+@fault
+async def store_connections_go_silent(soak: Soak) -> None:
+    """Let all open connections to the store go silent; new ones work."""
+    for host in soak.hosts:
+        soak.witness.disturbed[host.number].append(time.monotonic())
+        host.store_proxy.silence_connections()
+
+
+@fault
+async def target_connections_go_silent(soak: Soak) -> None:
+    """Let the open connections to a target go silent; new ones work."""
+    host = soak.some_host()
+    soak.witness.disturbed[host.number].append(time.monotonic())
+    host.target_proxy.silence_connections()
+
+
 @fault
 async def node_kill(soak: Soak) -> None:
     """Kill one node, or many at once."""
--- a/tests/soak_witness.py
+++ b/tests/soak_witness.py
@@ -1,5 +1,6 @@
 """What callers and targets saw, and the promises that it must keep."""
 
+import math
 from collections import Counter, defaultdict
 from dataclasses import dataclass
 
@@ -7,6 +8,12 @@
 # may be sent requests this long after their drain was acknowledged.
 APPLY_SECONDS = 2.0
 DRAIN_SECONDS = 2.0
+# A limit that a target names binds the nodes that passed it on this long ago,
+# from some seconds after the first naming on.
+TOLD_SECONDS = 0.5
+WINDOW_SECONDS = 4.0
+WINDOW_TOLERANCE = 1.5
+WINDOW_SLACK = 5
 SETTLED_SECONDS = 3.0  # bounds in time hold this long after the last fault
 NOT_RUN = frozenset((408, 421, 429, 503))
 DENIED = frozenset((400, 401, 403, 404))
@@ -26,6 +33,16 @@
     is_whole: bool
 
 
+@dataclass(slots=True)
+class Limit:
+    """A limit of requests a second that a target named for some time."""
+
+    target: str
+    rate: float
+    named_at: float
+    lifted_at: float = math.inf
+
+
 @dataclass(frozen=True, slots=True)
 class Run:
     """A request that a target began to run."""
@@ -49,6 +66,10 @@
         self.disturbed: defaultdict[int, list[float]] = defaultdict(list)
         self.store_disturbed: list[float] = []
         self.ended: list[str] = []
+        self.limits: list[Limit] = []
+        # When a node first passed on that a target is limited or leaves.
+        self.told_limit: dict[tuple[int, str], float] = {}
+        self.told_leaving: dict[tuple[int, str], float] = {}
 
     def faults(self, calm_since: float) -> list[str]:
         """Return a line for each promise that was broken."""
@@ -68,6 +89,11 @@
                 for sent in self.sent
                 if sent.status in DENIED and sent.key not in self.withdrawn_at
             ),
+            *(
+                line
+                for limit in self.limits
+                for line in self._limit(limit, by_id)
+            ),
             *self._calm(calm_since),
         ]
 
@@ -91,6 +117,11 @@
         sent = by_id.get(run.request_id)
         if sent is None:
             return found
+        told = self.told_leaving.get((sent.node, run.target), sent.sent_at)
+        if sent.sent_at > told + DRAIN_SECONDS and not self._was_disturbed(
+            sent.node, told, sent.sent_at
+        ):
+            found.append(f'{run.request_id}: ran at {run.target}, which left')
         if run.organisation != self.owners.get(sent.key):
             found.append(f'{run.request_id}: ran for {run.organisation!r}')
         withdrawn = self.withdrawn_at.get(sent.key, sent.sent_at)
@@ -99,6 +130,47 @@
             found.append(f'{run.request_id}: ran with a withdrawn key')
         return found
 
+    def _limit(self, limit: Limit, by_id: dict[str, Sent]) -> list[str]:
+        times = [
+            run.started_at
+            for run in self.runs
+            if run.target == limit.target and self._is_bound(run, limit, by_id)
+        ]
+        allowed = WINDOW_TOLERANCE * limit.rate * WINDOW_SECONDS + WINDOW_SLACK
+        most = max(
+            (
+                sum(began <= at < began + WINDOW_SECONDS for at in times)
+                for began in times
+            ),
+            default=0,
+        )
+        if most <= allowed:
+            return []
+        return [
+            f'{limit.target}: {most} runs in {WINDOW_SECONDS:g} s at a limit '
+            f'of {limit.rate:g} a second, allowed {allowed:g}'
+        ]
+
+    def _is_bound(
+        self,
+        run: Run,
+        limit: Limit,
+        by_id: dict[str, Sent],
+    ) -> bool:
+        """Return whether a run counts towards a limit."""
+        sent = by_id.get(run.request_id)
+        if sent is None:
+            return False
+        told = self.told_limit.get((sent.node, run.target), math.inf)
+        since = max(told + TOLD_SECONDS, limit.named_at + SETTLED_SECONDS)
+        is_within = since <= run.started_at <= limit.lifted_at
+        return is_within and not self._was_disturbed(
+            sent.node, told, run.started_at
+        )
+
+    def _was_disturbed(self, node: int, since: float, until: float) -> bool:
+        return any(since < at < until for at in self.disturbed[node])
+
     def _is_in_touch(self, sent: Sent) -> bool:
         disturbed = [*self.disturbed[sent.node], *self.store_disturbed]
         since = sent.sent_at - SETTLED_SECONDS
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -4,7 +4,7 @@
 
 import pytest
 from soak_run import play_seed
-from soak_witness import Run, Sent, Witness
+from soak_witness import Limit, Run, Sent, Witness
 
 SECONDS = 5.0
 SEEDS = (1, 2)  # seeds that ever failed are added, with their cause
@@ -76,6 +76,28 @@
     assert any(found in line for line in faults)
 
 
+@pytest.mark.parametrize('is_disturbed', [False, True])
+def test_soak_sees_limits_and_leaves_that_are_not_kept(
+    is_disturbed: bool,
+) -> None:
+    """A disturbance of the node that was told excuses it."""
+    witness = Witness()
+    witness.owners = {'key-1': 'org-1'}
+    witness.limits = [Limit('t', 1.0, 40.0)]
+    witness.told_limit[1, 't'] = 40.0
+    witness.told_leaving[1, 'left'] = 40.0
+    if is_disturbed:
+        witness.disturbed[1].append(42.0)
+    names = [f'r{number}' for number in range(12)]
+    witness.sent = [sent(request_id=name) for name in names]
+    witness.sent.append(sent(request_id='late'))
+    witness.runs = [run(request_id=name) for name in names]
+    witness.runs.append(run(request_id='late', target='left'))
+    found = '\n'.join(witness.faults(calm_since=40.0))
+    assert ('12 runs in 4 s' in found) is not is_disturbed
+    assert ('which left' in found) is not is_disturbed
+
+
 def test_kept_promises_are_no_faults() -> None:
     """Nor may it see what is not there."""
     witness = Witness()
