--- a/packages/sidecar/src/boragetrestle_sidecar/sidecar.py
+++ b/packages/sidecar/src/boragetrestle_sidecar/sidecar.py
@@ -281,6 +281,7 @@
         self.telemetry.gauges.update({
             'guard_running': lambda: self.guard.running,
             'guard_waiting': lambda: len(self.guard.queue),
+            'guard_rate_limit': lambda: self.guard.terms.rate_limit_metric,
             'configuration_version': lambda: self.keeper.version,
             'configuration_age_seconds': lambda: self.keeper.age,
             'members': lambda: len(self.fleet.members),
--- a/packages/sidecar/src/boragetrestle_sidecar/stated_terms.py
+++ b/packages/sidecar/src/boragetrestle_sidecar/stated_terms.py
@@ -14,6 +14,8 @@
     from boragetrestle_sidecar.target_report import TargetReport
     from boragetrestle_sidecar.wire_names import WireNames
 
+NO_LIMIT = -1.0  # 0 is a limit
+
 
 class StatedTerms:
     """Keep the newest terms of the current incarnation of a target.
@@ -32,6 +34,11 @@
         self.has_answered = False
         self.remembered: TargetNotice | None = None
 
+    @property
+    def rate_limit_metric(self) -> float:
+        """The limit as a metric, -1 if there is none."""
+        return NO_LIMIT if self.rate_limit is None else self.rate_limit
+
     def start(self, report: 'TargetReport', now: float) -> None:
         """Start anew with another incarnation."""
         self.rate_limit = None
