Remember a drain by its report, not for good

Found in the last read of the diff: a guard told entries of a drain as of a leave, so a link that opened anew during the drain would have closed the guard for that incarnation for good, also after a newer report that it is ready. The notice now carries the number of the report in which the target drains; after a restart older reports are passed over and a newer one opens the guard. An incarnation whose start is 0 can be remembered, too. LeaveSource has a module of its own.

--- a/packages/sidecar/src/boragetrestle_sidecar/guard.py
+++ b/packages/sidecar/src/boragetrestle_sidecar/guard.py
@@ -3,7 +3,6 @@
 import asyncio
 import math
 from collections.abc import Callable
-from enum import Enum
 from typing import TYPE_CHECKING
 
 from boragetrestle_kernel.errors import WireError
@@ -13,6 +12,7 @@
 from boragetrestle_sidecar.crash_watch import CrashWatch
 from boragetrestle_sidecar.guard_job import GuardJob, JobState
 from boragetrestle_sidecar.guard_queue import GuardQueue
+from boragetrestle_sidecar.leave_source import LeaveSource
 from boragetrestle_sidecar.outcome import (
     GuardLoad,
     Outcome,
@@ -57,14 +57,6 @@
 }
 
 
-class LeaveSource(Enum):
-    """By what a target told that it leaves."""
-
-    CALL = 'call'
-    ANSWER = 'answer'
-    PEER = 'peer'
-
-
 class Guard:
     """Send runs to one target, never more at once than its slots.
 
@@ -151,11 +143,15 @@
     def notice(self) -> TargetNotice | None:
         """What entries remember of the target, so that a restart keeps it."""
         report = self.reported_target.report
-        rate_limit = self.terms.rate_limit
-        is_leaving = self.reported_target.is_leaving
-        if report is None or (rate_limit is None and not is_leaving):
+        if report is None:
             return None
-        return TargetNotice(*report.incarnation, rate_limit, is_leaving)
+        notice = TargetNotice(
+            *report.incarnation,
+            rate_limit=self.terms.rate_limit,
+            is_leaving=self.reported_target.is_leaving,
+            drain_sequence=self.reported_target.drain_sequence,
+        )
+        return notice if notice.says_something else None
 
     def handle_heartbeat(self, report: 'TargetReport') -> None:
         """Process a heartbeat of the target."""
@@ -197,6 +193,10 @@
         report = self.reported_target.report
         self.terms.remember(notice, report, self.clock())
         target = TargetId(notice.target)
+        if notice.drain_sequence is not None:
+            self.reported_target.note_drain(
+                notice.started_at, notice.drain_sequence
+            )
         if notice.is_leaving and self.reported_target.note_leaving(
             target, notice.started_at
         ):
--- a/packages/sidecar/src/boragetrestle_sidecar/placement.py
+++ b/packages/sidecar/src/boragetrestle_sidecar/placement.py
@@ -42,7 +42,8 @@
 
     ``unconfirmed_runs`` counts runs sent since the guard last reported its
     load, at ``heard_at``. ``is_open`` tells whether the guard accepts runs, and
-    ``limit`` how many run at once, a fraction for a target with a rate limit. ``waits`` are called when it is heard again.
+    ``limit`` how many run at once, a fraction for a target with a rate limit.
+    ``waits`` are called when it is heard again.
     """
 
     address: str
--- a/packages/sidecar/src/boragetrestle_sidecar/reported_target.py
+++ b/packages/sidecar/src/boragetrestle_sidecar/reported_target.py
@@ -26,12 +26,15 @@
         self.report: TargetReport | None = None
         self.reported_at = 0.0
         self.leaving: dict[TargetId, int] = {}
+        self.superseded = (-1, -1)
 
     def update(self, report: 'TargetReport', now: float) -> bool:
         """Store a newer report; return whether it is of a new incarnation."""
         known = self.report
         if known is not None and report.sort_key <= known.sort_key:
             return False
+        if self._is_superseded(report):
+            return False
         if report.address != self.address:
             return False
         is_new = known is None or known.incarnation != report.incarnation
@@ -53,24 +56,40 @@
 
         It may not have reported to this process yet.
         """
-        if self.leaving.get(target, 0) >= started_at:
+        if self.leaving.get(target, -1) >= started_at:
             return False
         self.leaving[target] = started_at
         known = self.report
         return known is not None and known.incarnation == (target, started_at)
 
+    def note_drain(self, started_at: int, sequence: int) -> None:
+        """Note a report in which the target drains, from before this process."""
+        self.superseded = max(self.superseded, (started_at, sequence))
+
     @property
     def is_leaving(self) -> bool:
-        """Whether the target drains or has said that it leaves."""
+        """Whether the target has said that it leaves."""
         report = self.report
         if report is None:
             return False
-        if report.state is TargetState.DRAINING:
-            return True
         return self.leaving.get(report.target) == report.started_at
 
+    @property
+    def drain_sequence(self) -> int | None:
+        """The sequence of the newest report if the target drains in it."""
+        report = self.report
+        if report is None or report.state is TargetState.READY:
+            return None
+        return report.sequence
+
     def is_available(self, now: float) -> bool:
         """Return whether the target accepts requests now."""
-        if self.report is None or self.is_leaving:
+        report = self.report
+        if report is None or report.state is not TargetState.READY:
+            return False
+        if self.is_leaving or self._is_superseded(report):
             return False
         return now - self.reported_at < MAX_MISSED_HEARTBEATS * self.heartbeat
+
+    def _is_superseded(self, report: 'TargetReport') -> bool:
+        return report.sort_key <= self.superseded
--- a/tests/test_path_target_terms.py
+++ b/tests/test_path_target_terms.py
@@ -7,14 +7,24 @@
 
 import pytest
 from entry_builders import EntryHarness, node_load, request_bytes
-from path_builders import GuardHarness, report, run_order
+from path_builders import (
+    NAMES,
+    GuardHarness,
+    LineLog,
+    ManualClock,
+    report,
+    run_order,
+    settings,
+)
 from path_standins import Host, MemoryStore
 from test_path_nodes import call, run_with_hosts, sees_open_guards, wait_until
 
 from boragetrestle_kernel.errors import WireError
+from boragetrestle_sidecar.guard import Guard
 from boragetrestle_sidecar.outcome import OutcomeKind, Reason
 from boragetrestle_sidecar.steady_clock import steady_now
 from boragetrestle_sidecar.target_notice import TargetNotice
+from boragetrestle_sidecar.target_report import TargetState
 
 WINDOW_SECONDS = 4.0
 STEP_SECONDS = 0.02
@@ -252,6 +262,31 @@
     assert not bench.guard.terms.pace.is_limited
 
 
+@pytest.mark.parametrize('comes_first', ['notice', 'report'])
+def test_report_from_before_a_drain_does_not_open_a_guard_that_restarted(
+    comes_first: str,
+) -> None:
+    """A target that is ready again says so with a newer number."""
+    guard = Guard(settings(), NAMES, LineLog(), clock=ManualClock())
+    notice = TargetNotice('t-1', 1, drain_sequence=5)
+    steps = [
+        lambda: guard.handle_notice(notice),
+        lambda: guard.handle_heartbeat(report(sequence=4)),
+    ]
+    for step in steps if comes_first == 'notice' else reversed(steps):
+        step()
+    assert not guard.is_open
+    guard.handle_heartbeat(report(sequence=6))
+    assert guard.is_open
+
+
+def test_guard_of_a_draining_target_lets_entries_remember_it() -> None:
+    """They are told with each load."""
+    bench = GuardHarness()
+    bench.guard.handle_heartbeat(report(state=TargetState.DRAINING, sequence=2))
+    assert bench.guard.load.notice == TargetNotice('t-1', 1, drain_sequence=2)
+
+
 def test_entry_remembers_a_notice_over_the_loss_of_its_link() -> None:
     """A guard that is not open yet may not know it any more."""
     entry = EntryHarness()
