End interim responses without end on the product's own path, too

Bytes without end were looked for on the other path to a target: h11 bounds heads, chunk headers and trailers there, a body is passed on part by part, and only interim responses had no bound: the node read them until the call's time limit and passed each on to the caller. After 64 the answer counts as none.

--- a/packages/kernel/src/boragetrestle_kernel/http_client.py
+++ b/packages/kernel/src/boragetrestle_kernel/http_client.py
@@ -16,6 +16,8 @@
 
 _READ_BYTES = 65_536
 _MAX_HEAD_BYTES = 65_536
+# A server in trouble may send interim responses without end.
+_MAX_INTERIM_RESPONSES = 64
 
 InterimHandler = Callable[[h11.InformationalResponse], None]
 
@@ -125,13 +127,16 @@
         """Return the final response; pass 1xx ones to ``on_interim``.
 
         Raises ``HttpError`` for a response that ends early or that has no
-        certain end (see ``HttpResponse.require_framing``).
+        certain end (see ``HttpResponse.require_framing``), or after too many
+        interim ones.
         """
-        while True:
+        interim_left = _MAX_INTERIM_RESPONSES
+        while interim_left:
             event = self.next_buffered_event()
             if event is None:
                 await self.receive_bytes()
             elif isinstance(event, h11.InformationalResponse):
+                interim_left -= 1
                 on_interim(event)
             elif isinstance(event, h11.Response):
                 response = HttpResponse(self, event)
@@ -139,6 +144,11 @@
                 return response
             else:
                 raise HttpError('the server closed before it answered')
+        raise HttpError(
+            f'the server sent {_MAX_INTERIM_RESPONSES} interim responses and '
+            'no final one',
+            remedy='check the server for faults',
+        )
 
     async def request(
         self,
--- a/tests/test_exchange.py
+++ b/tests/test_exchange.py
@@ -1,6 +1,7 @@
 """Whole answers: streaming, cuts, early answers and kept connections."""
 
 import tracemalloc
+from contextlib import suppress
 
 import pytest
 import trio
@@ -112,6 +113,22 @@
     assert loop.relay.attempts == [Attempt.NO_ANSWER]
 
 
+async def test_interim_answers_without_end_are_refused():
+    async def answer_forever(stream, _received):
+        with suppress(trio.BrokenResourceError):
+            while True:
+                await stream.send_all(b'HTTP/1.1 100 Continue\r\n\r\n')
+
+    async with trio.open_nursery() as nursery:
+        loop = Loopback(answer_forever, nursery)
+        client = await loop.start()
+        with trio.fail_after(5):
+            response = await client.request(b'GET', b'/', _FIELDS)
+        assert response.status == 502
+        nursery.cancel_scope.cancel()
+    assert loop.relay.attempts == [Attempt.NO_ANSWER]
+
+
 async def test_answer_with_length_and_chunks_is_refused():
     both = (
         _OK
