--- a/packages/sidecar/src/boragetrestle_sidecar/guard.py
+++ b/packages/sidecar/src/boragetrestle_sidecar/guard.py
@@ -27,6 +27,7 @@
 from boragetrestle_sidecar.target_notice import TargetNotice
 from boragetrestle_sidecar.target_pool import TargetPool
 from boragetrestle_sidecar.target_silence import TargetSilence
+from boragetrestle_sidecar.target_terms import says_it_leaves
 from boragetrestle_sidecar.telemetry import Telemetry
 
 if TYPE_CHECKING:
@@ -452,9 +453,10 @@
         assert report is not None
         if job.started_at < self.found_at:
             return  # an earlier incarnation speaks of itself
-        is_leaving = self.terms.record_answer(
+        self.terms.record_answer(
             answer, report, sent_at=job.started_at, now=now
         )
+        is_leaving = says_it_leaves(answer, self.names)
         if is_leaving and self.reported_target.mark_leaving(report.target):
             self._stop_sending(report.target, LeaveSource.ANSWER)
 
--- a/packages/sidecar/src/boragetrestle_sidecar/stated_terms.py
+++ b/packages/sidecar/src/boragetrestle_sidecar/stated_terms.py
@@ -6,7 +6,7 @@
 from boragetrestle_kernel.errors import WireError
 from boragetrestle_sidecar.target_notice import TargetNotice
 from boragetrestle_sidecar.target_pace import TargetPace
-from boragetrestle_sidecar.target_terms import read_terms
+from boragetrestle_sidecar.target_terms import read_rate_limit
 
 if TYPE_CHECKING:
     from boragetrestle_sidecar.decision_log import DecisionLog
@@ -68,14 +68,14 @@
         *,
         sent_at: float,
         now: float,
-    ) -> bool:
-        """Take over what an answer says; return whether the target leaves.
+    ) -> None:
+        """Take over the limit that an answer names or no longer names.
 
         Answers may overtake each other, so only one to a request that was sent
         after the limit was last named can lift it.
         """
         try:
-            terms = read_terms(answer, self.names)
+            rate_limit = read_rate_limit(answer, self.names)
         except WireError as error:
             self.log.write_limited(
                 'target-limit-refused',
@@ -83,13 +83,12 @@
                 error=str(error),
                 in_force=self.rate_limit,
             )
-            return False
+            return
         self.has_answered = True
-        if terms.rate_limit is not None:
+        if rate_limit is not None:
             self.limited_at = now
-        if terms.rate_limit is not None or sent_at > self.limited_at:
-            self._set_rate_limit(terms.rate_limit, report, now)
-        return terms.is_leaving
+        if rate_limit is not None or sent_at > self.limited_at:
+            self._set_rate_limit(rate_limit, report, now)
 
     def _apply_remembered(self, report: 'TargetReport', now: float) -> None:
         notice = self.remembered
--- a/packages/sidecar/src/boragetrestle_sidecar/target_terms.py
+++ b/packages/sidecar/src/boragetrestle_sidecar/target_terms.py
@@ -1,7 +1,7 @@
 """What a target says of itself in the headers of its answers."""
 
 import re
-from typing import TYPE_CHECKING, NamedTuple
+from typing import TYPE_CHECKING
 
 from boragetrestle_kernel.errors import WireError
 
@@ -13,27 +13,22 @@
 _LEAVING = b'1'
 
 
-class TargetTerms(NamedTuple):
-    """The terms of one answer.
-
-    ``rate_limit`` is the requests a second that the target takes from all nodes
-    together, or None if it names no limit.
-    """
-
-    rate_limit: float | None
-    is_leaving: bool
+def says_it_leaves(answer: 'TargetAnswer', names: 'WireNames') -> bool:
+    """Return whether the target says in an answer that it leaves."""
+    leaving = answer.header(names.leaving)
+    return leaving is not None and leaving.strip() == _LEAVING
 
 
-def read_terms(answer: 'TargetAnswer', names: 'WireNames') -> TargetTerms:
-    """Return the terms in an answer's headers.
+def read_rate_limit(
+    answer: 'TargetAnswer',
+    names: 'WireNames',
+) -> float | None:
+    """Return the requests a second that the target takes from all nodes.
 
-    Raises ``WireError`` for a rate limit that is no decimal number.
+    None if it names no limit. Raises ``WireError`` for a limit that is no
+    decimal number.
     """
-    leaving = answer.header(names.leaving)
-    return TargetTerms(
-        _decode_rate_limit(answer.header(names.rate_limit)),
-        leaving is not None and leaving.strip() == _LEAVING,
-    )
+    return _decode_rate_limit(answer.header(names.rate_limit))
 
 
 def _decode_rate_limit(stated: bytes | None) -> float | None:
--- a/tests/test_path_target_terms.py
+++ b/tests/test_path_target_terms.py
@@ -189,6 +189,15 @@
     assert bench.sent() == sent
 
 
+def test_target_leaves_although_its_limit_is_no_number() -> None:
+    """One malformed header does not hide the other."""
+    bench = GuardHarness()
+    running = bench.submit(run_order('r-1'))
+    extra = b'seal: s\r\nrate-limit: x\r\nleaving: 1\r\n'
+    bench.answer(running, extra=extra)
+    assert not bench.guard.is_open
+
+
 def test_next_incarnation_of_a_target_that_left_gets_requests() -> None:
     """It may come back under the same id."""
     bench = GuardHarness()
