Keep a limit that one peer remembers beside the notice of another

Found in the last read: of two notices for one incarnation the later replaced the earlier, so one that only spoke of a drain dropped the limit before the target had reported. A notice without a limit no longer replaces one. The test failed before and passes now; 74 of the terms and the sidecar's doctests pass, make check passes.

--- a/packages/sidecar/src/boragetrestle_sidecar/stated_terms.py
+++ b/packages/sidecar/src/boragetrestle_sidecar/stated_terms.py
@@ -57,6 +57,8 @@
         known = self.remembered
         if known is not None and known.started_at > notice.started_at:
             return
+        if notice.rate_limit is None:
+            return
         self.remembered = notice
         if report is not None and not self.has_answered:
             self._apply_remembered(report, now)
--- a/tests/test_path_target_terms.py
+++ b/tests/test_path_target_terms.py
@@ -198,6 +198,16 @@
     assert not bench.guard.is_open
 
 
+def test_limit_that_one_peer_remembers_outlasts_the_notice_of_another() -> None:
+    """The other was told of a drain only."""
+    guard = Guard(settings(), NAMES, LineLog(), clock=ManualClock())
+    guard.handle_notice(TargetNotice('t-1', 1, rate_limit=2.0))
+    guard.handle_notice(TargetNotice('t-1', 1, drain_sequence=1))
+    guard.handle_heartbeat(report(sequence=2))
+    assert guard.is_open
+    assert guard.terms.pace.is_limited
+
+
 def test_next_incarnation_of_a_target_that_left_gets_requests() -> None:
     """It may come back under the same id."""
     bench = GuardHarness()
