--- a/tests/test_path_target_terms.py
+++ b/tests/test_path_target_terms.py
@@ -217,6 +217,20 @@
     assert bench.guard.is_open
 
 
+def test_next_incarnation_of_a_target_that_left_is_no_sign_of_a_crash() -> None:
+    """Answers that it lost before are no fault of their requests."""
+    bench = GuardHarness()
+    crashes: list[Any] = []
+    bench.guard.crash_watch.on_crash = crashes.append
+    lost = bench.submit(run_order('r-1'))
+    last = bench.submit(run_order('r-2'))
+    lost.connection.connection_lost(None)
+    bench.answer(last, extra=b'seal: s\r\nleaving: 1\r\n')
+    bench.clock.now += 3
+    bench.guard.handle_heartbeat(report(target='t-2', started_at=2))
+    assert not crashes
+
+
 def test_answer_of_an_earlier_incarnation_says_nothing_of_the_next() -> None:
     """It may come after the report of the new one."""
     bench = GuardHarness()
