Spare cold targets, obey evacuations, keep requests in their regions

Cause: no part read how long a target is cold, the requests a second that a cold target takes, the operators' requests to evacuate a failure domain, or the regions of routes and organisations. A cold target was sent as much as a warm one and crashed.

Change: the guard, the only sender to its target, spaces requests on the lower of the limit that the target names and the one of its service for cold targets; it takes the target for cold until it reports after it could not be reached and when its domain is taken back. Placement, probes and retries consider only guards in allowed regions.

--- a/packages/sidecar/src/boragetrestle_sidecar/configuration.py
+++ b/packages/sidecar/src/boragetrestle_sidecar/configuration.py
@@ -1,13 +1,13 @@
 """One version of the operators' configuration, indexed for look-ups."""
 
-from collections.abc import Iterable
+from collections.abc import Iterable, Mapping
 from typing import TYPE_CHECKING
 
 from boragetrestle_kernel.digest import digest_key
 from boragetrestle_sidecar.caller_limits import CallerLimits
 
 if TYPE_CHECKING:
-    from boragetrestle_kernel.ids import Digest, Version
+    from boragetrestle_kernel.ids import Digest, ServiceName, Version
     from boragetrestle_sidecar.organisation_policy import OrganisationPolicy
     from boragetrestle_sidecar.route_policy import RoutePolicy
 
@@ -16,7 +16,8 @@
     """Routes, organisations and limits of one version.
 
     ``document`` is the text as the operators wrote it; nodes send it unchanged
-    to other nodes that lack this version.
+    to other nodes that lack this version. ``cold_rates`` holds the requests a
+    second that a cold target takes, for services where that is limited.
     """
 
     def __init__(
@@ -27,12 +28,14 @@
         routes: 'Iterable[RoutePolicy]',
         organisations: 'Iterable[OrganisationPolicy]' = (),
         limits: CallerLimits | None = None,
+        cold_rates: 'Mapping[ServiceName, float] | None' = None,
     ) -> None:
         self.version = version
         self.document = document
         self.routes = tuple(routes)
         self.organisations = {each.terms.name: each for each in organisations}
         self.limits = limits or CallerLimits()
+        self.cold_rates = dict(cold_rates or {})
         self.routes_by_host = _group_by_host(self.routes)
         self.organisations_by_key_digest: dict[Digest, OrganisationPolicy] = {
             digest: each
--- a/packages/sidecar/src/boragetrestle_sidecar/entry.py
+++ b/packages/sidecar/src/boragetrestle_sidecar/entry.py
@@ -6,7 +6,7 @@
 """
 
 from collections import Counter
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 from http import HTTPStatus
 from typing import TYPE_CHECKING, NamedTuple
 
@@ -19,6 +19,10 @@
 from boragetrestle_sidecar.guard_probe import GuardProbe
 from boragetrestle_sidecar.outcome import Outcome, OutcomeKind, Reason
 from boragetrestle_sidecar.placement import choose_guard
+from boragetrestle_sidecar.region_policy import (
+    allowed_regions,
+    guards_in_regions,
+)
 from boragetrestle_sidecar.run_order import RunOrder
 from boragetrestle_sidecar.service_split import ServiceSplit
 from boragetrestle_sidecar.steady_clock import steady_now
@@ -224,7 +228,7 @@
     def _place(self, request: EntryRequest) -> None:
         """Send a request to a guard, after asking some for their load."""
         if not request.placements:
-            guards = self.fleet.guards_of(request.service)
+            guards = self._guards_for(request)
             unknown = self.probe.choose_guards(guards)
             if unknown and self.probe.ask(
                 unknown, lambda: self._choose_guard(request)
@@ -234,19 +238,27 @@
                 self.probe.refresh_one(guards)
         self._choose_guard(request)
 
+    def _guards_for(self, request: EntryRequest) -> 'Sequence[GuardView]':
+        """Return the guards that may serve a request."""
+        return guards_in_regions(
+            self.fleet.guards_of(request.service),
+            allowed_regions(request.route, request.organisation),
+            self.settings.regions,
+        )
+
     def _choose_guard(self, request: EntryRequest) -> None:
         if request.is_over:
             return
         now = self.clock()
         guard = choose_guard(
-            self.fleet.guards_of(request.service),
+            self._guards_for(request),
             domain=self.settings.domain,
             avoided=request.avoided_guards,
             is_responsive=self.fleet.is_responsive,
             chance=self.parts.chance,
         )
         if guard is None:
-            reason = request.last_reason or Reason.NO_TARGET
+            reason = request.last_reason or self._reason_without_guard(request)
             self._refuse(
                 request, reason, retry_after=NO_TARGET_RETRY_AFTER_SECONDS
             )
@@ -256,6 +268,13 @@
         request.placements += 1
         self._send_to_guard(request, guard, now)
 
+    def _reason_without_guard(self, request: EntryRequest) -> Reason:
+        if self.fleet.guards_of(request.service) and not self._guards_for(
+            request
+        ):
+            return Reason.REGION
+        return Reason.NO_TARGET
+
     def _send_to_guard(
         self,
         request: EntryRequest,
@@ -374,7 +393,7 @@
         request.avoided_guards.append(guard.address)
         has_other = any(
             view.is_open and view.address not in request.avoided_guards
-            for view in self.fleet.guards_of(request.service)
+            for view in self._guards_for(request)
         )
         return has_other and self._may_retry(request, outcome)
 
--- a/packages/sidecar/src/boragetrestle_sidecar/fleet.py
+++ b/packages/sidecar/src/boragetrestle_sidecar/fleet.py
@@ -11,6 +11,7 @@
 
 if TYPE_CHECKING:
     from boragetrestle_platform.table import Row
+    from boragetrestle_sidecar.evacuations import Evacuations
     from boragetrestle_sidecar.guard import Guard
     from boragetrestle_sidecar.hop import Hop
     from boragetrestle_sidecar.node_load import NodeLoad
@@ -27,17 +28,20 @@
     ``table`` has all nodes. The guard of a node enforces the limits of the
     target beside it; ``views`` holds the last known state of the guards to
     which this node has links, by address. ``notices`` is what this node was told
-    of their targets; it outlasts the links. ``on_members_changed`` is called with
-    all nodes after a change.
+    of their targets; it outlasts the links. ``evacuations`` are the domains to
+    whose targets nothing may be sent. ``on_members_changed`` is called with all
+    nodes after a change.
     """
 
     def __init__(
         self,
         own: Member,
+        evacuations: 'Evacuations',
         *,
         clock: Callable[[], float] = steady_now,
     ) -> None:
         self.own = own
+        self.evacuations = evacuations
         self.address = own.address
         self.clock = clock
         self.table = MemberTable()
@@ -106,10 +110,17 @@
         return now - guard.heard_at < GUARD_SILENCE_SECONDS
 
     def guards_of(self, service: str) -> Sequence[GuardView]:
-        """Return the linked guards of a service's targets, also closed ones."""
+        """Return the linked guards of a service's targets, also closed ones.
+
+        Those of evacuated domains are left out.
+        """
         if self.local_guard is not None:
             self._update_local_view(self.local_guard)
-        return self.views_by_service.get(service, ())
+        views = self.views_by_service.get(service, ())
+        evacuated = self.evacuations.domains
+        if evacuated:
+            return [view for view in views if view.domain not in evacuated]
+        return views
 
     def update_load(self, load: 'NodeLoad') -> None:
         """Update the view of a guard from what its node sent."""
--- a/packages/sidecar/src/boragetrestle_sidecar/guard.py
+++ b/packages/sidecar/src/boragetrestle_sidecar/guard.py
@@ -9,7 +9,9 @@
 from boragetrestle_kernel.ids import TargetId
 from boragetrestle_sidecar.answer_head import answer_head
 from boragetrestle_sidecar.call_attribution import CallAttribution
+from boragetrestle_sidecar.cold_phase import UNKNOWN_RATE, ColdSource
 from boragetrestle_sidecar.crash_watch import CrashWatch
+from boragetrestle_sidecar.evacuations import Evacuations
 from boragetrestle_sidecar.guard_job import GuardJob, JobState
 from boragetrestle_sidecar.guard_queue import GuardQueue
 from boragetrestle_sidecar.leave_source import LeaveSource
@@ -31,6 +33,7 @@
 from boragetrestle_sidecar.telemetry import Telemetry
 
 if TYPE_CHECKING:
+    from boragetrestle_sidecar.configuration import Configuration
     from boragetrestle_sidecar.decision_log import DecisionLog
     from boragetrestle_sidecar.path_settings import PathSettings
     from boragetrestle_sidecar.run_order import RunOrder
@@ -73,6 +76,7 @@
         log: 'DecisionLog',
         *,
         telemetry: Telemetry | None = None,
+        evacuations: Evacuations | None = None,
         clock: Callable[[], float] = steady_now,
     ) -> None:
         self.settings = settings
@@ -88,6 +92,10 @@
         self.queue = GuardQueue()
         self.meter = RunMeter()
         self.terms = StatedTerms(names, log)
+        if settings.limits_cold_targets:
+            self.terms.cold.rate = UNKNOWN_RATE
+        self.evacuations = evacuations or Evacuations(log)
+        self.was_evacuated = False
         self.attribution = CallAttribution()
         self.jobs: set[GuardJob] = set()
         self.running = 0
@@ -110,7 +118,8 @@
     def effective_slots(self) -> float:
         """How many runs can be at the target at once, on average.
 
-        A target that names a rate limit gets fewer than it has slots.
+        A target that names a rate limit, or is cold, gets fewer than it has
+        slots.
         """
         pace = self.terms.pace
         if not pace.is_limited:
@@ -123,10 +132,21 @@
         now = self.clock()
         if self.is_stopping or now < self.unreachable_until:
             return False
+        if self.is_evacuated:
+            return False
         if self.silence_detector.detect_stuck(now, self.meter.run_seconds):
             return False
         return self.reported_target.is_available(now)
 
+    @property
+    def is_evacuated(self) -> bool:
+        """Whether the operators have asked to send nothing to this domain."""
+        return self.settings.domain in self.evacuations.domains
+
+    @property
+    def _closed_reason(self) -> Reason:
+        return Reason.EVACUATED if self.is_evacuated else Reason.NO_TARGET
+
     @property
     def load(self) -> GuardLoad:
         """The load that is reported with each outcome."""
@@ -172,9 +192,35 @@
                 slots=report.slots,
                 cold_seconds=report.cold_seconds,
             )
+        if self.reported_target.report is report:
+            self.terms.record_report(report, self.clock(), is_new=is_new)
         if not self.is_open:
             self._refuse_waiting(Reason.DRAINING)
 
+    def configure(self, configuration: 'Configuration') -> None:
+        """Use the limits for cold targets of a new configuration."""
+        report = self.reported_target.report
+        service = report.service if report else self.settings.service
+        self.terms.set_cold_rate(
+            configuration.cold_rates.get(service), self.clock()
+        )
+
+    def apply_evacuations(self) -> None:
+        """Stop or begin to send to the target as the operators ask."""
+        if self.is_evacuated == self.was_evacuated:
+            return
+        self.was_evacuated = self.is_evacuated
+        self.log.write_unlimited(
+            'guard-evacuated' if self.is_evacuated else 'guard-taken-back',
+            domain=self.settings.domain,
+            running=self.running,
+            waiting=len(self.queue),
+        )
+        if self.is_evacuated:
+            self._refuse_waiting(Reason.EVACUATED)
+        else:
+            self.terms.assume_cold(ColdSource.TAKEN_BACK, self.clock())
+
     def handle_leaving(self, target: TargetId) -> None:
         """Process the message of a target that it is leaving."""
         if self.reported_target.mark_leaving(target):
@@ -232,7 +278,7 @@
         if job.expires_at - now < MIN_REMAINING_SECONDS:
             self._finish(job, _not_sent(Reason.EXPIRED))
         elif report is None or not self.is_open:
-            self._finish(job, _not_sent(Reason.NO_TARGET))
+            self._finish(job, _not_sent(self._closed_reason))
         elif report.service != order.service:
             self._finish(job, _not_sent(Reason.NO_TARGET))
         elif self._has_room(now) and not self.queue:
@@ -266,6 +312,7 @@
             is_overdue = now > job.expires_at + EXPIRY_GRACE_SECONDS
             if is_overdue and job.state is JobState.RUNNING:
                 self._abort_run(job, Reason.TIME_LIMIT)
+        self.terms.update_pace(now)
         self._dispatch()
 
     def _enqueue_or_refuse(self, job: GuardJob, now: float) -> None:
@@ -337,6 +384,7 @@
     def _refuse_unreachable(self, job: GuardJob, error: Exception) -> None:
         now = self.clock()
         self.unreachable_until = now + UNREACHABLE_BACKOFF_SECONDS
+        self.terms.assume_cold(ColdSource.UNREACHABLE, now)
         self.crash_watch.report_crash(now)
         self.log.write_limited(
             'target-unreachable',
--- a/packages/sidecar/src/boragetrestle_sidecar/organisation_policy.py
+++ b/packages/sidecar/src/boragetrestle_sidecar/organisation_policy.py
@@ -4,7 +4,7 @@
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
-    from boragetrestle_kernel.ids import Digest
+    from boragetrestle_kernel.ids import Digest, RegionName
     from boragetrestle_kernel.service_text import Organisation
 
 
@@ -13,10 +13,12 @@
     """An organisation with its rate limit and the digests of its keys.
 
     ``terms`` holds its name, its rate in requests per second and its burst;
-    if ``is_limited`` is false, its rate is not limited.
+    if ``is_limited`` is false, its rate is not limited. Its requests may be
+    served only in ``regions``; none means in all.
     """
 
     terms: 'Organisation'
     key_digests: frozenset['Digest']
     priority: int
     is_limited: bool
+    regions: frozenset['RegionName'] = frozenset()
--- a/packages/sidecar/src/boragetrestle_sidecar/outcome.py
+++ b/packages/sidecar/src/boragetrestle_sidecar/outcome.py
@@ -30,6 +30,8 @@
     EXPIRED = 'expired-in-queue'
     DRAINING = 'target-draining'
     NO_TARGET = 'no-target'
+    EVACUATED = 'domain-evacuated'
+    REGION = 'region-not-allowed'
     UNREACHABLE = 'target-unreachable'
     TARGET_LIMIT = 'target-limit'
     TARGET_REJECTED = 'target-rejected'
--- a/packages/sidecar/src/boragetrestle_sidecar/path_settings.py
+++ b/packages/sidecar/src/boragetrestle_sidecar/path_settings.py
@@ -4,12 +4,18 @@
 guard beside the target.
 """
 
-from dataclasses import dataclass
+from collections.abc import Mapping
+from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
     from boragetrestle_kernel.address import Address
-    from boragetrestle_kernel.ids import DomainName, NodeId, ServiceName
+    from boragetrestle_kernel.ids import (
+        DomainName,
+        NodeId,
+        RegionName,
+        ServiceName,
+    )
 
 
 @dataclass(frozen=True, slots=True)
@@ -21,7 +27,9 @@
     expects: the grace period of a stop; the retries allowed in a window, as a
     ratio of requests and an absolute slack; and the requests over an
     organisation's rate that are tolerated. ``is_first_start`` tells that all
-    nodes start together for the first time.
+    nodes start together for the first time. ``regions`` maps each domain to its
+    region. ``limits_cold_targets`` tells that targets may crash if they get too
+    many requests while they are cold.
     """
 
     node: 'NodeId'
@@ -41,3 +49,5 @@
     retry_slack: float = 50.0
     rate_slack: float = 0.0
     is_first_start: bool = False
+    regions: 'Mapping[DomainName, RegionName]' = field(default_factory=dict)
+    limits_cold_targets: bool = False
--- a/packages/sidecar/src/boragetrestle_sidecar/peer_frames.py
+++ b/packages/sidecar/src/boragetrestle_sidecar/peer_frames.py
@@ -33,6 +33,7 @@
     TREE_LOAD = 12
     TREE_TOTAL = 13
     ROWS = 14
+    EVACUATIONS = 15
 
 
 class Frame(NamedTuple):
--- a/packages/sidecar/src/boragetrestle_sidecar/peer_messages.py
+++ b/packages/sidecar/src/boragetrestle_sidecar/peer_messages.py
@@ -3,6 +3,7 @@
 from collections.abc import Callable
 from typing import TYPE_CHECKING, Any, NamedTuple, Protocol
 
+from boragetrestle_sidecar.evacuations import EvacuationState
 from boragetrestle_sidecar.member_table import MemberRow
 from boragetrestle_sidecar.node_load import NodeLoad
 from boragetrestle_sidecar.peer_frames import Frame, FrameKind, decode_fields
@@ -30,6 +31,14 @@
     address: str
     version: int
     notice: TargetNotice | None = None
+    evacuations: EvacuationState = EvacuationState()
+
+
+class EvacuationMessage(NamedTuple):
+    """A snapshot of evacuations from the node at ``source``."""
+
+    source: str
+    state: EvacuationState
 
 
 class Rows(NamedTuple):
@@ -124,7 +133,8 @@
     def hello_fields(self, peer: 'Address') -> list[Any]:
         """Return the fields of the first message on a connection to a peer."""
         notice = self.fleet.notices.get(str(peer))
-        return [self.fleet.address, self.keeper.version, notice]
+        evacuations = self.fleet.evacuations.state
+        return [self.fleet.address, self.keeper.version, notice, evacuations]
 
     def handle(
         self,
@@ -160,6 +170,7 @@
     peer: 'Address | None',
 ) -> None:
     hello = decode_fields(frame, Hello)
+    messages.tree.apply_evacuations(hello.evacuations, source=hello.address)
     if hello.notice is not None:
         messages.on_notice(hello.notice)
     messages.compare_version(hello.version, answer)
@@ -213,6 +224,17 @@
     messages.tree.merge_rows(rows.rows, source=rows.source)
 
 
+@_handles(FrameKind.EVACUATIONS)
+def _apply_evacuations(
+    messages: PeerMessages,
+    frame: Frame,
+    answer: SendFrame,
+    peer: 'Address | None',
+) -> None:
+    message = decode_fields(frame, EvacuationMessage)
+    messages.tree.apply_evacuations(message.state, source=message.source)
+
+
 @_handles(FrameKind.ASK_CONFIGURATION)
 def _send_configuration(
     messages: PeerMessages,
--- a/packages/sidecar/src/boragetrestle_sidecar/platform_adapter.py
+++ b/packages/sidecar/src/boragetrestle_sidecar/platform_adapter.py
@@ -23,12 +23,14 @@
     """Names, formats and calls of one platform.
 
     ``config_table`` and ``config_key`` name the store's row that holds the
-    operators' configuration.
+    operators' configuration. Rows of that table whose keys consist of
+    ``evacuation_prefix`` and a failure domain ask for its evacuation.
     """
 
     names: 'WireNames'
     config_table: str
     config_key: str
+    evacuation_prefix: str
 
     def load_settings(self) -> 'PathSettings':
         """Read the settings; raise ``SettingsError`` for invalid ones."""
--- a/packages/sidecar/src/boragetrestle_sidecar/refusal_answer.py
+++ b/packages/sidecar/src/boragetrestle_sidecar/refusal_answer.py
@@ -28,6 +28,8 @@
     Reason.EXPIRED: _TRY_LATER,
     Reason.DRAINING: _TRY_LATER,
     Reason.NO_TARGET: _TRY_LATER,
+    Reason.EVACUATED: _TRY_LATER,
+    Reason.REGION: _TRY_LATER,
     Reason.UNREACHABLE: _TRY_LATER,
     Reason.TARGET_REJECTED: _TRY_LATER,
     Reason.CALLER_GONE: _TRY_LATER,
--- a/packages/sidecar/src/boragetrestle_sidecar/route_policy.py
+++ b/packages/sidecar/src/boragetrestle_sidecar/route_policy.py
@@ -2,7 +2,7 @@
 
 from dataclasses import dataclass
 
-from boragetrestle_kernel.ids import RouteName, ServiceName
+from boragetrestle_kernel.ids import RegionName, RouteName, ServiceName
 
 
 @dataclass(frozen=True, slots=True)
@@ -22,6 +22,7 @@
     ``priority`` is more urgent. Routes without ``needs_key`` carry the onward
     calls of targets (calls that they make while they serve one).
     ``may_repeat`` tells whether a request that may have run can be sent again.
+    Requests may be served only in ``regions``; none means in all.
     """
 
     name: RouteName
@@ -34,3 +35,4 @@
     max_attempts: int
     priority: int
     needs_key: bool
+    regions: frozenset[RegionName] = frozenset()
--- a/packages/sidecar/src/boragetrestle_sidecar/sidecar.py
+++ b/packages/sidecar/src/boragetrestle_sidecar/sidecar.py
@@ -17,6 +17,7 @@
 from boragetrestle_sidecar.endpoint_server import EndpointConnection
 from boragetrestle_sidecar.entry import Entry
 from boragetrestle_sidecar.entry_parts import EntryParts
+from boragetrestle_sidecar.evacuations import Evacuations
 from boragetrestle_sidecar.first_configuration import FirstConfiguration
 from boragetrestle_sidecar.fleet import Fleet
 from boragetrestle_sidecar.fleet_load import load_of
@@ -88,18 +89,21 @@
         self.chance = random.Random()
         self.address = str(self.settings.peers)
         self.telemetry = Telemetry()
+        evacuations = Evacuations(log, known_domains=self.settings.regions)
         self.guard = Guard(
             self.settings,
             adapter.names,
             log,
             telemetry=self.telemetry,
+            evacuations=evacuations,
         )
         self.fleet = Fleet(
             Member(
                 self.address,
                 self.settings.domain,
                 self.settings.service,
-            )
+            ),
+            evacuations,
         )
         self.links = MemberLinks(self.fleet, log)
         self.keeper = ConfigKeeper(adapter.decode_configuration, log)
@@ -275,6 +279,10 @@
         self.fleet.add_local(self.guard, LocalHop(self.guard))
         self.fleet.on_members_changed = self._apply_members
         self.keeper.subscribers.append(self._apply_configuration)
+        self.fleet.evacuations.subscribers += (
+            self.guard.apply_evacuations,
+            self.reporter.send_if_guard_changed,
+        )
         self.suspects.notify_nodes = self.tree.report_crash
         self.tree.on_total = self._plan_admission
         self.guard.crash_watch.on_crash = self._record_crash
@@ -282,6 +290,8 @@
             'guard_running': lambda: self.guard.running,
             'guard_waiting': lambda: len(self.guard.queue),
             'guard_rate_limit': lambda: self.guard.terms.rate_limit_metric,
+            'guard_pace_limit': lambda: self.guard.terms.pace_metric,
+            'evacuated_domains': lambda: len(self.fleet.evacuations.domains),
             'configuration_version': lambda: self.keeper.version,
             'configuration_age_seconds': lambda: self.keeper.age,
             'members': lambda: len(self.fleet.members),
@@ -390,6 +400,7 @@
             last = now
             self.first_configuration.check_wait()
             self.sync.check_epoch()
+            self.sync.check_evacuations()
             self.links.refresh()
             ticks += 1
             every = 1
@@ -416,6 +427,7 @@
         self.entry.configuration = configuration
         self.rates.configuration = configuration
         self.admission.configure(configuration)
+        self.guard.configure(configuration)
 
     def _apply_members(self, members: 'Sequence[Member]') -> None:
         addresses = [member.address for member in members]
--- a/packages/sidecar/src/boragetrestle_sidecar/stated_terms.py
+++ b/packages/sidecar/src/boragetrestle_sidecar/stated_terms.py
@@ -1,9 +1,10 @@
-"""The terms that the target beside a guard has stated in its answers."""
+"""The terms that the target beside a guard has stated."""
 
 import math
 from typing import TYPE_CHECKING
 
 from boragetrestle_kernel.errors import WireError
+from boragetrestle_sidecar.cold_phase import ColdPhase, ColdSource
 from boragetrestle_sidecar.target_notice import TargetNotice
 from boragetrestle_sidecar.target_pace import TargetPace
 from boragetrestle_sidecar.target_terms import read_rate_limit
@@ -20,9 +21,9 @@
 class StatedTerms:
     """Keep the newest terms of the current incarnation of a target.
 
-    A rate limit holds for as long as the target's answers name it; ``pace``
-    spaces the requests on it. ``remembered`` is what other nodes know from
-    before this process started.
+    A rate limit holds for as long as the target's answers name it, and ``cold``
+    while the target is cold; ``pace`` spaces the requests on the lower of both.
+    ``remembered`` is what other nodes know from before this process started.
     """
 
     def __init__(self, names: 'WireNames', log: 'DecisionLog') -> None:
@@ -31,6 +32,8 @@
         self.rate_limit: float | None = None
         self.limited_at = -math.inf
         self.pace = TargetPace()
+        self.pace_limit: float | None = None
+        self.cold = ColdPhase()
         self.has_answered = False
         self.remembered: TargetNotice | None = None
 
@@ -39,14 +42,65 @@
         """The limit as a metric, -1 if there is none."""
         return NO_LIMIT if self.rate_limit is None else self.rate_limit
 
+    @property
+    def pace_metric(self) -> float:
+        """The limit of the pace as a metric, -1 if there is none."""
+        return NO_LIMIT if self.pace_limit is None else self.pace_limit
+
     def start(self, report: 'TargetReport', now: float) -> None:
         """Start anew with another incarnation."""
         self.rate_limit = None
         self.limited_at = -math.inf
         self.pace = TargetPace()
+        self.pace_limit = None
         self.has_answered = False
         self._apply_remembered(report, now)
 
+    def record_report(
+        self,
+        report: 'TargetReport',
+        now: float,
+        *,
+        is_new: bool,
+    ) -> None:
+        """Take over from a report how long the target stays cold."""
+        self.cold.record_report(report.cold_seconds, now=now, is_new=is_new)
+        self.update_pace(now)
+
+    def assume_cold(self, source: ColdSource, now: float) -> None:
+        """Take the target for cold until its next report."""
+        if self.cold.rate is not None:
+            self.cold.assume(source, now=now)
+            self.update_pace(now)
+
+    def set_cold_rate(self, rate: float | None, now: float) -> None:
+        """Change the requests a second that a cold target takes."""
+        self.cold.rate = rate
+        self.update_pace(now)
+
+    def update_pace(self, now: float) -> None:
+        """Space requests on the limits in force at this time."""
+        cold_limit = self.cold.limit(now=now)
+        limits = [
+            limit
+            for limit in (self.rate_limit, cold_limit)
+            if limit is not None
+        ]
+        limit = min(limits, default=None)
+        if limit == self.pace_limit:
+            return
+        self.log.write_limited(
+            'target-pace',
+            limit=limit,
+            before=self.pace_limit,
+            rate_limit=self.rate_limit,
+            cold_limit=cold_limit,
+            cold_source=self.cold.source.value,
+            cold_seconds=max(0.0, self.cold.until - now),
+        )
+        self.pace_limit = limit
+        self.pace.set_limit(limit, now=now)
+
     def remember(
         self,
         notice: TargetNotice,
@@ -115,4 +169,4 @@
             before=self.rate_limit,
         )
         self.rate_limit = rate_limit
-        self.pace.set_limit(rate_limit, now=now)
+        self.update_pace(now)
--- a/packages/sidecar/src/boragetrestle_sidecar/store_sync.py
+++ b/packages/sidecar/src/boragetrestle_sidecar/store_sync.py
@@ -7,11 +7,12 @@
 
 from boragetrestle_sidecar.cost_archive import CostArchive
 from boragetrestle_sidecar.counted_store import CountedStore
+from boragetrestle_sidecar.evacuations import EvacuationState
 from boragetrestle_sidecar.http_caller import HttpCaller
 from boragetrestle_sidecar.registration import NODES_TABLE, Registration
 from boragetrestle_sidecar.steady_clock import steady_now
 from boragetrestle_sidecar.store_following import StoreFollowing
-from boragetrestle_sidecar.table_watch import TableWatch
+from boragetrestle_sidecar.table_watch import REJOIN_SECONDS, TableWatch
 
 if TYPE_CHECKING:
     from boragetrestle_sidecar.admission import Admission
@@ -74,6 +75,8 @@
             reads=self.following.needs_changes,
         )
         self.tree: TreeExchange
+        self.started_at = steady_now()
+        self.incomplete_watch: TableWatch | None = None
 
     def connect(self, tree: 'TreeExchange') -> None:
         """Set the tree over which other nodes pass on what they read."""
@@ -130,10 +133,52 @@
         if self.registration.epoch != self.tree.epoch:
             self.check_registration()
 
+    def check_evacuations(self) -> None:
+        """Take over the rows again when this node is no longer new.
+
+        Until then it keeps domains whose rows are missing.
+        """
+        watch = self.incomplete_watch
+        if watch is None or self._is_new or watch.position is None:
+            return
+        self._apply_evacuation_rows(watch)
+
+    @property
+    def _is_new(self) -> bool:
+        return steady_now() - self.started_at < REJOIN_SECONDS
+
     def _apply_configuration_row(self, watch: TableWatch) -> None:
         row = watch.rows.get(self.adapter.config_key)
         if row is not None:
             self.keeper.apply_if_newer(row.content, source='store')
+        self._apply_evacuation_rows(watch)
+
+    def _apply_evacuation_rows(self, watch: TableWatch) -> None:
+        """Take over which domains operators have asked to evacuate.
+
+        After the store came back from an older copy, and when this node has
+        just started and may not know of that, rows that are missing count as
+        requests that operators are about to write again.
+        """
+        assert watch.epoch is not None
+        assert watch.position is not None
+        prefix = self.adapter.evacuation_prefix
+        domains = {
+            key.removeprefix(prefix)
+            for key in watch.rows
+            if key.startswith(prefix)
+        }
+        is_complete = not (watch.is_rejoining or self._is_new)
+        self.incomplete_watch = watch if self._is_new else None
+        if not is_complete:
+            domains |= self.fleet.evacuations.domains
+        state = EvacuationState(
+            watch.epoch,
+            is_complete,
+            watch.position,
+            tuple(sorted(domains)),
+        )
+        self.tree.apply_evacuations(state, source='store')
 
     def _apply_node_rows(self, watch: TableWatch) -> None:
         assert watch.epoch is not None
--- a/packages/sidecar/src/boragetrestle_sidecar/tree_exchange.py
+++ b/packages/sidecar/src/boragetrestle_sidecar/tree_exchange.py
@@ -5,6 +5,7 @@
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
+from boragetrestle_sidecar.evacuations import EvacuationState
 from boragetrestle_sidecar.fleet_load import add_known_costs
 from boragetrestle_sidecar.peer_frames import FrameKind
 from boragetrestle_sidecar.steady_clock import steady_now
@@ -183,6 +184,22 @@
         if self.on_rows is not None:
             self.on_rows()
 
+    def apply_evacuations(
+        self,
+        state: EvacuationState,
+        *,
+        source: str,
+    ) -> None:
+        """Take over a newer snapshot of evacuations and pass it on.
+
+        ``source`` is the node that sent it, or ``store``.
+        """
+        evacuations = self.fleet.evacuations
+        if evacuations.apply_if_newer(state, source=source):
+            self._send_to_neighbours(
+                FrameKind.EVACUATIONS, [self.address, state], source
+            )
+
     def pass_configuration_on(self) -> None:
         """Send the configuration in force to neighbours that lack it."""
         for neighbour in self._neighbours():
@@ -235,6 +252,7 @@
             self.fleet.table.digest,
             self.epoch,
             round(self.store.age, 1),
+            self.fleet.evacuations.state,
         )
 
     def _pass_total_on(self) -> None:
@@ -252,6 +270,7 @@
         neighbour.version = report.version
         self.store.record_age(report.store_age)
         self.record_epoch(report.epoch)
+        self.apply_evacuations(report.evacuations, source=report.address)
         self._send_missing_configuration(neighbour)
         was_equal = neighbour.has_equal_table
         neighbour.has_equal_table = report.digest == self.fleet.table.digest
--- a/packages/sidecar/src/boragetrestle_sidecar/tree_messages.py
+++ b/packages/sidecar/src/boragetrestle_sidecar/tree_messages.py
@@ -2,6 +2,7 @@
 
 from typing import NamedTuple
 
+from boragetrestle_sidecar.evacuations import EvacuationState
 from boragetrestle_sidecar.fleet_load import FleetLoad
 
 
@@ -12,6 +13,7 @@
     parent. ``version`` is that of the configuration in force, ``digest`` of the
     table of nodes. ``epoch`` is the newest epoch of the store that a node has
     seen, and ``store_age`` the seconds since a node heard from the store.
+    ``evacuations`` repairs what a lost ``EVACUATIONS`` frame carried.
     """
 
     address: str
@@ -20,3 +22,4 @@
     digest: int
     epoch: int
     store_age: float
+    evacuations: EvacuationState = EvacuationState()
--- a/tests/entry_builders.py
+++ b/tests/entry_builders.py
@@ -18,6 +18,7 @@
 from boragetrestle_sidecar.caller_connection import CallerConnection
 from boragetrestle_sidecar.entry import Entry
 from boragetrestle_sidecar.entry_parts import EntryParts
+from boragetrestle_sidecar.evacuations import Evacuations
 from boragetrestle_sidecar.fleet import Fleet
 from boragetrestle_sidecar.fleet_load import FleetLoad, combine_loads, load_of
 from boragetrestle_sidecar.member import Member
@@ -174,7 +175,9 @@
 
 def fleet_of(clock: ManualClock) -> Fleet:
     """Return a fleet of which only the node a is known."""
-    return Fleet(Member('a', 'a', 'shop'), clock=clock)
+    return Fleet(
+        Member('a', 'a', 'shop'), Evacuations(LineLog(clock)), clock=clock
+    )
 
 
 def node_load(
--- a/tests/path_builders.py
+++ b/tests/path_builders.py
@@ -9,6 +9,7 @@
 from boragetrestle_kernel.ids import (
     DomainName,
     NodeId,
+    RegionName,
     RequestId,
     RouteName,
     ServiceName,
@@ -173,6 +174,7 @@
     sequence: int = 1,
     slots: int = 2,
     service: str = 'walks',
+    cold_seconds: float = 0.0,
 ) -> TargetReport:
     """Return a heartbeat."""
     return TargetReport(
@@ -184,6 +186,7 @@
         state=state,
         started_at=started_at,
         sequence=sequence,
+        cold_seconds=cold_seconds,
     )
 
 
@@ -221,6 +224,10 @@
         self.guard.handle_heartbeat(report(slots=slots))
         self.outcomes: dict[str, Outcome] = {}
         self.transports: list[Any] = []
+        self.connect(connections)
+
+    def connect(self, connections: int) -> None:
+        """Add open connections to the target."""
         for _ in range(connections):
             connection, transport = open_connection(self.guard.pool.buffers)
             connection.idle_since = self.clock.now
@@ -256,6 +263,7 @@
     needs_key: bool = True,
     may_repeat: bool = True,
     max_attempts: int = 2,
+    regions: tuple[str, ...] = (),
 ) -> RoutePolicy:
     """Return a route of the host example."""
     shares = services or {'walks': 1.0}
@@ -273,6 +281,7 @@
         max_attempts=max_attempts,
         priority=priority,
         needs_key=needs_key,
+        regions=frozenset(map(RegionName, regions)),
     )
 
 
@@ -282,6 +291,7 @@
     rate: float = 100.0,
     burst: float = 100.0,
     key: str = 'secret',
+    regions: tuple[str, ...] = (),
 ) -> OrganisationPolicy:
     """Return an organisation with one key."""
     return OrganisationPolicy(
@@ -289,6 +299,7 @@
         key_digests=frozenset((digest_key(key),)),
         priority=0,
         is_limited=rate > 0,
+        regions=frozenset(map(RegionName, regions)),
     )
 
 
@@ -296,6 +307,7 @@
     *routes: RoutePolicy,
     version: int = 1,
     organisations: tuple[OrganisationPolicy, ...] | None = None,
+    cold_rates: dict[ServiceName, float] | None = None,
 ) -> Configuration:
     """Return a configuration with one route and one organisation."""
     if organisations is None:
@@ -305,6 +317,7 @@
         document=b'%d' % version,
         routes=routes or (route(),),
         organisations=organisations,
+        cold_rates=cold_rates,
     )
 
 
--- a/tests/path_standins.py
+++ b/tests/path_standins.py
@@ -161,6 +161,7 @@
     names = NAMES
     config_table = 'operators'
     config_key = 'configuration'
+    evacuation_prefix = 'evacuate/'
 
     def __init__(self, settings: PathSettings, store: MemoryStore) -> None:
         self.settings = settings
@@ -268,13 +269,20 @@
 class Host:
     """A node with its target, on a loopback address of its own."""
 
-    def __init__(self, number: int, store: MemoryStore, log: Any) -> None:
+    def __init__(
+        self,
+        number: int,
+        store: MemoryStore,
+        log: Any,
+        *,
+        domain: str = 'a',
+    ) -> None:
         self.ip = f'127.7.0.{number}'
         self.target = StandinTarget()
         self.target_address = Address(self.ip, 7001)
         self.settings = PathSettings(
             node=NodeId(f'node-{number}'),
-            domain=DomainName('a'),
+            domain=DomainName(domain),
             service=WALKS,
             callers=Address(self.ip, 7002),
             peers=Address(self.ip, 7003),
--- a/tests/test_path_nodes.py
+++ b/tests/test_path_nodes.py
@@ -24,14 +24,26 @@
     test: Callable[[list[Host], MemoryStore], Awaitable[None]],
     *,
     hosts: int = 2,
+    domains: str = 'a',
 ) -> None:
-    """Run a test with started hosts whose targets are ready."""
+    """Run a test with started hosts whose targets are ready.
+
+    ``domains`` names a failure domain by each of its letters.
+    """
 
     async def run() -> None:
         store = MemoryStore()
         store.put('operators', 'configuration', b'1')
         log = LineLog(steady_now)
-        started = [Host(place + 1, store, log) for place in range(hosts)]
+        started = [
+            Host(
+                place + 1,
+                store,
+                log,
+                domain=domains[place % len(domains)],
+            )
+            for place in range(hosts)
+        ]
         try:
             for host in started:
                 await host.start()
--- a/tests/test_path_target_terms.py
+++ b/tests/test_path_target_terms.py
@@ -50,8 +50,17 @@
 class LimitedTarget:
     """A guard under heavy load, with a target that names a limit."""
 
-    def __init__(self, *, slots: int = 20) -> None:
+    def __init__(
+        self,
+        *,
+        slots: int = 20,
+        heartbeat: float = STEP_SECONDS,
+    ) -> None:
         self.slots = slots
+        self.heartbeat = heartbeat
+        self.reported_at = 0.0
+        self.started_at = 1
+        self.warm_at = 0.0
         self.bench = GuardHarness(slots=slots, connections=200)
         self.rate_limit: bytes | None = None
         self.sent_at: list[float] = []
@@ -76,12 +85,24 @@
             self.bench.guard.sweep()
             self._answer_due()
 
-    def _report(self) -> None:
+    def report(self) -> None:
+        """Send a heartbeat now."""
+        now = self.bench.clock.now
+        self.reported_at = now
         self.reports += 1
         self.bench.guard.handle_heartbeat(
-            report(sequence=self.reports, slots=self.slots)
+            report(
+                started_at=self.started_at,
+                sequence=self.reports,
+                slots=self.slots,
+                cold_seconds=max(0.0, self.warm_at - now),
+            )
         )
 
+    def _report(self) -> None:
+        if self.bench.clock.now - self.reported_at >= self.heartbeat:
+            self.report()
+
     def _answer_due(self) -> None:
         for job in list(self.jobs):
             if job.connection is not None and job not in self.running:
--- a/tests/tree_builders.py
+++ b/tests/tree_builders.py
@@ -14,6 +14,7 @@
 from boragetrestle_sidecar.config_keeper import ConfigKeeper
 from boragetrestle_sidecar.configuration import Configuration
 from boragetrestle_sidecar.domain_tree import DomainTree
+from boragetrestle_sidecar.evacuations import Evacuations
 from boragetrestle_sidecar.fleet import Fleet
 from boragetrestle_sidecar.fleet_load import load_of
 from boragetrestle_sidecar.load_aggregation import LoadAggregation
@@ -119,7 +120,9 @@
         self.model = model
         self.own = own
         self.is_up = True
-        self.fleet = Fleet(own, clock=model.clock)
+        self.fleet = Fleet(
+            own, Evacuations(LineLog(model.clock)), clock=model.clock
+        )
         links: Any = ModelLinks(self, self.fleet)
         self.links = links
         self.keeper = ConfigKeeper(document, model.log, clock=model.clock)
