Count no crash when a target that announced its end starts anew

Cause: a target that lost answers, then left and started anew was taken for one that crashed, and the requests whose answers were lost were refused after three such starts.

Change: lost runs are forgotten when the incarnation before has announced that it drains or leaves. Ruled out: counting only losses after the announcement; a target that leaves closes connections as well.

--- a/packages/sidecar/src/boragetrestle_sidecar/crash_watch.py
+++ b/packages/sidecar/src/boragetrestle_sidecar/crash_watch.py
@@ -28,6 +28,10 @@
         """Record a run whose connection broke without an answer."""
         self.losses.append((now, order))
 
+    def forget_losses(self) -> None:
+        """Forget lost runs, since the target has ended as announced."""
+        self.losses.clear()
+
     def report_crash(self, now: float) -> None:
         """Report the runs recently lost, now that the target went down."""
         oldest = now - CRASH_WINDOW_SECONDS
--- a/packages/sidecar/src/boragetrestle_sidecar/guard.py
+++ b/packages/sidecar/src/boragetrestle_sidecar/guard.py
@@ -176,10 +176,13 @@
 
     def handle_heartbeat(self, report: 'TargetReport') -> None:
         """Process a heartbeat of the target."""
+        had_left = self.reported_target.has_announced_end
         is_new = self.reported_target.update(report, self.clock())
         self.silence_detector.is_suspected = False
         if is_new:
             self.found_at = self.clock()
+            if had_left:
+                self.crash_watch.forget_losses()
             self.crash_watch.report_crash(self.found_at)
             self.pool.close()
             self.terms.start(report, self.found_at)
--- a/packages/sidecar/src/boragetrestle_sidecar/reported_target.py
+++ b/packages/sidecar/src/boragetrestle_sidecar/reported_target.py
@@ -74,6 +74,11 @@
             return False
         return self.leaving.get(report.target) == report.started_at
 
+    @property
+    def has_announced_end(self) -> bool:
+        """Whether the target drains or leaves, so that its end is no crash."""
+        return self.is_leaving or self.drain_sequence is not None
+
     @property
     def drain_sequence(self) -> int | None:
         """The sequence of the newest report if the target drains in it."""
