--- a/packages/sidecar/src/boragetrestle_sidecar/entry.py
+++ b/packages/sidecar/src/boragetrestle_sidecar/entry.py
@@ -5,6 +5,7 @@
 retries at other guards while the request's time and the retry budget allow.
 """
 
+import math
 from collections import Counter
 from collections.abc import Callable, Sequence
 from http import HTTPStatus
@@ -134,6 +135,14 @@
             request.hop.cancel(request.run_token)
         self._finish(request)
 
+    @property
+    def next_deadline(self) -> float:
+        """When a request expires next."""
+        return min(
+            (request.expires_at for request in self.requests),
+            default=math.inf,
+        )
+
     def expire_overdue_requests(self) -> None:
         """Refuse overdue requests without an answer; called every few ms."""
         now = self.clock()
--- a/packages/sidecar/src/boragetrestle_sidecar/fleet.py
+++ b/packages/sidecar/src/boragetrestle_sidecar/fleet.py
@@ -115,7 +115,7 @@
         Those of evacuated domains are left out.
         """
         if self.local_guard is not None:
-            self._update_local_view(self.local_guard)
+            self._update_local_view(self.local_guard, service)
         views = self.views_by_service.get(service, ())
         evacuated = self.evacuations.domains
         if evacuated:
@@ -183,10 +183,12 @@
         elif load.is_open:
             self.notices.pop(address, None)
 
-    def _update_local_view(self, guard: 'Guard') -> None:
+    def _update_local_view(self, guard: 'Guard', wanted: str) -> None:
         report = guard.reported_target.report
         service = report.service if report else ''
-        self._update_view(self.views[self.address], guard.load, service)
+        view = self.views[self.address]
+        if wanted in {service, view.service}:
+            self._update_view(view, guard.load, service)
 
     def _apply_changes(self, changed: list[MemberRow]) -> None:
         if not changed:
--- a/packages/sidecar/src/boragetrestle_sidecar/guard.py
+++ b/packages/sidecar/src/boragetrestle_sidecar/guard.py
@@ -129,14 +129,7 @@
     @property
     def is_open(self) -> bool:
         """Whether the guard accepts runs for the target."""
-        now = self.clock()
-        if self.is_stopping or now < self.unreachable_until:
-            return False
-        if self.is_evacuated:
-            return False
-        if self.silence_detector.detect_stuck(now, self.meter.run_seconds):
-            return False
-        return self.reported_target.is_available(now)
+        return self._is_open_at(self.clock())
 
     @property
     def is_evacuated(self) -> bool:
@@ -150,13 +143,14 @@
     @property
     def load(self) -> GuardLoad:
         """The load that is reported with each outcome."""
+        now = self.clock()
         return GuardLoad(
             self.running,
             len(self.queue),
             self.effective_slots,
             self.meter.known_run_seconds,
-            round(self.meter.failing_share(self.clock()), 3),
-            self.is_open,
+            round(self.meter.failing_share(now), 3),
+            self._is_open_at(now),
             self.notice,
         )
 
@@ -306,6 +300,13 @@
         elif job.state is JobState.RUNNING and job.order.may_repeat:
             self._abort_run(job, Reason.CALLER_GONE)
 
+    @property
+    def next_deadline(self) -> float:
+        """When a run expires next, or now while runs wait for a slot."""
+        if self.queue:
+            return self.clock()
+        return min((job.expires_at for job in self.jobs), default=math.inf)
+
     def sweep(self) -> None:
         """End runs past their deadline; called every few milliseconds."""
         now = self.clock()
@@ -318,6 +319,15 @@
         self.terms.update_pace(now)
         self._dispatch()
 
+    def _is_open_at(self, now: float) -> bool:
+        if self.is_stopping or now < self.unreachable_until:
+            return False
+        if self.is_evacuated:
+            return False
+        if self.silence_detector.detect_stuck(now, self.meter.run_seconds):
+            return False
+        return self.reported_target.is_available(now)
+
     def _enqueue_or_refuse(self, job: GuardJob, now: float) -> None:
         wait = self.expected_wait(job)
         paced_wait = self.terms.pace.wait_for(len(self.queue) + 1, now=now)
--- a/packages/sidecar/src/boragetrestle_sidecar/sidecar.py
+++ b/packages/sidecar/src/boragetrestle_sidecar/sidecar.py
@@ -49,7 +49,9 @@
     from boragetrestle_sidecar.run_order import RunOrder
 
 SWEEP_INTERVAL_SECONDS = 0.02  # largest delay in noticing an expired time limit
-IDLE_SWEEP_INTERVAL_SECONDS = 0.1  # without requests or runs
+# Without runs that wait or time limits that are close. Each sweep costs as much
+# processor time as a part of a request.
+IDLE_SWEEP_INTERVAL_SECONDS = 0.1
 # The silence after which peers are pinged.
 LINK_CHECK_INTERVAL_SECONDS = 0.2
 # Idle connections are closed at most this late.
@@ -362,16 +364,19 @@
 
     async def _sweep_deadlines(self) -> None:
         while True:
-            is_busy = self.entry.requests or self.guard.jobs
-            await asyncio.sleep(
-                SWEEP_INTERVAL_SECONDS
-                if is_busy
-                else IDLE_SWEEP_INTERVAL_SECONDS
-            )
+            await asyncio.sleep(self._seconds_to_sweep())
             self.guard.sweep()
             self.entry.expire_overdue_requests()
             self.reporter.send_if_guard_changed()
 
+    def _seconds_to_sweep(self) -> float:
+        """Return the seconds until the next sweep is due."""
+        deadline = min(self.guard.next_deadline, self.entry.next_deadline)
+        left = deadline - steady_now()
+        return min(
+            IDLE_SWEEP_INTERVAL_SECONDS, max(SWEEP_INTERVAL_SECONDS, left)
+        )
+
     async def _check_links(self) -> None:
         while True:
             await asyncio.sleep(LINK_CHECK_INTERVAL_SECONDS)
