Run pipelined requests at the same time, answer them in order

Change: up to eight requests of a connection that may be repeated run at the same time; their answers are written in the order of the requests, bounded by the bytes held. Others start only when all before them are answered and nothing starts behind them, since callers send again whatever was behind an answer that closes. Bytes that are no request are refused after the answers before them; so far they broke off the answer under way.

Ruled out: starting requests that may not be repeated behind others; an answer that closes would let them run twice.

--- a/packages/sidecar/src/boragetrestle_sidecar/caller_connection.py
+++ b/packages/sidecar/src/boragetrestle_sidecar/caller_connection.py
@@ -1,6 +1,7 @@
 """Serve the HTTP requests of one caller's connection."""
 
 import asyncio
+from collections import deque
 from typing import TYPE_CHECKING, cast
 
 from boragetrestle_kernel.errors import (
@@ -10,17 +11,22 @@
 )
 from boragetrestle_sidecar.caller_limits import CallerLimits
 from boragetrestle_sidecar.outcome import Reason
+from boragetrestle_sidecar.pending_answer import PendingAnswer
 from boragetrestle_sidecar.refusal_answer import refusal_bytes
 from boragetrestle_sidecar.request_reader import RequestReader
 from boragetrestle_sidecar.steady_clock import steady_now
 
 if TYPE_CHECKING:
-    from boragetrestle_sidecar.caller_request import CallerRequest
     from boragetrestle_sidecar.entry import Entry
-    from boragetrestle_sidecar.entry_request import EntryRequest
 
 _CONTINUE = b'HTTP/1.1 100 Continue\r\n\r\n'
-_MAX_PIPELINED = 4  # requests read ahead of the one being answered
+# Requests of one connection that run at the same time, and requests that are
+# read ahead of these.
+MAX_CONCURRENT_REQUESTS = 8
+MAX_READ_AHEAD = 4
+# No further request starts while answers that wait for an earlier one hold
+# this much.
+MAX_HELD_ANSWER_BYTES = 1_000_000
 _ERROR_REASONS: dict[type[CallerError], Reason] = {
     BodyTooLargeError: Reason.TOO_LARGE,
     HeadTooLargeError: Reason.HEAD_TOO_LARGE,
@@ -28,7 +34,13 @@
 
 
 class CallerConnection(asyncio.Protocol):
-    """Read requests and write their answers, one after the other."""
+    """Read requests and write their answers in the order of the requests.
+
+    Requests that a caller sends before the first is answered run at the same
+    time if they may be repeated. A caller sends again whatever it sent behind
+    an answer that closes the connection, so others start only when all before
+    them are answered, and nothing starts behind them.
+    """
 
     def __init__(self, entry: 'Entry') -> None:
         self.entry = entry
@@ -36,9 +48,9 @@
         limits = configuration.limits if configuration else CallerLimits()
         self.reader = RequestReader(limits)
         self.transport: asyncio.Transport | None = None
-        self.current_request: EntryRequest | None = None
-        self.current_keeps_open = True
-        self.is_busy = False
+        self.pending: deque[PendingAnswer] = deque()
+        self.rejection: Reason | None = None
+        self.is_starting = False
         self.is_closing = False
         self.last_used_at = steady_now()
 
@@ -48,65 +60,36 @@
         self.entry.connections.add(self)
 
     def connection_lost(self, error: Exception | None) -> None:
-        """Cancel the request of a caller that has disconnected."""
+        """Cancel the requests of a caller that has disconnected."""
         self.entry.connections.discard(self)
         self.is_closing = True
-        if self.current_request is not None:
-            self.entry.abandon(self.current_request)
-            self.current_request = None
+        for answer in self.pending:
+            if answer.request is not None:
+                self.entry.abandon(answer.request)
+        self.pending.clear()
 
     def eof_received(self) -> bool:
         """Treat a half-closed connection as a disconnect."""
         return False
 
     def data_received(self, received: bytes) -> None:
-        """Parse requests; start the next one if none is being answered."""
-        if self.is_closing:
+        """Parse requests; start those that need not wait."""
+        if self.is_closing or self.rejection is not None:
             return
         self.last_used_at = steady_now()
         try:
             self.reader.feed(received)
         except CallerError as error:
             self._reject_input(error)
-            return
-        if self.reader.awaits_continue and not self.is_busy:
-            self.reader.awaits_continue = False
-            self._write(_CONTINUE)
-        if not self.is_busy:
-            self._start_next()
-        elif len(self.reader.ready) >= _MAX_PIPELINED:
+        self._start_next()
+        self._continue_or_close()
+        if len(self.reader.ready) >= MAX_READ_AHEAD:
             assert self.transport is not None
             self.transport.pause_reading()
 
-    def write_answer(self, head: bytes, body: bytes) -> None:
-        """Write an answer; ``head`` lacks the empty line at its end."""
-        if self._keeps_open():
-            self._write(b'%s\r\n%s' % (head, body))
-        else:
-            self._write(b'%sconnection: close\r\n\r\n%s' % (head, body))
-        self._end_answer()
-
-    def write_refusal(
-        self,
-        reason: Reason,
-        *,
-        retry_after: float = 0.0,
-        may_have_run: bool = False,
-    ) -> None:
-        """Write a refusal that this node generates."""
-        self._write(
-            refusal_bytes(
-                reason,
-                retry_after=retry_after,
-                may_have_run=may_have_run,
-                keeps_open=self._keeps_open(),
-            )
-        )
-        self._end_answer()
-
     def close_if_idle(self, now: float, idle_seconds: float) -> None:
         """Close a connection that has been idle for too long."""
-        if not self.is_busy and now - self.last_used_at > idle_seconds:
+        if not self.pending and now - self.last_used_at > idle_seconds:
             self.close()
 
     def close(self) -> None:
@@ -115,41 +98,80 @@
         if self.transport is not None:
             self.transport.close()
 
-    def _keeps_open(self) -> bool:
-        return self.current_keeps_open and not self.entry.is_stopping
-
     def _start_next(self) -> None:
-        while self.reader.ready and not self.is_busy and not self.is_closing:
-            request = self.reader.ready.popleft()
-            self._start(request)
-
-    def _start(self, request: 'CallerRequest') -> None:
-        self.is_busy = True
-        self.current_keeps_open = request.keeps_open
-        self.current_request = self.entry.start_request(self, request)
-
-    def _end_answer(self) -> None:
-        keeps_open = self._keeps_open()
-        self.is_busy = False
-        self.current_request = None
-        self.last_used_at = steady_now()
-        if not keeps_open:
+        self.is_starting = True
+        while self.reader.ready and self._may_start_next():
+            answer = PendingAnswer(
+                self.reader.ready.popleft(), self._write_finished
+            )
+            self.pending.append(answer)
+            request = self.entry.start_request(answer, answer.sent)
+            if answer.render is None:
+                answer.request = request
+        self.is_starting = False
+
+    def _may_start_next(self) -> bool:
+        """Return whether the next request may start now.
+
+        The first to read is always started, unless the connection closes.
+        """
+        if self.is_closing:
+            return False
+        if not self.pending:
+            return True
+        if self.entry.is_stopping or not self.pending[-1].sent.keeps_open:
+            return False
+        if len(self.pending) >= MAX_CONCURRENT_REQUESTS:
+            return False
+        held = sum(answer.body_bytes for answer in self.pending)
+        if held >= MAX_HELD_ANSWER_BYTES:
+            return False
+        around = (self.pending[-1].sent, self.reader.ready[0])
+        return all(map(self.entry.may_repeat, around))
+
+    def _write_finished(self) -> None:
+        """Write the answers that no earlier one holds back."""
+        while self.pending and self.pending[0].render is not None:
+            answer = self.pending.popleft()
+            keeps_open = answer.sent.keeps_open and not (
+                self.entry.is_stopping and not self.pending
+            )
+            assert answer.render is not None
+            self._write(answer.render(keeps_open))
+            self.last_used_at = steady_now()
+            if not keeps_open:
+                self.close()
+                return
+        if self.is_starting:
+            return  # a refusal: the requests behind it are being started
+        if self.reader.ready:
+            self._start_next()
+            if len(self.reader.ready) < MAX_READ_AHEAD:
+                assert self.transport is not None
+                self.transport.resume_reading()
+        self._continue_or_close()
+
+    def _continue_or_close(self) -> None:
+        """Ask for a body that the caller holds back, or refuse bad input.
+
+        Both wait until all requests before are answered.
+        """
+        if self.is_closing or self.pending or self.reader.ready:
+            return
+        if self.rejection is not None:
+            self._write(refusal_bytes(self.rejection, keeps_open=False))
             self.close()
-        elif self.reader.ready:
-            assert self.transport is not None
-            self.transport.resume_reading()
-            asyncio.get_running_loop().call_soon(self._start_next)
+        elif self.reader.awaits_continue:
+            self.reader.awaits_continue = False
+            self._write(_CONTINUE)
 
     def _reject_input(self, error: CallerError) -> None:
-        reason = _ERROR_REASONS.get(type(error), Reason.MALFORMED)
+        self.rejection = _ERROR_REASONS.get(type(error), Reason.MALFORMED)
         self.entry.log.write_limited(
             'caller-bytes-refused',
-            reason=reason.value,
+            reason=self.rejection.value,
             error=str(error),
         )
-        if not self.is_busy:
-            self._write(refusal_bytes(reason, keeps_open=False))
-        self.close()
 
     def _write(self, sent: bytes) -> None:
         if self.transport is not None and not self.transport.is_closing():
--- a/packages/sidecar/src/boragetrestle_sidecar/entry.py
+++ b/packages/sidecar/src/boragetrestle_sidecar/entry.py
@@ -36,6 +36,7 @@
     from boragetrestle_sidecar.entry_parts import EntryParts
     from boragetrestle_sidecar.organisation_policy import OrganisationPolicy
     from boragetrestle_sidecar.path_settings import PathSettings
+    from boragetrestle_sidecar.pending_answer import PendingAnswer
     from boragetrestle_sidecar.placement import GuardView
     from boragetrestle_sidecar.route_policy import RoutePolicy
     from boragetrestle_sidecar.wire_names import WireNames
@@ -105,19 +106,29 @@
 
     def start_request(
         self,
-        connection: 'CallerConnection',
+        answer: 'PendingAnswer',
         request: 'CallerRequest',
     ) -> EntryRequest | None:
         """Start a request; return it unless it is already over."""
         found = self._resolve(request)
         if isinstance(found, Reason):
             request_id = request.header(self.names.request_id) or b''
-            self._refuse_unresolved(connection, found, request_id)
+            self._refuse_unresolved(answer, found, request_id)
             return None
-        started = self._create_request(connection, request, found)
+        started = self._create_request(answer, request, found)
         self._admit(started)
         return None if started.is_over else started
 
+    def may_repeat(self, request: 'CallerRequest') -> bool:
+        """Return whether a request may run more than once.
+
+        That holds for a request without a route, too, since it never runs.
+        """
+        if self.configuration is None:
+            return True
+        route = self.configuration.find_route(request.host, request.path)
+        return route is None or route.may_repeat
+
     def abandon(self, request: EntryRequest) -> None:
         """Cancel a request whose caller has closed its connection."""
         if request.is_over:
@@ -174,7 +185,7 @@
 
     def _create_request(
         self,
-        connection: 'CallerConnection',
+        answer: 'PendingAnswer',
         request: 'CallerRequest',
         found: '_ResolvedRequest',
     ) -> EntryRequest:
@@ -182,7 +193,7 @@
         now = self.clock()
         left = self._caller_time_left(request, route)
         started = EntryRequest(
-            connection,
+            answer,
             request,
             found.request_id,
             route,
@@ -391,7 +402,7 @@
         if self.suspects.crashes and not is_failure:
             self.suspects.clear(_request_fingerprint(request), is_own=True)
         self._finish(request)
-        request.connection.write_answer(outcome.head, outcome.body)
+        request.answer.write_answer(outcome.head, outcome.body)
 
     def _may_retry_failed_answer(
         self,
@@ -472,7 +483,7 @@
         )
         self.telemetry.count(request.route.name, 'refused', reason)
         self._finish(request)
-        request.connection.write_refusal(
+        request.answer.write_refusal(
             reason,
             retry_after=retry_after,
             may_have_run=request.may_have_run,
@@ -485,7 +496,7 @@
 
     def _refuse_unresolved(
         self,
-        connection: 'CallerConnection',
+        answer: 'PendingAnswer',
         reason: Reason,
         request_id: bytes = b'',
     ) -> None:
@@ -499,7 +510,7 @@
         retry_after = NO_TARGET_RETRY_AFTER_SECONDS
         if reason is not Reason.NO_CONFIGURATION:
             retry_after = 0.0
-        connection.write_refusal(reason, retry_after=retry_after)
+        answer.write_refusal(reason, retry_after=retry_after)
 
     def _api_key(self, request: 'CallerRequest') -> str:
         value = request.header(b'authorization') or b''
--- a/packages/sidecar/src/boragetrestle_sidecar/entry_request.py
+++ b/packages/sidecar/src/boragetrestle_sidecar/entry_request.py
@@ -5,11 +5,11 @@
 
 if TYPE_CHECKING:
     from boragetrestle_kernel.ids import RequestId, ServiceName
-    from boragetrestle_sidecar.caller_connection import CallerConnection
     from boragetrestle_sidecar.caller_request import CallerRequest
     from boragetrestle_sidecar.hop import Hop
     from boragetrestle_sidecar.organisation_policy import OrganisationPolicy
     from boragetrestle_sidecar.outcome import Reason
+    from boragetrestle_sidecar.pending_answer import PendingAnswer
     from boragetrestle_sidecar.route_policy import RoutePolicy
 
 
@@ -27,7 +27,7 @@
     ``may_have_run`` tells whether one of them may have run it.
     """
 
-    connection: 'CallerConnection'
+    answer: 'PendingAnswer'
     request: 'CallerRequest'
     request_id: 'RequestId'
     route: 'RoutePolicy'
