--- a/packages/sidecar/src/boragetrestle_sidecar/caller_connection.py
+++ b/packages/sidecar/src/boragetrestle_sidecar/caller_connection.py
@@ -50,6 +50,7 @@
         self.transport: asyncio.Transport | None = None
         self.pending: deque[PendingAnswer] = deque()
         self.rejection: Reason | None = None
+        self.holds_bodies = False
         self.is_starting = False
         self.is_closing = False
         self.last_used_at = steady_now()
@@ -62,6 +63,7 @@
     def connection_lost(self, error: Exception | None) -> None:
         """Cancel the requests of a caller that has disconnected."""
         self.entry.connections.discard(self)
+        self.entry.bodies.forget(self)
         self.is_closing = True
         for answer in self.pending:
             if answer.request is not None:
@@ -84,9 +86,32 @@
         self._start_next()
         self._continue_or_close()
         if len(self.reader.ready) >= MAX_READ_AHEAD:
-            assert self.transport is not None
+            self.pause_body()
+        self._record_bodies()
+
+    def pause_body(self) -> None:
+        """Read no more from the caller."""
+        if self.transport is not None:
             self.transport.pause_reading()
 
+    def resume_body(self) -> None:
+        """Read on, and ask for a body that the caller holds back."""
+        if self.is_closing or len(self.reader.ready) >= MAX_READ_AHEAD:
+            return
+        assert self.transport is not None
+        self.transport.resume_reading()
+        self._continue_or_close()
+
+    def give_up_stalled_body(self, now: float, longest: float) -> None:
+        """Refuse a body that stalls while others wait for its memory."""
+        if not self.reader.unfinished_bytes or self.rejection is not None:
+            return
+        bodies = self.entry.bodies
+        if bodies.paused and self not in bodies.paused:
+            if now - self.last_used_at > longest:
+                self.rejection = Reason.BODY_STALLED
+                self._continue_or_close()
+
     def close_if_idle(self, now: float, idle_seconds: float) -> None:
         """Close a connection that has been idle for too long."""
         if not self.pending and now - self.last_used_at > idle_seconds:
@@ -146,10 +171,10 @@
             return  # a refusal: the requests behind it are being started
         if self.reader.ready:
             self._start_next()
-            if len(self.reader.ready) < MAX_READ_AHEAD:
-                assert self.transport is not None
-                self.transport.resume_reading()
+            if self not in self.entry.bodies.paused:
+                self.resume_body()
         self._continue_or_close()
+        self._record_bodies()
 
     def _continue_or_close(self) -> None:
         """Ask for a body that the caller holds back, or refuse bad input.
@@ -162,9 +187,23 @@
             self._write(refusal_bytes(self.rejection, keeps_open=False))
             self.close()
         elif self.reader.awaits_continue:
+            if self.entry.bodies.is_full:
+                self.entry.bodies.wait(self)
+                return
             self.reader.awaits_continue = False
             self._write(_CONTINUE)
 
+    def _record_bodies(self) -> None:
+        """Count the bodies held, of requests with and without an answer."""
+        unfinished = self.reader.unfinished_bytes
+        held = unfinished + sum(
+            len(request.body) for request in self.reader.ready
+        )
+        held += sum(len(answer.sent.body) for answer in self.pending)
+        if held or self.holds_bodies:
+            self.holds_bodies = held > 0
+            self.entry.bodies.record(self, held, unfinished)
+
     def _reject_input(self, error: CallerError) -> None:
         self.rejection = _ERROR_REASONS.get(type(error), Reason.MALFORMED)
         self.entry.log.write_limited(
--- a/packages/sidecar/src/boragetrestle_sidecar/entry.py
+++ b/packages/sidecar/src/boragetrestle_sidecar/entry.py
@@ -12,6 +12,7 @@
 from typing import TYPE_CHECKING, NamedTuple
 
 from boragetrestle_kernel.ids import RequestId
+from boragetrestle_sidecar.body_budget import BODY_MEMORY_SHARE, BodyBudget
 from boragetrestle_sidecar.connection_headers import (
     HOP_BY_HOP_HEADERS,
     parse_connection_header,
@@ -94,6 +95,7 @@
         self.configuration: Configuration | None = None
         self.connections: set[CallerConnection] = set()
         self.requests: set[EntryRequest] = set()
+        self.bodies = BodyBudget(int(settings.memory_bytes * BODY_MEMORY_SHARE))
         self.arrivals: Counter[str] = Counter()
         self.is_stopping = False
         self.dropped_headers = frozenset((
--- a/packages/sidecar/src/boragetrestle_sidecar/outcome.py
+++ b/packages/sidecar/src/boragetrestle_sidecar/outcome.py
@@ -50,6 +50,7 @@
     MALFORMED = 'request-malformed'
     TOO_LARGE = 'request-too-large'
     HEAD_TOO_LARGE = 'head-too-large'
+    BODY_STALLED = 'body-stalled'
 
 
 class GuardLoad(NamedTuple):
--- a/packages/sidecar/src/boragetrestle_sidecar/path_settings.py
+++ b/packages/sidecar/src/boragetrestle_sidecar/path_settings.py
@@ -29,7 +29,8 @@
     organisation's rate that are tolerated. ``is_first_start`` tells that all
     nodes start together for the first time. ``regions`` maps each domain to its
     region. ``limits_cold_targets`` tells that targets may crash if they get too
-    many requests while they are cold.
+    many requests while they are cold. ``memory_bytes`` is the memory of the
+    process, beyond which it is ended.
     """
 
     node: 'NodeId'
@@ -51,3 +52,4 @@
     is_first_start: bool = False
     regions: 'Mapping[DomainName, RegionName]' = field(default_factory=dict)
     limits_cold_targets: bool = False
+    memory_bytes: int = 200_000_000
--- a/packages/sidecar/src/boragetrestle_sidecar/refusal_answer.py
+++ b/packages/sidecar/src/boragetrestle_sidecar/refusal_answer.py
@@ -51,6 +51,9 @@
         HTTPStatus.REQUEST_ENTITY_TOO_LARGE,
         not_run=True,
     ),
+    Reason.BODY_STALLED: RefusalAnswer(
+        HTTPStatus.REQUEST_TIMEOUT, not_run=True
+    ),
     Reason.HEAD_TOO_LARGE: RefusalAnswer(
         HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE,
         not_run=True,
--- a/packages/sidecar/src/boragetrestle_sidecar/request_reader.py
+++ b/packages/sidecar/src/boragetrestle_sidecar/request_reader.py
@@ -35,6 +35,11 @@
         """Whether a request has begun and is not complete yet."""
         return self.has_begun
 
+    @property
+    def unfinished_bytes(self) -> int:
+        """How much of a body that is not complete yet is held."""
+        return self.body_bytes if self.has_begun else 0
+
     def feed(self, received: bytes) -> None:
         """Parse bytes; add complete requests to ``ready``.
 
@@ -76,8 +81,12 @@
         self._count_parsed_head(len(name) + len(value) + 4)
 
     def on_headers_complete(self) -> None:
-        """Note whether the caller waits for ``100 Continue``."""
+        """Note whether the caller waits for ``100 Continue``.
+
+        A body that states a length beyond the limit is refused unread.
+        """
         self.has_head = True
+        self._check_body_size(_stated_length(self.headers))
         for name, value in self.headers:
             if name == b'expect' and value.lower() == b'100-continue':
                 self.awaits_continue = True
@@ -86,11 +95,7 @@
         """Append a part of the body."""
         self.awaits_continue = False
         self.body_bytes += len(body)
-        if self.body_bytes > self.limits.body_bytes:
-            raise BodyTooLargeError(
-                f'the request body is over {self.limits.body_bytes} bytes',
-                remedy='send a smaller body',
-            )
+        self._check_body_size(self.body_bytes)
         self.chunks.append(body)
 
     def on_message_complete(self) -> None:
@@ -118,6 +123,13 @@
         self.has_head = False
         self.received_head_bytes = 0
 
+    def _check_body_size(self, size: int) -> None:
+        if size > self.limits.body_bytes:
+            raise BodyTooLargeError(
+                f'the request body is over {self.limits.body_bytes} bytes',
+                remedy='send a smaller body',
+            )
+
     def _count_received_head(self, count: int) -> None:
         """Bound the bytes of an unfinished head that the parser buffers."""
         if self.received_head_bytes > self.limits.header_bytes:
@@ -141,3 +153,11 @@
         name in {b'content-length', b'transfer-encoding'}
         for name, _value in headers
     )
+
+
+def _stated_length(headers: list[tuple[bytes, bytes]]) -> int:
+    """Return the length that a valid head states, 0 if it states none."""
+    for name, value in headers:
+        if name == b'content-length':
+            return int(value)
+    return 0
--- a/packages/sidecar/src/boragetrestle_sidecar/sidecar.py
+++ b/packages/sidecar/src/boragetrestle_sidecar/sidecar.py
@@ -293,6 +293,7 @@
             'guard_waiting': lambda: len(self.guard.queue),
             'guard_rate_limit': lambda: self.guard.terms.rate_limit_metric,
             'guard_pace_limit': lambda: self.guard.terms.pace_metric,
+            'request_body_bytes': lambda: self.entry.bodies.held_bytes,
             'evacuated_domains': lambda: len(self.fleet.evacuations.domains),
             'configuration_version': lambda: self.keeper.version,
             'configuration_age_seconds': lambda: self.keeper.age,
@@ -391,6 +392,9 @@
                 longest = configuration.limits.idle_seconds
                 for connection in list(self.entry.connections):
                     connection.close_if_idle(now, longest + IDLE_MARGIN_SECONDS)
+                    connection.give_up_stalled_body(
+                        now, configuration.limits.header_seconds
+                    )
             self.guard.pool.close_stale(now)
             self.server.abort_silent_connections()
             self.rates.refill_shares()
