Do not place a cancelled run of a departed caller again

Cause: the entry cancelled the run before it marked the request as over. A guard in the same process reports the end of the run at once, and the entry treated that as an outcome and placed the request at another guard, or removed its answer from the connection's queue during the iteration over it. Change: mark the request as over, or refuse it, before its run is cancelled. Ruled out: dropping the outcome in LocalHop, since the view of the guard takes over the load in it. Failed before: test_run_of_a_caller_that_left_is_not_placed_again.

--- a/packages/sidecar/src/boragetrestle_sidecar/entry.py
+++ b/packages/sidecar/src/boragetrestle_sidecar/entry.py
@@ -144,9 +144,10 @@
             state='sent' if request.hop else 'waiting',
         )
         self.telemetry.count(request.route.name, 'abandoned', '')
-        if request.hop is not None:
-            request.hop.cancel(request.run_token)
-        self._finish(request)
+        hop = request.hop
+        self._finish(request)  # first: a guard may report the end at once
+        if hop is not None:
+            hop.cancel(request.run_token)
 
     @property
     def next_deadline(self) -> float:
@@ -161,9 +162,10 @@
         now = self.clock()
         for request in list(self.requests):
             if now > request.expires_at + ANSWER_GRACE_SECONDS:
-                if request.hop is not None:
-                    request.hop.cancel(request.run_token)
+                hop = request.hop
                 self._refuse(request, Reason.TIME_LIMIT)
+                if hop is not None:
+                    hop.cancel(request.run_token)
 
     def _resolve(self, request: 'CallerRequest') -> '_ResolvedRequest | Reason':
         """Return the route and organisation, or the reason for refusal."""
