Keep connections with large bodies and unread answers going and bounded

Cause: when the connection that was read on left, paused bodies that filled the limit alone were never resumed. A body sent without waiting for 100 Continue was not paused. A paused connection was closed as idle, and its pause counted as a stall. Bodies read ahead were bounded by their number only, answers that the caller does not read not at all. An exception while a request started left its connection without an answer and without further starts. Parts of a body were kept besides the joined copy. Ruled out: pausing a connection with one complete body, since a departed caller is noticed only while its connection is read. The dropped parts have no test.

--- a/packages/sidecar/src/boragetrestle_sidecar/body_budget.py
+++ b/packages/sidecar/src/boragetrestle_sidecar/body_budget.py
@@ -50,10 +50,12 @@
             self.held[reader] = held
         if unfinished:
             self.unfinished[reader] = unfinished
-        if self.is_full and unfinished:
-            self._pause(reader)
-        elif not self.is_full:
+        if not self.is_full:
             self._resume_all()
+            return
+        if unfinished:
+            self._pause(reader)
+        self._resume_furthest()
 
     def wait(self, reader: BodyReader) -> None:
         """Resume a connection that has not begun with a body when there is room."""
@@ -66,15 +68,23 @@
             self.paused.remove(reader)
         self.record(reader, 0, 0)
 
+    @property
+    def _furthest(self) -> BodyReader:
+        return max(self.unfinished, key=self.unfinished.__getitem__)
+
     def _pause(self, reader: BodyReader) -> None:
-        most = max(self.unfinished, key=self.unfinished.__getitem__)
-        if reader is most or reader in self.paused:
+        if reader is self._furthest:
             return
-        self.paused.append(reader)
+        # A connection in ``wait`` may send its body unasked.
+        if reader not in self.paused:
+            self.paused.append(reader)
         reader.pause_body()
-        if most in self.paused:
-            self.paused.remove(most)
-            most.resume_body()
+
+    def _resume_furthest(self) -> None:
+        if self.unfinished and self._furthest in self.paused:
+            furthest = self._furthest
+            self.paused.remove(furthest)
+            furthest.resume_body()
 
     def _resume_all(self) -> None:
         paused = self.paused
--- a/packages/sidecar/src/boragetrestle_sidecar/caller_connection.py
+++ b/packages/sidecar/src/boragetrestle_sidecar/caller_connection.py
@@ -53,22 +53,35 @@
         self.holds_bodies = False
         self.is_starting = False
         self.is_closing = False
+        self.is_read_paused = False
+        self.is_write_paused = False
         self.last_used_at = steady_now()
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Note that the connection is open."""
         self.transport = cast('asyncio.Transport', transport)
+        self.transport.set_write_buffer_limits(MAX_HELD_ANSWER_BYTES)
         self.entry.connections.add(self)
 
+    def pause_writing(self) -> None:
+        """Start no more requests of a caller that reads no answers."""
+        self.is_write_paused = True
+
+    def resume_writing(self) -> None:
+        """Start the requests that waited for the caller to read."""
+        self.is_write_paused = False
+        self._go_on()
+
     def connection_lost(self, error: Exception | None) -> None:
         """Cancel the requests of a caller that has disconnected."""
         self.entry.connections.discard(self)
         self.entry.bodies.forget(self)
         self.is_closing = True
-        for answer in self.pending:
+        pending = list(self.pending)
+        self.pending.clear()
+        for answer in pending:
             if answer.request is not None:
                 self.entry.abandon(answer.request)
-        self.pending.clear()
 
     def eof_received(self) -> bool:
         """Treat a half-closed connection as a disconnect."""
@@ -85,20 +98,23 @@
             self._reject_input(error)
         self._start_next()
         self._continue_or_close()
-        if len(self.reader.ready) >= MAX_READ_AHEAD:
+        if self._has_read_enough:
             self.pause_body()
         self._record_bodies()
 
     def pause_body(self) -> None:
         """Read no more from the caller."""
+        self.is_read_paused = True
         if self.transport is not None:
             self.transport.pause_reading()
 
     def resume_body(self) -> None:
         """Read on, and ask for a body that the caller holds back."""
-        if self.is_closing or len(self.reader.ready) >= MAX_READ_AHEAD:
+        if self.is_closing or self._has_read_enough:
             return
         assert self.transport is not None
+        self.is_read_paused = False
+        self.last_used_at = steady_now()  # the caller could not send before
         self.transport.resume_reading()
         self._continue_or_close()
 
@@ -114,6 +130,8 @@
 
     def close_if_idle(self, now: float, idle_seconds: float) -> None:
         """Close a connection that has been idle for too long."""
+        if self in self.entry.bodies.paused:
+            return
         if not self.pending and now - self.last_used_at > idle_seconds:
             self.close()
 
@@ -123,24 +141,51 @@
         if self.transport is not None:
             self.transport.close()
 
+    @property
+    def _has_read_enough(self) -> bool:
+        """Whether to read no more until requests are answered.
+
+        A body that is read behind others counts with them, so that one
+        connection can't hold several bodies of the largest size.
+        """
+        if len(self.reader.ready) >= MAX_READ_AHEAD:
+            return True
+        complete = self._complete_bytes
+        held = complete + self.reader.unfinished_bytes
+        return complete > 0 and held > self.reader.limits.body_bytes
+
+    @property
+    def _complete_bytes(self) -> int:
+        """What is held of the bodies of requests that are complete."""
+        waiting = sum(len(request.body) for request in self.reader.ready)
+        return waiting + sum(len(answer.sent.body) for answer in self.pending)
+
     def _start_next(self) -> None:
         self.is_starting = True
-        while self.reader.ready and self._may_start_next():
-            answer = PendingAnswer(
-                self.reader.ready.popleft(), self._write_finished
-            )
-            self.pending.append(answer)
-            request = self.entry.start_request(answer, answer.sent)
-            if answer.render is None:
-                answer.request = request
-        self.is_starting = False
+        try:
+            while self.reader.ready and self._may_start_next():
+                answer = PendingAnswer(
+                    self.reader.ready.popleft(), self._write_finished
+                )
+                self.pending.append(answer)
+                request = self.entry.start_request(answer, answer.sent)
+                if answer.render is None:
+                    answer.request = request
+        except Exception:
+            # The answer would never come and hold back those behind it.
+            self.is_closing = True
+            if self.transport is not None:
+                self.transport.abort()
+            raise
+        finally:
+            self.is_starting = False
 
     def _may_start_next(self) -> bool:
         """Return whether the next request may start now.
 
         The first to read is always started, unless the connection closes.
         """
-        if self.is_closing:
+        if self.is_closing or self.is_write_paused:
             return False
         if not self.pending:
             return True
@@ -166,13 +211,18 @@
             self.last_used_at = steady_now()
             if not keeps_open:
                 self.close()
+                self._record_bodies()
                 return
         if self.is_starting:
             return  # a refusal: the requests behind it are being started
+        self._go_on()
+
+    def _go_on(self) -> None:
+        """Start requests that waited, and read on."""
         if self.reader.ready:
             self._start_next()
-            if self not in self.entry.bodies.paused:
-                self.resume_body()
+        if self.is_read_paused and self not in self.entry.bodies.paused:
+            self.resume_body()
         self._continue_or_close()
         self._record_bodies()
 
@@ -196,10 +246,7 @@
     def _record_bodies(self) -> None:
         """Count the bodies held, of requests with and without an answer."""
         unfinished = self.reader.unfinished_bytes
-        held = unfinished + sum(
-            len(request.body) for request in self.reader.ready
-        )
-        held += sum(len(answer.sent.body) for answer in self.pending)
+        held = unfinished + self._complete_bytes
         if held or self.holds_bodies:
             self.holds_bodies = held > 0
             self.entry.bodies.record(self, held, unfinished)
--- a/packages/sidecar/src/boragetrestle_sidecar/request_reader.py
+++ b/packages/sidecar/src/boragetrestle_sidecar/request_reader.py
@@ -112,6 +112,7 @@
                 has_length=_has_length(self.headers),
             )
         )
+        self.chunks.clear()  # the joined body is a copy
 
     def _reset(self) -> None:
         self.request_target = b''
--- a/tests/path_builders.py
+++ b/tests/path_builders.py
@@ -86,6 +86,7 @@
     def __init__(self) -> None:
         self.written = b''
         self.is_closed = False
+        self.is_reading = True
         self.unflushed = 0
 
     def write(self, sent: bytes) -> None:
@@ -114,9 +115,14 @@
 
     def pause_reading(self) -> None:
         """Stop reading."""
+        self.is_reading = False
 
     def resume_reading(self) -> None:
         """Continue reading."""
+        self.is_reading = True
+
+    def set_write_buffer_limits(self, high: int) -> None:
+        """Accept limits of what is buffered."""
 
 
 def open_connection(
