Count connecting runs and replaced services against a cold target's limit

Cause: runs that were connecting when a report told that the target is cold were sent without a token, up to the number of slots at once. The limit was looked up only when a configuration came, so a target of another service got none or that of the service before. Change: take a token once the connection is open if the target has become limited meanwhile, and look the limit up for each new incarnation. Ruled out: queueing such runs again, since the entry places them elsewhere.

--- a/packages/sidecar/src/boragetrestle_sidecar/guard.py
+++ b/packages/sidecar/src/boragetrestle_sidecar/guard.py
@@ -2,11 +2,11 @@
 
 import asyncio
 import math
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 from typing import TYPE_CHECKING
 
 from boragetrestle_kernel.errors import WireError
-from boragetrestle_kernel.ids import TargetId
+from boragetrestle_kernel.ids import ServiceName, TargetId
 from boragetrestle_sidecar.answer_head import answer_head
 from boragetrestle_sidecar.call_attribution import CallAttribution
 from boragetrestle_sidecar.cold_phase import UNKNOWN_RATE, ColdSource
@@ -38,6 +38,7 @@
     from boragetrestle_sidecar.path_settings import PathSettings
     from boragetrestle_sidecar.run_order import RunOrder
     from boragetrestle_sidecar.target_answer import TargetAnswer
+    from boragetrestle_sidecar.target_pace import TargetPace
     from boragetrestle_sidecar.target_report import TargetReport
     from boragetrestle_sidecar.wire_names import WireNames
 
@@ -96,6 +97,7 @@
             self.terms.cold.rate = UNKNOWN_RATE
         self.evacuations = evacuations or Evacuations(log)
         self.was_evacuated = False
+        self.cold_rates: Mapping[ServiceName, float] | None = None
         self.attribution = CallAttribution()
         self.jobs: set[GuardJob] = set()
         self.running = 0
@@ -180,6 +182,7 @@
             self.crash_watch.report_crash(self.found_at)
             self.pool.close()
             self.terms.start(report, self.found_at)
+            self._apply_cold_rate()
             self.unreachable_until = 0.0
             self.log.write_unlimited(
                 'target-found',
@@ -196,11 +199,15 @@
 
     def configure(self, configuration: 'Configuration') -> None:
         """Use the limits for cold targets of a new configuration."""
+        self.cold_rates = configuration.cold_rates
+        self._apply_cold_rate()
+
+    def _apply_cold_rate(self) -> None:
+        if self.cold_rates is None:
+            return
         report = self.reported_target.report
         service = report.service if report else self.settings.service
-        self.terms.set_cold_rate(
-            configuration.cold_rates.get(service), self.clock()
-        )
+        self.terms.set_cold_rate(self.cold_rates.get(service), self.clock())
 
     def apply_evacuations(self) -> None:
         """Stop or begin to send to the target as the operators ask."""
@@ -378,6 +385,8 @@
 
     async def _connect(self, job: GuardJob) -> None:
         pool = self.pool
+        pace = self.terms.pace
+        was_limited = pace.is_limited
         try:
             connection = await pool.open()
         except (OSError, TimeoutError) as error:
@@ -391,9 +400,33 @@
             pool.release(connection)
             self._release_slot(job)
             self._finish(job, _not_sent(Reason.DRAINING))
+        elif not self._takes_connected_run(pace, now, was_limited=was_limited):
+            pool.release(connection)
+            self._release_slot(job)
+            self._finish(job, _not_sent(Reason.TARGET_LIMIT))
         else:
             self._send(job, connection, now)
 
+    def _takes_connected_run(
+        self,
+        pace: 'TargetPace',
+        now: float,
+        *,
+        was_limited: bool,
+    ) -> bool:
+        """Count a run that began to connect before the target was limited.
+
+        Otherwise a target that has just become cold could get as many requests
+        at once as it has slots.
+        """
+        current = self.terms.pace
+        if not current.is_limited or (was_limited and current is pace):
+            return True
+        if not current.is_free(now=now):
+            return False
+        current.take(now=now)
+        return True
+
     def _refuse_unreachable(self, job: GuardJob, error: Exception) -> None:
         now = self.clock()
         self.unreachable_until = now + UNREACHABLE_BACKOFF_SECONDS
