Keep evacuations over restored stores, obey fresh nodes' reads

Ruled out: ordering by position before completeness, since versions are given out again after a restore.

--- a/packages/sidecar/src/boragetrestle_sidecar/evacuations.py
+++ b/packages/sidecar/src/boragetrestle_sidecar/evacuations.py
@@ -59,7 +59,15 @@
 
         ``source`` says where it came from, for the log.
         """
-        if state.sort_key <= self.state.sort_key:
+        known = self.state
+        if not state.is_complete:
+            # Its sender may never have known requests that this node knows.
+            added = {*state.domains, *known.domains}
+            state = state._replace(domains=tuple(sorted(added)))
+        is_added = state.sort_key == known.sort_key and state != known
+        if state.sort_key <= known.sort_key and (
+            state.is_complete or not is_added
+        ):
             return False
         self.state = state
         domains = frozenset(state.domains)
--- a/packages/sidecar/src/boragetrestle_sidecar/store_sync.py
+++ b/packages/sidecar/src/boragetrestle_sidecar/store_sync.py
@@ -77,6 +77,8 @@
         self.tree: TreeExchange
         self.started_at = steady_now()
         self.incomplete_watch: TableWatch | None = None
+        self.restored_epoch: int | None = None
+        self.restored_at = 0.0
 
     def connect(self, tree: 'TreeExchange') -> None:
         """Set the tree over which other nodes pass on what they read."""
@@ -134,14 +136,15 @@
             self.check_registration()
 
     def check_evacuations(self) -> None:
-        """Take over the rows again when this node is no longer new.
+        """Take over the rows again once none can be missing.
 
-        Until then it keeps domains whose rows are missing.
+        Until then this node keeps domains whose rows are missing.
         """
         watch = self.incomplete_watch
-        if watch is None or self._is_new or watch.position is None:
+        if watch is None or watch.position is None:
             return
-        self._apply_evacuation_rows(watch)
+        if self._has_all_evacuations(watch):
+            self._apply_evacuation_rows(watch)
 
     @property
     def _is_new(self) -> bool:
@@ -168,10 +171,8 @@
             for key in watch.rows
             if key.startswith(prefix)
         }
-        is_complete = not (watch.is_rejoining or self._is_new)
-        self.incomplete_watch = watch if self._is_new else None
-        if not is_complete:
-            domains |= self.fleet.evacuations.domains
+        is_complete = self._has_all_evacuations(watch)
+        self.incomplete_watch = None if is_complete else watch
         state = EvacuationState(
             watch.epoch,
             is_complete,
@@ -180,6 +181,26 @@
         )
         self.tree.apply_evacuations(state, source='store')
 
+    def _has_all_evacuations(self, watch: TableWatch) -> bool:
+        """Return whether no operators are about to write a row again.
+
+        Another node may have waited for them in this epoch already. A node that
+        reads the table for the first time compares with what others passed on.
+        """
+        assert watch.epoch is not None
+        known = self.fleet.evacuations.state
+        if known.is_complete and known.epoch == watch.epoch:
+            return True
+        if watch.is_rejoining or self._is_new:
+            return False
+        if known.epoch < watch.epoch and known.domains:
+            if self.restored_epoch != watch.epoch:
+                self.restored_epoch = watch.epoch
+                self.restored_at = steady_now()
+        if self.restored_epoch == watch.epoch:
+            return steady_now() - self.restored_at > REJOIN_SECONDS
+        return True
+
     def _apply_node_rows(self, watch: TableWatch) -> None:
         assert watch.epoch is not None
         assert watch.position is not None
--- a/packages/sidecar/src/boragetrestle_sidecar/tree_exchange.py
+++ b/packages/sidecar/src/boragetrestle_sidecar/tree_exchange.py
@@ -197,7 +197,9 @@
         evacuations = self.fleet.evacuations
         if evacuations.apply_if_newer(state, source=source):
             self._send_to_neighbours(
-                FrameKind.EVACUATIONS, [self.address, state], source
+                FrameKind.EVACUATIONS,
+                [self.address, evacuations.state],
+                source,
             )
 
     def pass_configuration_on(self) -> None:
