Play cold targets, evacuations and pipelined requests in the soak

Half of the targets start cold, and targets become cold without a restart; no second may have more than 6 x 1.5 + 8 requests. Domains are evacuated, at times twice in a second or over an outage of the store, and nothing may reach them 5 s after the request. Callers send up to five retryable requests ahead; the body of each answer tells its place.

--- a/tests/soak_host.py
+++ b/tests/soak_host.py
@@ -13,7 +13,7 @@
 
 from soak_http import Message, answer_of, call, serve
 from soak_proxy import Proxy
-from soak_witness import Run
+from soak_witness import ColdTime, Run
 
 if TYPE_CHECKING:
     from soak_witness import Witness
@@ -24,6 +24,11 @@
 RESTART_SECONDS = 0.3  # the platform starts an ended process again soon
 WORK_SECONDS = (0.005, 0.06)
 CALL_SECONDS = 2.0
+# Requests that were on their way through a slow proxy arrive this long after
+# a report.
+COLD_TOLD_SECONDS = 0.7
+COLD_START_SHARE = 0.5  # of the starts
+COLD_SECONDS = (0.5, 3.0)
 SLOTS = 16
 
 
@@ -45,6 +50,7 @@
     ) -> None:
         self.number = number
         self.ip = f'127.8.0.{number}'
+        self.domain = f'z{number % 3}'
         self.folder = folder
         self.witness = witness
         self.chance = chance
@@ -59,6 +65,7 @@
         self.state = 'ready'
         self.is_up = True
         self.loses_answers = False
+        self.cold_until = 0.0
         self.terms: dict[str, str] = {}
         self.endless = b''
         self.tasks: list[asyncio.Task[None]] = []
@@ -113,6 +120,16 @@
         self.state = 'ready'
         self.is_up = True
         self.terms = {}
+        self.cold_until = 0.0
+        if self.chance.random() < COLD_START_SHARE:
+            self._make_cold(since=time.monotonic())
+
+    async def turn_cold(self) -> None:
+        """Become cold without a restart, and report it."""
+        target = self.target
+        self.cold_until = time.monotonic() + self.chance.uniform(*COLD_SECONDS)
+        if await self._report() and self.target == target:
+            self._note_cold(since=time.monotonic() + COLD_TOLD_SECONDS)
 
     async def drain(self) -> None:
         """Report that the target leaves, and note the acknowledgement."""
@@ -121,6 +138,14 @@
         if await self._report():
             self.witness.drained_at[target] = time.monotonic()
 
+    def _make_cold(self, since: float) -> None:
+        self.cold_until = since + self.chance.uniform(*COLD_SECONDS)
+        self._note_cold(since)
+
+    def _note_cold(self, since: float) -> None:
+        cold = ColdTime(self.target, since, self.cold_until)
+        self.witness.cold_times.append(cold)
+
     async def _keep_node(self) -> None:
         path = self.folder / f'{self.number}.json'
         path.write_text(json.dumps(self._settings()))
@@ -152,7 +177,8 @@
         status = {
             'State': self.state,
             'Sequence': self.sequence,
-            'ColdRemainingMs': 0,
+            'ColdRemainingMs': 1000
+            * max(0.0, self.cold_until - time.monotonic()),
         }
         body = json.dumps({
             'Address': f'{self.ip}:7001',
@@ -179,6 +205,7 @@
         request_id = headers.get('x-request-id', '')
         if headers.get('x-target-instance') != self.target or not self.is_up:
             return answer_of(421, x_request_id=request_id)
+        self.witness.domains[self.target] = self.domain
         self.witness.runs.append(
             Run(
                 request_id,
@@ -224,7 +251,7 @@
     def _settings(self) -> dict[str, object]:
         return {
             'NodeName': f'node-{self.number}',
-            'Zone': f'z{self.number % 3}',
+            'Zone': self.domain,
             'ListenAddrs': {
                 'Inbound': f'{self.ip}:7003',
                 'Outbound': f'{self.ip}:7002',
@@ -232,7 +259,7 @@
                 'Control': f'{self.ip}:7005',
             },
             'HeartbeatMs': HEARTBEAT_SECONDS * 1000,
-            'Bounds': {'GraceS': 3},
+            'Bounds': {'GraceS': 3, 'ColdOverage': 1.5},
             'AppAddr': f'{self.ip}:7001',
             'Service': 'walks',
             'Provider': {'Address': f'{self.ip}:7007'},
--- a/tests/soak_run.py
+++ b/tests/soak_run.py
@@ -15,6 +15,7 @@
 import tempfile
 import time
 from collections.abc import Callable, Coroutine
+from dataclasses import replace
 from pathlib import Path
 from typing import Any
 
@@ -22,7 +23,7 @@
 from soak_http import Message, read_message, serve
 from soak_proxy import Harm
 from soak_store import SoakStore
-from soak_witness import Limit, Sent, Witness
+from soak_witness import COLD_RATE, Evacuation, Limit, Sent, Witness
 
 HOSTS = 6
 CALLERS = 24
@@ -36,6 +37,11 @@
 STORE = ('127.8.0.250', 7000)
 TIME_LIMIT_SECONDS = 3.0
 SHOWN_FAULTS = 10
+AHEAD_SHARE = 0.3  # of the times that a caller sends
+MOST_AHEAD = 5
+EVACUATED_SECONDS = (4.0, 9.0)  # most are longer than nodes may take
+ASKED_AGAIN_SECONDS = (0.1, 1.0)
+KNOWN_SECONDS = 2.5  # all nodes that reach the store know a request by then
 _ENDLESS_BYTES = 2_000_000  # nodes close the connection long before
 ENDLESS = (
     b'HTTP/1.1 200 OK\r\na: ' + b'x' * _ENDLESS_BYTES,
@@ -58,6 +64,7 @@
     """One seed: hosts, callers, a store, and faults in series."""
 
     def __init__(self, seed: int, folder: Path) -> None:
+        self.seed = seed
         self.chance = random.Random(seed)
         self.witness = Witness()
         self.store = SoakStore()
@@ -96,6 +103,7 @@
         self.version += self.chance.randint(1, 5)
         resources = [
             *(_route(*terms) for terms in _ROUTES),
+            _resource('Services', 'walks', {'ColdPerS': COLD_RATE}),
             *(
                 _resource(
                     'Tenants',
@@ -125,7 +133,7 @@
 
     async def _call_on(self, number: int) -> None:
         """Send requests, on a kept connection as long as it is open."""
-        chance = random.Random(number)
+        chance = random.Random(f'{self.seed}/{number}')
         link: tuple[asyncio.StreamReader, asyncio.StreamWriter] | None = None
         host = chance.choice(self.hosts)
         while not self.is_over:
@@ -136,7 +144,7 @@
                     link = await asyncio.open_connection(host.ip, 7002)
                 except OSError:
                     continue  # the node is down: another one is tried
-            if not await self._request(chance, host, link):
+            if not await self._send(chance, host, link):
                 link[1].transport.abort()
                 link = None
         if link is not None:
@@ -151,45 +159,56 @@
         if 'server-leaving' in answer.headers:
             self.witness.told_leaving.setdefault(place, now)
 
-    async def _request(
+    async def _send(
         self,
         chance: random.Random,
         host: SoakHost,
         link: tuple[asyncio.StreamReader, asyncio.StreamWriter],
     ) -> bool:
-        """Send one request; return whether the connection can be kept."""
+        """Send a request, or some ahead that may be repeated.
+
+        The body of an answer tells whether it came in its place and whole.
+        Returns whether the connection can be kept.
+        """
         reader, writer = link
-        request_id = f'r{chance.getrandbits(60):x}'
-        prefix, _kind, _public = chance.choice(_ROUTES[:3])
-        key = chance.choice(list(self.witness.owners)[1:])
-        sent_at = time.monotonic()
-        status = 0
-        is_whole = False
-        keeps = False
-        try:
-            async with asyncio.timeout(TIME_LIMIT_SECONDS):
-                writer.write(_head(prefix, request_id, key))
-                answer = await read_message(reader)
-            status = int(answer.first[1])
-            self._record_terms(host.number, answer)
-            has_seal = 'x-server-seal' in answer.headers
-            is_whole = has_seal and answer.body == body_of(request_id)
-            keeps = answer.headers.get('connection', '') != 'close'
-        except (OSError, EOFError, TimeoutError):
-            keeps = False  # counted with status 0
-        self.witness.sent.append(
+        prefixes = [chance.choice(_ROUTES[:3])[0]]
+        if chance.random() < AHEAD_SHARE:
+            count = chance.randint(2, MOST_AHEAD)
+            prefixes = chance.choices(['/walks/', '/outer/'], k=count)
+        waiting = [
             Sent(
-                request_id,
+                f'r{chance.getrandbits(60):x}',
                 host.number,
-                sent_at,
+                time.monotonic(),
                 prefix != '/buy/',
-                key,
-                status,
-                is_whole,
+                chance.choice(list(self.witness.owners)[1:]),
+                0,
+                False,
             )
-        )
+            for prefix in prefixes
+        ]
+        keeps = True
+        try:
+            async with asyncio.timeout(TIME_LIMIT_SECONDS):
+                writer.write(b''.join(map(_head, prefixes, waiting)))
+                while waiting and keeps:
+                    answer = await read_message(reader)
+                    self._record_answer(host.number, waiting.pop(0), answer)
+                    keeps = answer.headers.get('connection', '') != 'close'
+        except (OSError, EOFError, TimeoutError):
+            keeps = False
+        self.witness.sent += waiting  # counted with status 0
         return keeps
 
+    def _record_answer(self, node: int, sent: Sent, answer: Message) -> None:
+        self._record_terms(node, answer)
+        has_seal = 'x-server-seal' in answer.headers
+        is_whole = has_seal and answer.body == body_of(sent.request_id)
+        status = int(answer.first[1])
+        self.witness.sent.append(
+            replace(sent, status=status, is_whole=is_whole)
+        )
+
 
 _ROUTES = (
     ('/walks/', 'idempotent', False),
@@ -217,11 +236,11 @@
     return _resource('Routes', f'route{prefix.replace("/", "-")}', spec)
 
 
-def _head(prefix: str, request_id: str, key: str) -> bytes:
+def _head(prefix: str, sent: Sent) -> bytes:
     return (
         f'GET {prefix}1 HTTP/1.1\r\nhost: example\r\n'
-        f'x-request-id: {request_id}\r\nx-deadline-ms: 2500\r\n'
-        f'authorization: Bearer {key}\r\n\r\n'
+        f'x-request-id: {sent.request_id}\r\nx-deadline-ms: 2500\r\n'
+        f'authorization: Bearer {sent.key}\r\n\r\n'
     ).encode()
 
 
@@ -336,6 +355,47 @@
         host.restart_target()
 
 
+@fault
+async def target_turns_cold(soak: Soak) -> None:
+    """Let a target become cold without a restart."""
+    await soak.some_host().turn_cold()
+
+
+@fault
+async def domain_evacuated(soak: Soak) -> None:
+    """Evacuate a domain, at times again at once or over an outage."""
+    domain = soak.some_host().domain
+    if any(key.startswith('evacuate/') for _table, key in soak.store.rows):
+        return
+    for _ in range(soak.chance.randint(1, 2)):
+        asked = Evacuation(domain, time.monotonic())
+        soak.witness.evacuations.append(asked)
+        await soak.store.put('op', f'evacuate/{domain}', 'e30=')
+        has_outage = soak.chance.random() < 0.5
+        rest = soak.chance.uniform(*EVACUATED_SECONDS)
+        if has_outage:
+            await asyncio.sleep(KNOWN_SECONDS)
+            await _refuse_for(soak, rest - KNOWN_SECONDS, asked.outages)
+        else:
+            await asyncio.sleep(rest)
+        asked.taken_back_at = time.monotonic()
+        await soak.store.remove('op', f'evacuate/{domain}')
+        await asyncio.sleep(soak.chance.uniform(*ASKED_AGAIN_SECONDS))
+
+
+async def _refuse_for(
+    soak: Soak,
+    seconds: float,
+    outages: list[float],
+) -> None:
+    """Let the store refuse all calls; note the disturbances."""
+    for is_refusing in (True, False):
+        outages.append(time.monotonic())
+        soak.witness.store_disturbed.append(outages[-1])
+        soak.store.is_refusing = is_refusing
+        await asyncio.sleep(seconds if is_refusing else 0)
+
+
 @fault
 async def target_sends_without_end(soak: Soak) -> None:
     """Let a target answer with bytes that are no answer and don't end."""
--- a/tests/soak_store.py
+++ b/tests/soak_store.py
@@ -28,6 +28,10 @@
         """Write a row, as operators do."""
         await self._apply([{'Table': table, 'Key': key, 'Value': value}], [])
 
+    async def remove(self, table: str, key: str) -> None:
+        """Remove a row, as operators do."""
+        await self._apply([], [{'Table': table, 'Key': key}])
+
     def forget_history(self) -> None:
         """Let feeds begin at the present."""
         self.first_kept = self.version
--- a/tests/soak_witness.py
+++ b/tests/soak_witness.py
@@ -2,7 +2,7 @@
 
 import math
 from collections import Counter, defaultdict
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 # Configurations are in force this long after the store took them, and targets
 # may be sent requests this long after their drain was acknowledged.
@@ -15,6 +15,10 @@
 WINDOW_TOLERANCE = 1.5
 WINDOW_SLACK = 5
 SETTLED_SECONDS = 3.0  # bounds in time hold this long after the last fault
+# The bound on requests to a cold target in any second, of all nodes.
+COLD_RATE = 6.0
+MOST_COLD_IN_SECOND = COLD_RATE * 1.5 + 8
+EVACUATE_SECONDS = 5.0
 NOT_RUN = frozenset((408, 421, 429, 503))
 DENIED = frozenset((400, 401, 403, 404))
 LEAST_CALM_SHARE = 0.95  # of requests answered in the calm at the end
@@ -43,6 +47,29 @@
     lifted_at: float = math.inf
 
 
+@dataclass(frozen=True, slots=True)
+class ColdTime:
+    """A time in which a target is cold and its guard knows it."""
+
+    target: str
+    since: float
+    until: float
+
+
+@dataclass(slots=True)
+class Evacuation:
+    """A request of the operators to send nothing to a domain.
+
+    ``outages`` are the disturbances of the store that came after all nodes had
+    to know the request, which they keep through it.
+    """
+
+    domain: str
+    asked_at: float
+    taken_back_at: float = math.inf
+    outages: list[float] = field(default_factory=list)
+
+
 @dataclass(frozen=True, slots=True)
 class Run:
     """A request that a target began to run."""
@@ -67,6 +94,9 @@
         self.store_disturbed: list[float] = []
         self.ended: list[str] = []
         self.limits: list[Limit] = []
+        self.cold_times: list[ColdTime] = []
+        self.evacuations: list[Evacuation] = []
+        self.domains: dict[str, str] = {}
         # When a node first passed on that a target is limited or leaves.
         self.told_limit: dict[tuple[int, str], float] = {}
         self.told_leaving: dict[tuple[int, str], float] = {}
@@ -94,6 +124,12 @@
                 for limit in self.limits
                 for line in self._limit(limit, by_id)
             ),
+            *(line for cold in self.cold_times for line in self._cold(cold)),
+            *(
+                line
+                for asked in self.evacuations
+                for line in self._evacuation(asked, by_id)
+            ),
             *self._calm(calm_since),
         ]
 
@@ -151,6 +187,45 @@
             f'of {limit.rate:g} a second, allowed {allowed:g}'
         ]
 
+    def _cold(self, cold: ColdTime) -> list[str]:
+        times = [
+            run.started_at
+            for run in self.runs
+            if run.target == cold.target
+            and cold.since <= run.started_at <= cold.until
+        ]
+        most = max(
+            (sum(began <= at < began + 1 for at in times) for began in times),
+            default=0,
+        )
+        if most <= MOST_COLD_IN_SECOND:
+            return []
+        return [f'{cold.target}: {most} runs in a second while cold']
+
+    def _evacuation(
+        self,
+        asked: Evacuation,
+        by_id: dict[str, Sent],
+    ) -> list[str]:
+        found = []
+        for run in self.runs:
+            sent = by_id.get(run.request_id)
+            if sent is None or self.domains[run.target] != asked.domain:
+                continue
+            disturbed = [
+                at
+                for at in (*self.disturbed[sent.node], *self.store_disturbed)
+                if at < run.started_at and at not in asked.outages
+            ]
+            since = max(asked.asked_at, *disturbed, 0.0) + EVACUATE_SECONDS
+            if since < run.started_at < asked.taken_back_at:
+                late = run.started_at - asked.asked_at
+                found.append(
+                    f'{run.request_id}: ran at {run.target} {late:.1f} s after '
+                    f'the evacuation of {asked.domain}'
+                )
+        return found
+
     def _is_bound(
         self,
         run: Run,
