--- a/packages/sidecar/src/boragetrestle_sidecar/decision_log.py
+++ b/packages/sidecar/src/boragetrestle_sidecar/decision_log.py
@@ -102,9 +102,11 @@
         del self.buffer[:written]
 
 
-def open_log() -> DecisionLog:
-    """Return the log of this process, on its standard output."""
-    add_destinations(NonBlockingWriter(sys.stdout.fileno()))
+def open_log(descriptor: int | None = None) -> DecisionLog:
+    """Return the log of this process, by default on its standard output."""
+    if descriptor is None:
+        descriptor = sys.stdout.fileno()
+    add_destinations(NonBlockingWriter(descriptor))
     return DecisionLog(_write)
 
 
