Write frames to peers without an extra iteration of the event loop

Frames were flushed by a callback in the next iteration. They are now written at once, or together at the end of the received bytes that they respond to. Under many concurrent requests from different connections this takes more system calls than before.

--- a/packages/sidecar/src/boragetrestle_sidecar/peer_link.py
+++ b/packages/sidecar/src/boragetrestle_sidecar/peer_link.py
@@ -173,6 +173,7 @@
         set_user_timeout(transport)
         self.reader = FrameReader()
         self.writer = FrameWriter(cast('asyncio.Transport', transport))
+        self.writer.hold()
         self.received_at = steady_now()
         self.reply_due_since = None
         self.disconnected.clear()
@@ -182,6 +183,7 @@
             self.writer.send_bytes(encoded)
         self.unsent.clear()
         self._ping(self.received_at)
+        self.writer.release()
         self.log.write_unlimited('peer-found', peer=str(self.address))
 
     def connection_lost(self, error: Exception | None) -> None:
@@ -204,17 +206,18 @@
     def data_received(self, received: bytes) -> None:
         """Handle the frames that the peer sent; drop the link on a bad one."""
         self.received_at = steady_now()
-        try:
-            frames = self.reader.feed(received)
-        except WireError as error:
-            self._refuse(error)
+        writer = self.writer
+        if writer is None:
             return
+        writer.hold()
         try:
-            for frame in frames:
+            for frame in self.reader.feed(received):
                 self._handle_frame(frame)
         except WireError as error:
             self._refuse(error)
             return
+        finally:
+            writer.release()
         if not self.replies:
             self.reply_due_since = None
 
--- a/packages/sidecar/src/boragetrestle_sidecar/peer_server.py
+++ b/packages/sidecar/src/boragetrestle_sidecar/peer_server.py
@@ -93,6 +93,10 @@
     def data_received(self, received: bytes) -> None:
         """Handle the frames that the entry sent; close on an invalid one."""
         self.received_at = steady_now()
+        writer = self.writer
+        if writer is None:
+            return
+        writer.hold()
         try:
             for frame in self.reader.feed(received):
                 self._handle_frame(frame)
@@ -101,6 +105,8 @@
                 'peer-frame-refused', error=str(error)
             )
             self.abort()
+        finally:
+            writer.release()
 
     def abort(self) -> None:
         """Close the connection without flushing what is still unsent."""
