Build a guard's load and notice less often

An entry looks up the guards of a request once for probe and choice, and a notice is only built if there is something to say.

--- a/packages/sidecar/src/boragetrestle_sidecar/entry.py
+++ b/packages/sidecar/src/boragetrestle_sidecar/entry.py
@@ -249,16 +249,17 @@
 
     def _place(self, request: EntryRequest) -> None:
         """Send a request to a guard, after asking some for their load."""
+        guards = self._guards_for(request)
         if not request.placements:
-            guards = self._guards_for(request)
             unknown = self.probe.choose_guards(guards)
             if unknown and self.probe.ask(
-                unknown, lambda: self._choose_guard(request)
+                unknown,
+                lambda: self._choose_guard(request, self._guards_for(request)),
             ):
                 return
             if guards:
                 self.probe.refresh_one(guards)
-        self._choose_guard(request)
+        self._choose_guard(request, guards)
 
     def _guards_for(self, request: EntryRequest) -> 'Sequence[GuardView]':
         """Return the guards that may serve a request."""
@@ -268,12 +269,16 @@
             self.settings.regions,
         )
 
-    def _choose_guard(self, request: EntryRequest) -> None:
+    def _choose_guard(
+        self,
+        request: EntryRequest,
+        guards: 'Sequence[GuardView]',
+    ) -> None:
         if request.is_over:
             return
         now = self.clock()
         guard = choose_guard(
-            self._guards_for(request),
+            guards,
             domain=self.settings.domain,
             avoided=request.avoided_guards,
             is_responsive=self.fleet.is_responsive,
--- a/packages/sidecar/src/boragetrestle_sidecar/guard.py
+++ b/packages/sidecar/src/boragetrestle_sidecar/guard.py
@@ -146,7 +146,7 @@
         now = self.clock()
         return GuardLoad(
             self.running,
-            len(self.queue),
+            len(self.queue.queued_runs),
             self.effective_slots,
             self.meter.known_run_seconds,
             round(self.meter.failing_share(now), 3),
@@ -157,16 +157,18 @@
     @property
     def notice(self) -> TargetNotice | None:
         """What entries remember of the target, so that a restart keeps it."""
-        report = self.reported_target.report
-        if report is None:
+        target = self.reported_target
+        rate_limit = self.terms.rate_limit
+        if target.report is None:
+            return None
+        if rate_limit is None and not target.has_announced_end:
             return None
-        notice = TargetNotice(
-            *report.incarnation,
-            rate_limit=self.terms.rate_limit,
-            is_leaving=self.reported_target.is_leaving,
-            drain_sequence=self.reported_target.drain_sequence,
+        return TargetNotice(
+            *target.report.incarnation,
+            rate_limit=rate_limit,
+            is_leaving=target.is_leaving,
+            drain_sequence=target.drain_sequence,
         )
-        return notice if notice.says_something else None
 
     def handle_heartbeat(self, report: 'TargetReport') -> None:
         """Process a heartbeat of the target."""
--- a/packages/sidecar/src/boragetrestle_sidecar/reported_target.py
+++ b/packages/sidecar/src/boragetrestle_sidecar/reported_target.py
@@ -70,14 +70,17 @@
     def is_leaving(self) -> bool:
         """Whether the target has said that it leaves."""
         report = self.report
-        if report is None:
+        if report is None or not self.leaving:
             return False
         return self.leaving.get(report.target) == report.started_at
 
     @property
     def has_announced_end(self) -> bool:
         """Whether the target drains or leaves, so that its end is no crash."""
-        return self.is_leaving or self.drain_sequence is not None
+        report = self.report
+        if report is None:
+            return False
+        return report.state is not TargetState.READY or self.is_leaving
 
     @property
     def drain_sequence(self) -> int | None:
@@ -92,7 +95,9 @@
         report = self.report
         if report is None or report.state is not TargetState.READY:
             return False
-        if self.is_leaving or self._is_superseded(report):
+        if self.leaving and self.is_leaving:
+            return False
+        if self._is_superseded(report):
             return False
         return now - self.reported_at < MAX_MISSED_HEARTBEATS * self.heartbeat
 
