--- a/packages/sidecar/src/boragetrestle_sidecar/request_reader.py
+++ b/packages/sidecar/src/boragetrestle_sidecar/request_reader.py
@@ -25,6 +25,7 @@
 
     def __init__(self, limits: 'CallerLimits') -> None:
         self.limits = limits
+        self.header_bytes = limits.header_bytes
         self.parser = httptools.HttpRequestParser(self)
         self.ready: deque[CallerRequest] = deque()
         self.awaits_continue = False
@@ -73,12 +74,16 @@
     def on_url(self, url: bytes) -> None:
         """Append a part of the request target."""
         self.request_target += url
-        self._count_parsed_head(len(url))
+        self.parsed_head_bytes += len(url)
+        if self.parsed_head_bytes > self.header_bytes:
+            raise _head_too_large(self.header_bytes)
 
     def on_header(self, name: bytes, value: bytes) -> None:
         """Store one header."""
         self.headers.append((name.lower(), value))
-        self._count_parsed_head(len(name) + len(value) + 4)
+        self.parsed_head_bytes += len(name) + len(value) + 4
+        if self.parsed_head_bytes > self.header_bytes:
+            raise _head_too_large(self.header_bytes)
 
     def on_headers_complete(self) -> None:
         """Note whether the caller waits for ``100 Continue``.
@@ -132,20 +137,16 @@
 
     def _count_received_head(self, count: int) -> None:
         """Bound the bytes of an unfinished head that the parser buffers."""
-        if self.received_head_bytes > self.limits.header_bytes:
-            raise HeadTooLargeError(
-                f'the request head is over {self.limits.header_bytes} bytes',
-                remedy='send fewer or shorter headers',
-            )
+        if self.received_head_bytes > self.header_bytes:
+            raise _head_too_large(self.header_bytes)
         self.received_head_bytes += count
 
-    def _count_parsed_head(self, count: int) -> None:
-        self.parsed_head_bytes += count
-        if self.parsed_head_bytes > self.limits.header_bytes:
-            raise HeadTooLargeError(
-                f'the request head is over {self.limits.header_bytes} bytes',
-                remedy='send fewer or shorter headers',
-            )
+
+def _head_too_large(limit: int) -> HeadTooLargeError:
+    return HeadTooLargeError(
+        f'the request head is over {limit} bytes',
+        remedy='send fewer or shorter headers',
+    )
 
 
 def _has_length(headers: list[tuple[bytes, bytes]]) -> bool:
