--- a/packages/sidecar/src/boragetrestle_sidecar/caller_connection.py
+++ b/packages/sidecar/src/boragetrestle_sidecar/caller_connection.py
@@ -196,10 +196,11 @@
     def _record_bodies(self) -> None:
         """Count the bodies held, of requests with and without an answer."""
         unfinished = self.reader.unfinished_bytes
-        held = unfinished + sum(
-            len(request.body) for request in self.reader.ready
-        )
-        held += sum(len(answer.sent.body) for answer in self.pending)
+        held = unfinished
+        if self.reader.ready:
+            held += sum(len(request.body) for request in self.reader.ready)
+        if self.pending:
+            held += sum(len(answer.sent.body) for answer in self.pending)
         if held or self.holds_bodies:
             self.holds_bodies = held > 0
             self.entry.bodies.record(self, held, unfinished)
--- a/packages/sidecar/src/boragetrestle_sidecar/caller_request.py
+++ b/packages/sidecar/src/boragetrestle_sidecar/caller_request.py
@@ -19,11 +19,15 @@
     body: bytes = b''
     keeps_open: bool = True
     has_length: bool = False
+    _single: dict[bytes, bytes | None] | None = field(
+        default=None, init=False, repr=False, compare=False
+    )
 
     def header(self, name: bytes) -> bytes | None:
         """Return the value of a header that occurs exactly once, or ``None``."""
-        found = [value for known, value in self.headers if known == name]
-        return found[0] if len(found) == 1 else None
+        if self._single is None:
+            self._single = _single_values(self.headers)
+        return self._single.get(name)
 
     @property
     def host(self) -> str:
@@ -35,3 +39,11 @@
     def path(self) -> str:
         """The path without its query."""
         return self.request_target.partition(b'?')[0].decode('latin-1')
+
+
+def _single_values(headers: list[Header]) -> dict[bytes, bytes | None]:
+    """Return the values by name, None for names that occur more than once."""
+    values: dict[bytes, bytes | None] = {}
+    for name, value in headers:
+        values[name] = None if name in values else value
+    return values
--- a/packages/sidecar/src/boragetrestle_sidecar/guard_probe.py
+++ b/packages/sidecar/src/boragetrestle_sidecar/guard_probe.py
@@ -42,14 +42,16 @@
         None are returned if enough is known.
         """
         oldest = self.clock() - FRESH_SECONDS
-        stale = [
-            guard
-            for guard in guards
-            if guard.is_open and not guard.is_local and guard.heard_at < oldest
-        ]
-        fresh = sum(guard.is_open for guard in guards) - len(stale)
-        missing = MIN_FRESH_GUARDS - fresh
-        if not stale or missing <= 0 or len(guards) < 2:
+        stale = []
+        fresh = 0
+        for guard in guards:
+            if not guard.is_open:
+                continue
+            if guard.is_local or guard.heard_at >= oldest:
+                fresh += 1
+            else:
+                stale.append(guard)
+        if not stale or fresh >= MIN_FRESH_GUARDS or len(guards) < 2:
             return []
         return self.chance.sample(stale, min(PROBED_GUARDS, len(stale)))
 
