Read the load that targets state and learn their concurrency limits

Cause: targets that share a machine change their speed many times a second, and some slow down long before all slots are in use. A mean over 20 runs and a fixed 0.95 of the slots follow neither.

Change: guards read running, waiting, slots and slowdown from answers. Where a slowdown is stated, run times are kept relative to it, the expected time follows the newest one, and the limit is learned from comparisons of two levels. The setting LearnLimits (always, never, stated) overrides this.

Ruled out: costs by route relative to the slowdown, since the admission plan counts the slots that runs hold.

--- a/packages/sidecar/src/boragetrestle_sidecar/guard.py
+++ b/packages/sidecar/src/boragetrestle_sidecar/guard.py
@@ -26,6 +26,7 @@
 from boragetrestle_sidecar.server_connection import Loss, ServerConnection
 from boragetrestle_sidecar.stated_terms import StatedTerms
 from boragetrestle_sidecar.steady_clock import steady_now
+from boragetrestle_sidecar.target_capacity import TargetCapacity
 from boragetrestle_sidecar.target_notice import TargetNotice
 from boragetrestle_sidecar.target_pool import TargetPool
 from boragetrestle_sidecar.target_silence import TargetSilence
@@ -41,9 +42,6 @@
     from boragetrestle_sidecar.target_report import TargetReport
     from boragetrestle_sidecar.wire_names import WireNames
 
-# The guard uses this part of a target's slots, since targets slow down when
-# nearly all of their slots are in use.
-USABLE_SLOT_FRACTION = 0.95
 UNREACHABLE_BACKOFF_SECONDS = 0.3  # a restart takes some seconds
 # A run waits for a slot at most for this part of the time until its
 # response-time goal, or until its deadline if it is an onward call.
@@ -92,6 +90,7 @@
         self.queue = GuardQueue()
         self.meter = RunMeter()
         self.terms = StatedTerms(names, log)
+        self.capacity = TargetCapacity(settings.learns_limits, log)
         if settings.limits_cold_targets:
             self.terms.cold.rate = UNKNOWN_RATE
         self.evacuations = evacuations or Evacuations(log)
@@ -112,7 +111,13 @@
         report = self.reported_target.report
         if report is None:
             return 0
-        return max(1, int(report.slots * USABLE_SLOT_FRACTION))
+        return self.capacity.limit(report.slots)
+
+    @property
+    def run_seconds(self) -> float:
+        """The time that a run is expected to take if it starts now."""
+        factor = self.capacity.slowdown.factor(self.clock())
+        return self.meter.run_seconds * factor
 
     @property
     def effective_slots(self) -> float:
@@ -124,7 +129,7 @@
         pace = self.terms.pace
         if not pace.is_limited:
             return self.limit
-        return min(self.limit, pace.rate * self.meter.run_seconds)
+        return min(self.limit, pace.rate * self.run_seconds)
 
     @property
     def is_open(self) -> bool:
@@ -148,7 +153,7 @@
             self.running,
             len(self.queue),
             self.effective_slots,
-            self.meter.known_run_seconds,
+            self.run_seconds if self.meter.has_ended else 0.0,
             round(self.meter.failing_share(now), 3),
             self._is_open_at(now),
             self.notice,
@@ -180,6 +185,7 @@
             self.crash_watch.report_crash(self.found_at)
             self.pool.close()
             self.terms.start(report, self.found_at)
+            self.capacity.start()
             self.unreachable_until = 0.0
             self.log.write_unlimited(
                 'target-found',
@@ -324,7 +330,7 @@
             return False
         if self.is_evacuated:
             return False
-        if self.silence_detector.detect_stuck(now, self.meter.run_seconds):
+        if self.silence_detector.detect_stuck(now, self.run_seconds):
             return False
         return self.reported_target.is_available(now)
 
@@ -333,7 +339,7 @@
         paced_wait = self.terms.pace.wait_for(len(self.queue) + 1, now=now)
         is_call = job.order.is_call
         until = job.expires_at if is_call else job.goal_at
-        max_wait = (until - now) * MAX_WAIT_FRACTION - self.meter.run_seconds
+        max_wait = (until - now) * MAX_WAIT_FRACTION - self.run_seconds
         if max(wait, paced_wait) > max_wait:
             reason = Reason.QUEUE_FULL
             if paced_wait > wait:
@@ -347,7 +353,7 @@
     def expected_wait(self, job: GuardJob) -> float:
         """Estimate the seconds until a run that is queued now would start."""
         runs_ahead = self.queue.count_ahead_of(job.goal_at) + 1
-        return runs_ahead * self.meter.run_seconds / max(1, self.limit)
+        return runs_ahead * self.run_seconds / max(1, self.limit)
 
     def _has_room(self, now: float) -> bool:
         """Return whether the target may be sent a run now."""
@@ -366,6 +372,7 @@
 
     def _start(self, job: GuardJob, now: float) -> None:
         self.running += 1
+        job.in_flight = self.running
         self.terms.pace.take(now=now)
         connection = self.pool.acquire(now, recent=not job.order.may_repeat)
         if connection is None:
@@ -468,7 +475,7 @@
             )
         else:
             if answer.is_success:
-                self.meter.record_run_time(job.order.route, seconds)
+                self._record_run(job, seconds, now)
             self._finish(
                 job,
                 Outcome(
@@ -517,10 +524,45 @@
         self.terms.record_answer(
             answer, report, sent_at=job.started_at, now=now
         )
+        self.capacity.record_answer(
+            answer,
+            self.names,
+            self.telemetry,
+            route=job.order.route,
+            now=now,
+        )
         is_leaving = says_it_leaves(answer, self.names)
         if is_leaving and self.reported_target.mark_leaving(report.target):
             self._stop_sending(report.target, LeaveSource.ANSWER)
 
+    def _record_run(self, job: GuardJob, seconds: float, now: float) -> None:
+        """Learn from the time of a run that succeeded."""
+        route = job.order.route
+        self.meter.record_run_time(
+            route, seconds, slowdown=self.capacity.slowdown.factor(now)
+        )
+        report = self.reported_target.report
+        if (
+            report is not None
+            and self.capacity.is_learning
+            and self._shows_capacity(job)
+        ):
+            self.capacity.record_run(
+                route, seconds, job.in_flight, slots=report.slots, now=now
+            )
+
+    def _shows_capacity(self, job: GuardJob) -> bool:
+        """Return whether a run's time shows what the target handles.
+
+        Runs of an earlier incarnation, runs that are spaced by a rate and runs
+        that wait for onward calls don't.
+        """
+        return (
+            job.started_at >= self.found_at
+            and not self.terms.pace.is_limited
+            and not self.attribution.calls_per_run(job.order.route)
+        )
+
     def _is_rejection(self, answer: 'TargetAnswer') -> bool:
         return (
             answer.header(self.names.not_run) is not None
--- a/packages/sidecar/src/boragetrestle_sidecar/guard_job.py
+++ b/packages/sidecar/src/boragetrestle_sidecar/guard_job.py
@@ -26,6 +26,7 @@
     """One run: its order, state and times on the guard's clock.
 
     ``goal_at`` is the response-time goal and ``expires_at`` the deadline.
+    ``in_flight`` counts the runs at the target, with this one, at its start.
     ``calls`` holds the onward calls that are attributed to this run.
     """
 
@@ -36,5 +37,6 @@
     goal_at: float
     state: JobState = JobState.WAITING
     started_at: float = 0.0
+    in_flight: int = 0
     connection: 'ServerConnection | None' = None
     calls: 'RunCalls | None' = None
--- a/packages/sidecar/src/boragetrestle_sidecar/path_settings.py
+++ b/packages/sidecar/src/boragetrestle_sidecar/path_settings.py
@@ -8,6 +8,8 @@
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
+from boragetrestle_sidecar.target_capacity import LearnsLimits
+
 if TYPE_CHECKING:
     from boragetrestle_kernel.address import Address
     from boragetrestle_kernel.ids import (
@@ -29,7 +31,8 @@
     organisation's rate that are tolerated. ``is_first_start`` tells that all
     nodes start together for the first time. ``regions`` maps each domain to its
     region. ``limits_cold_targets`` tells that targets may crash if they get too
-    many requests while they are cold. ``memory_bytes`` is the memory of the
+    many requests while they are cold. ``learns_limits`` tells for which targets
+    guards learn how many runs they handle at once. ``memory_bytes`` is the memory of the
     process, beyond which it is ended.
     """
 
@@ -52,4 +55,5 @@
     is_first_start: bool = False
     regions: 'Mapping[DomainName, RegionName]' = field(default_factory=dict)
     limits_cold_targets: bool = False
+    learns_limits: LearnsLimits = LearnsLimits.STATED
     memory_bytes: int = 200_000_000
--- a/packages/sidecar/src/boragetrestle_sidecar/run_meter.py
+++ b/packages/sidecar/src/boragetrestle_sidecar/run_meter.py
@@ -42,11 +42,6 @@
         in_row = 1.0 - CONSECUTIVE_FAILURE_BASE**self.consecutive_failures
         return max(self.mean_failing_share, in_row) * self._decay_factor(now)
 
-    @property
-    def known_run_seconds(self) -> float:
-        """The mean time of a run, 0 before the first has ended."""
-        return self.run_seconds if self.has_ended else 0.0
-
     def record_result(self, *, is_failure: bool, now: float) -> None:
         """Record whether a run failed at the target."""
         self.mean_failing_share *= self._decay_factor(now)
@@ -61,12 +56,25 @@
         age = max(0.0, now - self.last_result_at)
         return float(0.5 ** (age / FAILURE_HALF_LIFE_SECONDS))
 
-    def record_run_time(self, route: str, seconds: float) -> None:
-        """Record how many seconds a run held its slot."""
+    def record_run_time(
+        self,
+        route: str,
+        seconds: float,
+        *,
+        slowdown: float = 1.0,
+    ) -> None:
+        """Record how many seconds a run held its slot.
+
+        The mean over all routes is what runs take on a target without slowdown.
+        The times by route stay as measured, since the admission plan counts the
+        slots that they hold.
+        """
+        usual_seconds = seconds / slowdown
         if self.has_ended:
-            self.run_seconds += NEWEST_RUN_WEIGHT * (seconds - self.run_seconds)
+            change = usual_seconds - self.run_seconds
+            self.run_seconds += NEWEST_RUN_WEIGHT * change
         else:
-            self.run_seconds = seconds
+            self.run_seconds = usual_seconds
             self.has_ended = True
         known = self.run_seconds_by_route.get(route)
         if known is None:
--- a/packages/sidecar/src/boragetrestle_sidecar/sidecar.py
+++ b/packages/sidecar/src/boragetrestle_sidecar/sidecar.py
@@ -292,6 +292,11 @@
             'guard_running': lambda: self.guard.running,
             'guard_waiting': lambda: len(self.guard.queue),
             'guard_rate_limit': lambda: self.guard.terms.rate_limit_metric,
+            'guard_limit': lambda: self.guard.limit,
+            'guard_learned_limit': lambda: self.guard.capacity.learned_metric,
+            'guard_slowdown': lambda: self.guard.capacity.slowdown.factor(
+                self.guard.clock()
+            ),
             'guard_pace_limit': lambda: self.guard.terms.pace_metric,
             'request_body_bytes': lambda: self.entry.bodies.held_bytes,
             'evacuated_domains': lambda: len(self.fleet.evacuations.domains),
--- a/packages/sidecar/src/boragetrestle_sidecar/wire_names.py
+++ b/packages/sidecar/src/boragetrestle_sidecar/wire_names.py
@@ -9,6 +9,7 @@
 
     In ``rate_limit`` a target names the requests a second that it takes from
     all nodes together; ``leaving`` is ``1`` in the answers of one that leaves.
+    ``stated_load`` holds its runs, waiting runs, slots and perhaps its slowdown.
     ``key_scheme`` is no header but the scheme before a key in the
     authorization header.
     """
@@ -22,4 +23,5 @@
     rate_limit: bytes
     leaving: bytes
     caller_service: bytes
+    stated_load: bytes
     key_scheme: bytes
--- a/tests/path_builders.py
+++ b/tests/path_builders.py
@@ -27,6 +27,7 @@
 from boragetrestle_sidecar.route_policy import RoutePolicy, ServiceShare
 from boragetrestle_sidecar.run_order import RunOrder
 from boragetrestle_sidecar.server_connection import ServerConnection
+from boragetrestle_sidecar.target_capacity import LearnsLimits
 from boragetrestle_sidecar.target_report import TargetReport, TargetState
 from boragetrestle_sidecar.wire_names import WireNames
 
@@ -39,6 +40,7 @@
     not_run=b'not-run',
     rate_limit=b'rate-limit',
     leaving=b'leaving',
+    stated_load=b'load',
     caller_service=b'caller',
     key_scheme=b'bearer',
 )
@@ -149,7 +151,9 @@
     )
 
 
-def settings() -> PathSettings:
+def settings(
+    learns_limits: LearnsLimits = LearnsLimits.STATED,
+) -> PathSettings:
     """Return settings whose addresses are not used."""
     nowhere = Address('127.0.0.1', 1)
     return PathSettings(
@@ -163,6 +167,7 @@
         metrics=nowhere,
         target=TARGET_ADDRESS,
         store=nowhere,
+        learns_limits=learns_limits,
     )
 
 
@@ -217,10 +222,18 @@
 class GuardHarness:
     """A guard with open connections to a target simulated by tests."""
 
-    def __init__(self, *, slots: int = 2, connections: int = 8) -> None:
+    def __init__(
+        self,
+        *,
+        slots: int = 2,
+        connections: int = 8,
+        learns_limits: LearnsLimits = LearnsLimits.STATED,
+    ) -> None:
         self.clock = ManualClock()
         self.log = LineLog(self.clock)
-        self.guard = Guard(settings(), NAMES, self.log, clock=self.clock)
+        self.guard = Guard(
+            settings(learns_limits), NAMES, self.log, clock=self.clock
+        )
         self.guard.handle_heartbeat(report(slots=slots))
         self.outcomes: dict[str, Outcome] = {}
         self.transports: list[Any] = []
