Explain at a node where a request would go

Cause: operators could see where a request went only after it was sent, from the log line "placed".

The candidates and their expected costs are factored out of choose_guard, the guards with old loads out of GuardProbe, the reason for refusal without a guard out of the entry. ServiceSplit.peek tells the next service without taking its turn.

Ruled out: a dry run through the entry, which would take tokens and count; costs computed a second time, which could differ from those of placement. The random choices of the entry are not predicted, the answer says that they exist.

--- a/packages/sidecar/src/boragetrestle_sidecar/endpoint_server.py
+++ b/packages/sidecar/src/boragetrestle_sidecar/endpoint_server.py
@@ -1,6 +1,7 @@
 """A minimal HTTP server for a node's own endpoints.
 
-These are readiness, the heartbeats of its target and metrics.
+These are readiness, the heartbeats of its target, metrics and explanations of
+routes.
 """
 
 import asyncio
--- a/packages/sidecar/src/boragetrestle_sidecar/entry.py
+++ b/packages/sidecar/src/boragetrestle_sidecar/entry.py
@@ -24,6 +24,7 @@
 from boragetrestle_sidecar.region_policy import (
     allowed_regions,
     guards_in_regions,
+    reason_without_guard,
 )
 from boragetrestle_sidecar.run_order import RunOrder
 from boragetrestle_sidecar.service_split import ServiceSplit
@@ -291,11 +292,9 @@
         self._send_to_guard(request, guard, now)
 
     def _reason_without_guard(self, request: EntryRequest) -> Reason:
-        if self.fleet.guards_of(request.service) and not self._guards_for(
-            request
-        ):
-            return Reason.REGION
-        return Reason.NO_TARGET
+        return reason_without_guard(
+            self.fleet.guards_of(request.service), self._guards_for(request)
+        )
 
     def _send_to_guard(
         self,
--- a/packages/sidecar/src/boragetrestle_sidecar/fleet.py
+++ b/packages/sidecar/src/boragetrestle_sidecar/fleet.py
@@ -114,14 +114,21 @@
 
         Those of evacuated domains are left out.
         """
-        if self.local_guard is not None:
-            self._update_local_view(self.local_guard, service)
-        views = self.views_by_service.get(service, ())
+        views = self.linked_guards_of(service)
         evacuated = self.evacuations.domains
         if evacuated:
             return [view for view in views if view.domain not in evacuated]
         return views
 
+    def linked_guards_of(self, service: str) -> Sequence[GuardView]:
+        """Return all linked guards of a service's targets.
+
+        Those of evacuated domains are among them; nothing may be sent to them.
+        """
+        if self.local_guard is not None:
+            self._update_local_view(self.local_guard, service)
+        return self.views_by_service.get(service, ())
+
     def update_load(self, load: 'NodeLoad') -> None:
         """Update the view of a guard from what its node sent."""
         view = self.views.get(load.address)
--- a/packages/sidecar/src/boragetrestle_sidecar/guard_probe.py
+++ b/packages/sidecar/src/boragetrestle_sidecar/guard_probe.py
@@ -41,6 +41,19 @@
 
         None are returned if enough is known.
         """
+        stale = self.stale_guards(guards)
+        if not stale:
+            return []
+        return self.chance.sample(stale, min(PROBED_GUARDS, len(stale)))
+
+    def stale_guards(
+        self,
+        guards: 'Sequence[GuardView]',
+    ) -> 'list[GuardView]':
+        """Return the guards whose load is too old for a choice between them.
+
+        None are returned if the loads of enough others are known.
+        """
         oldest = self.clock() - FRESH_SECONDS
         stale = [
             guard
@@ -51,7 +64,7 @@
         missing = MIN_FRESH_GUARDS - fresh
         if not stale or missing <= 0 or len(guards) < 2:
             return []
-        return self.chance.sample(stale, min(PROBED_GUARDS, len(stale)))
+        return stale
 
     def refresh_one(self, guards: 'Sequence[GuardView]') -> None:
         """Ask one guard that was not heard lately, without waiting.
--- a/packages/sidecar/src/boragetrestle_sidecar/node_endpoints.py
+++ b/packages/sidecar/src/boragetrestle_sidecar/node_endpoints.py
@@ -1,4 +1,4 @@
-"""A node's own endpoints: readiness, reports of its target, metrics."""
+"""A node's own endpoints: readiness, target reports, metrics, routes."""
 
 from collections.abc import Callable
 from http import HTTPStatus
@@ -7,12 +7,14 @@
 from boragetrestle_kernel.errors import WireError
 from boragetrestle_sidecar.endpoint_server import EndpointAnswer
 from boragetrestle_sidecar.platform_adapter import TargetLeave
+from boragetrestle_sidecar.route_query import ROUTE_PATH
 
 if TYPE_CHECKING:
     from boragetrestle_sidecar.caller_request import CallerRequest
     from boragetrestle_sidecar.decision_log import DecisionLog
     from boragetrestle_sidecar.guard import Guard
     from boragetrestle_sidecar.platform_adapter import PlatformAdapter
+    from boragetrestle_sidecar.route_query import RouteQueries
     from boragetrestle_sidecar.telemetry import Telemetry
 
 _METRICS_CONTENT_TYPE = b'text/plain; version=0.0.4'
@@ -32,6 +34,7 @@
         telemetry: 'Telemetry',
         log: 'DecisionLog',
         *,
+        routes: 'RouteQueries',
         is_ready: Callable[[], bool],
         on_guard_changed: Callable[[], None],
     ) -> None:
@@ -39,6 +42,7 @@
         self.guard = guard
         self.telemetry = telemetry
         self.log = log
+        self.routes = routes
         self.is_ready = is_ready
         self.on_guard_changed = on_guard_changed
 
@@ -69,7 +73,12 @@
             self.on_guard_changed()
         return EndpointAnswer(HTTPStatus.OK, b'{}')
 
-    def metrics(self, _request: 'CallerRequest') -> EndpointAnswer:
-        """Return all metrics in the text format of OpenTelemetry."""
+    def metrics(self, request: 'CallerRequest') -> EndpointAnswer:
+        """Return all metrics in the text format of OpenTelemetry.
+
+        ``GET /route`` is answered with the explanation of a route instead.
+        """
+        if request.path == ROUTE_PATH and request.method == b'GET':
+            return self.routes.answer(request)
         text = self.telemetry.render().encode()
         return EndpointAnswer(HTTPStatus.OK, text, _METRICS_CONTENT_TYPE)
--- a/packages/sidecar/src/boragetrestle_sidecar/placement.py
+++ b/packages/sidecar/src/boragetrestle_sidecar/placement.py
@@ -8,7 +8,6 @@
 domains costs time and bytes.
 """
 
-import math
 import random
 from collections.abc import Callable, Sequence
 from dataclasses import dataclass, field
@@ -83,13 +82,9 @@
     whether a guard responds, and ``chance`` is a random number generator.
     Guards that are not responsive are chosen only if there are no others.
     """
-    open_guards = [
-        guard
-        for guard in guards
-        if guard.is_open and guard.address not in avoided
-    ]
-    responsive = [guard for guard in open_guards if is_responsive(guard)]
-    candidates = responsive or open_guards
+    candidates = find_candidates(
+        guards, avoided=avoided, is_responsive=is_responsive
+    )
     if not candidates:
         return None
     if chance.random() < EXPLORATION_SHARE:
@@ -98,23 +93,43 @@
             return explored
     if len(candidates) > MAX_COMPARED_GUARDS:
         candidates = chance.sample(candidates, MAX_COMPARED_GUARDS)
-    return _earliest_to_finish(candidates, domain)
+    costs = expected_costs(candidates, domain=domain)
+    return candidates[costs.index(min(costs))]
 
 
-def _earliest_to_finish(guards: Sequence[GuardView], domain: str) -> GuardView:
+def find_candidates(
+    guards: Sequence[GuardView],
+    *,
+    avoided: Sequence[str],
+    is_responsive: Callable[[GuardView], bool],
+) -> list[GuardView]:
+    """Return the open guards that respond, or all open ones if none does."""
+    open_guards = [
+        guard
+        for guard in guards
+        if guard.is_open and guard.address not in avoided
+    ]
+    responsive = [guard for guard in open_guards if is_responsive(guard)]
+    return responsive or open_guards
+
+
+def expected_costs(guards: Sequence[GuardView], *, domain: str) -> list[float]:
+    """Return for each guard the seconds by which guards are compared.
+
+    These are the seconds until a run that is sent now has ended, with the
+    penalties for failures and for another domain than ``domain``. Guards
+    without completed runs are judged by the others, so that the seconds depend
+    on the guards that are compared.
+    """
     known = [guard.run_seconds for guard in guards if guard.run_seconds]
     assumed = min(known, default=ASSUMED_RUN_SECONDS) * UNKNOWN_RUN_TIME_SHARE
     failure = FAILURE_PENALTY_SECONDS + FAILURE_PENALTY_RUNS * max(
         known, default=0.0
     )
-    best = guards[0]
-    least = math.inf
+    costs = []
     for guard in guards:
         cost = guard.expected_seconds(guard.run_seconds or assumed)
         if guard.domain != domain:
             cost += CROSS_DOMAIN_PENALTY_SECONDS
-        cost += guard.failing_share * failure
-        if cost < least:
-            best = guard
-            least = cost
-    return best
+        costs.append(cost + guard.failing_share * failure)
+    return costs
--- a/packages/sidecar/src/boragetrestle_sidecar/region_policy.py
+++ b/packages/sidecar/src/boragetrestle_sidecar/region_policy.py
@@ -7,6 +7,8 @@
 from collections.abc import Mapping, Sequence
 from typing import TYPE_CHECKING
 
+from boragetrestle_sidecar.outcome import Reason
+
 if TYPE_CHECKING:
     from boragetrestle_kernel.ids import DomainName, RegionName
     from boragetrestle_sidecar.organisation_policy import OrganisationPolicy
@@ -46,3 +48,14 @@
         for guard in guards
         if regions.get(guard.domain) in allowed  # type: ignore[call-overload]
     ]
+
+
+def reason_without_guard(
+    guards: 'Sequence[GuardView]',
+    allowed: 'Sequence[GuardView]',
+) -> Reason:
+    """Return why no guard can be chosen.
+
+    ``allowed`` are those of ``guards`` that lie in an allowed region.
+    """
+    return Reason.REGION if guards and not allowed else Reason.NO_TARGET
--- a/packages/sidecar/src/boragetrestle_sidecar/service_split.py
+++ b/packages/sidecar/src/boragetrestle_sidecar/service_split.py
@@ -38,6 +38,30 @@
             self.credits[route.name, weights] = credit
         for index, weight in enumerate(weights):
             credit[index] += weight / total
-        chosen = max(range(len(credit)), key=credit.__getitem__)
+        chosen = _greatest(credit)
         credit[chosen] -= 1.0
         return shares[chosen].service
+
+    def peek(self, route: 'RoutePolicy') -> 'ServiceName | None':
+        """Return what ``choose`` would return, without any effect on it.
+
+        ``None`` if that is left to chance: the first choice for a route with
+        several services.
+        """
+        shares = route.shares
+        if len(shares) == 1:
+            return shares[0].service
+        weights = tuple(share.weight for share in shares)
+        credit = self.credits.get((route.name, weights))
+        if credit is None:
+            return None
+        total = sum(weights) or 1.0
+        added = [
+            known + weight / total
+            for known, weight in zip(credit, weights, strict=True)
+        ]
+        return shares[_greatest(added)].service
+
+
+def _greatest(credit: list[float]) -> int:
+    return max(range(len(credit)), key=credit.__getitem__)
--- a/packages/sidecar/src/boragetrestle_sidecar/sidecar.py
+++ b/packages/sidecar/src/boragetrestle_sidecar/sidecar.py
@@ -32,6 +32,8 @@
 from boragetrestle_sidecar.rate_gate import RateGate
 from boragetrestle_sidecar.rate_shares import RateShares
 from boragetrestle_sidecar.retry_budget import RetryBudget
+from boragetrestle_sidecar.route_explanation import RouteExplainer
+from boragetrestle_sidecar.route_query import RouteQueries
 from boragetrestle_sidecar.status_reporter import StatusReporter
 from boragetrestle_sidecar.steady_clock import steady_now
 from boragetrestle_sidecar.store_sync import StoreSync
@@ -310,6 +312,7 @@
             self.guard,
             self.telemetry,
             self.log,
+            routes=RouteQueries(RouteExplainer(self.entry)),
             is_ready=lambda: self.is_ready,
             on_guard_changed=self.reporter.send,
         )
