Add the command boragetrestle route

Cause: the answer of a node's GET /route is JSON for programs.

Ruled out: NodeAdmin, which needs the settings and has no time limit.

--- a/packages/operate/src/boragetrestle/main.py
+++ b/packages/operate/src/boragetrestle/main.py
@@ -16,6 +16,7 @@
     'command_key',
     'command_secret',
     'command_fleet',
+    'command_route',
     'command_timeline',
     'command_trial',
 )
