--- a/packages/operate/src/boragetrestle/command_route.py
+++ b/packages/operate/src/boragetrestle/command_route.py
@@ -79,7 +79,7 @@
     weights = (
         f'{service} {weight:g}' for service, weight in found.services.items()
     )
-    return (
+    return [
         ('route', f'{found.route} of version {found.version}'),
         ('services by weight', ', '.join(weights)),
         ('may be repeated', _yes_or_no(is_true=found.may_repeat)),
@@ -89,14 +89,14 @@
         ('admission share', _share_label(found.admission_share)),
         ('choice', found.choice or f'none, refused: {found.refusal}'),
         ('next best', found.next_best or 'none'),
-    )
+    ]
 
 
-def _row(guard: GuardAnswer) -> tuple[str, ...]:
+def _row(guard: GuardAnswer) -> list[str]:
     """Return the cells; runs not yet reported by the guard follow a plus."""
     unconfirmed = f'+{guard.unconfirmed}' if guard.unconfirmed else ''
     expected = guard.expected_seconds
-    return (
+    return [
         guard.address,
         guard.domain,
         _yes_or_no(is_true=guard.is_open),
@@ -106,7 +106,7 @@
         '' if expected is None else f'{expected:.3f}',
         f'{guard.load_age:.2f}',
         ', '.join(guard.ruled_out),
-    )
+    ]
 
 
 def _yes_or_no(*, is_true: bool) -> str:
