--- a/packages/sidecar/src/boragetrestle_sidecar/guard_probe.py
+++ b/packages/sidecar/src/boragetrestle_sidecar/guard_probe.py
@@ -41,6 +41,19 @@
 
         None are returned if enough is known.
         """
+        stale = self.stale_guards(guards)
+        if not stale:
+            return []
+        return self.chance.sample(stale, min(PROBED_GUARDS, len(stale)))
+
+    def stale_guards(
+        self,
+        guards: 'Sequence[GuardView]',
+    ) -> 'list[GuardView]':
+        """Return the guards whose load is too old for a choice between them.
+
+        None are returned if the loads of enough others are known.
+        """
         oldest = self.clock() - FRESH_SECONDS
         stale = []
         fresh = 0
@@ -53,7 +66,7 @@
                 stale.append(guard)
         if not stale or fresh >= MIN_FRESH_GUARDS or len(guards) < 2:
             return []
-        return self.chance.sample(stale, min(PROBED_GUARDS, len(stale)))
+        return stale
 
     def refresh_one(self, guards: 'Sequence[GuardView]') -> None:
         """Ask one guard that was not heard lately, without waiting.
