--- a/packages/bench/src/boragetrestle_bench/pass_cost_bench.py
+++ b/packages/bench/src/boragetrestle_bench/pass_cost_bench.py
@@ -70,6 +70,7 @@
     organisation=b'organisation',
     expected_target=b'target',
     not_run=b'not-run',
+    stated_load=b'load',
     rate_limit=b'rate-limit',
     leaving=b'leaving',
     caller_service=b'caller',
