Answer requests that a target's limit refuses

Cause: the reason target-limit had no refusal, so building the answer raised in the middle of the frames of a link. The link was dropped with all its runs, the caller got no answer, and on a connection with pipelined requests the next answer came in its place.

Change: the reason is answered 503, not run. An answer that cannot be built aborts its connection, so that no other takes its place.

Ruled out: popping the answer only after it was written; the connection would hang. Both tests failed before.

--- a/packages/sidecar/src/boragetrestle_sidecar/caller_connection.py
+++ b/packages/sidecar/src/boragetrestle_sidecar/caller_connection.py
@@ -173,9 +173,7 @@
                     answer.request = request
         except Exception:
             # The answer would never come and hold back those behind it.
-            self.is_closing = True
-            if self.transport is not None:
-                self.transport.abort()
+            self._abort()
             raise
         finally:
             self.is_starting = False
@@ -206,8 +204,7 @@
             keeps_open = answer.sent.keeps_open and not (
                 self.entry.is_stopping and not self.pending
             )
-            assert answer.render is not None
-            self._write(answer.render(keeps_open))
+            self._write_answer(answer, keeps_open=keeps_open)
             self.last_used_at = steady_now()
             if not keeps_open:
                 self.close()
@@ -217,6 +214,25 @@
             return  # a refusal: the requests behind it are being started
         self._go_on()
 
+    def _write_answer(
+        self,
+        answer: PendingAnswer,
+        *,
+        keeps_open: bool,
+    ) -> None:
+        assert answer.render is not None
+        try:
+            self._write(answer.render(keeps_open))
+        except Exception:
+            # Later answers would be taken for the one that is missing.
+            self._abort()
+            raise
+
+    def _abort(self) -> None:
+        self.is_closing = True
+        if self.transport is not None:
+            self.transport.abort()
+
     def _go_on(self) -> None:
         """Start requests that waited, and read on."""
         if self.reader.ready:
--- a/packages/sidecar/src/boragetrestle_sidecar/refusal_answer.py
+++ b/packages/sidecar/src/boragetrestle_sidecar/refusal_answer.py
@@ -31,6 +31,7 @@
     Reason.EVACUATED: _TRY_LATER,
     Reason.REGION: _TRY_LATER,
     Reason.UNREACHABLE: _TRY_LATER,
+    Reason.TARGET_LIMIT: _TRY_LATER,
     Reason.TARGET_REJECTED: _TRY_LATER,
     Reason.CALLER_GONE: _TRY_LATER,
     Reason.STOPPING: _TRY_LATER,
--- a/tests/test_path_pipelining_faults.py
+++ b/tests/test_path_pipelining_faults.py
@@ -9,6 +9,8 @@
 
 from boragetrestle_sidecar.body_budget import BodyBudget
 from boragetrestle_sidecar.caller_limits import CallerLimits
+from boragetrestle_sidecar.outcome import Reason
+from boragetrestle_sidecar.refusal_answer import refusal_bytes
 
 LIMIT = 1000
 PART = b'x' * 500
@@ -122,3 +124,22 @@
         bench.sent()[0].answer()
     assert transport.is_closed
     assert not connection.is_starting
+
+
+@pytest.mark.parametrize('reason', [each for each in Reason if each.value])
+def test_every_reason_has_a_refusal(reason: Reason) -> None:
+    """One without would leave its caller without an answer."""
+    assert refusal_bytes(reason).startswith(b'HTTP/1.1 ')
+
+
+def test_answer_that_cannot_be_built_shifts_no_other() -> None:
+    """The connection is aborted rather than answers moved up a place."""
+    bench = EntryHarness(route())
+    connection, transport = bench.connect()
+    connection.data_received(request_bytes('a') + request_bytes('b'))
+    broken: Any = 'no reason'
+    with pytest.raises(KeyError):
+        connection.pending[0].write_refusal(broken)
+    bench.sent_for('b')[0].answer(body=b'body-b')
+    assert transport.is_closed
+    assert not transport.written
