Soak: count a node as out of touch during the whole outage of an evacuation

Cause: an outage of the store noted a disturbance at its beginning and end only.

Change: a disturbance is noted every half second of the outage; the bound stays.

--- a/tests/soak_run.py
+++ b/tests/soak_run.py
@@ -41,6 +41,7 @@
 MOST_AHEAD = 5
 EVACUATED_SECONDS = (4.0, 9.0)  # most are longer than nodes may take
 ASKED_AGAIN_SECONDS = (0.1, 1.0)
+OUTAGE_NOTE_SECONDS = 0.5
 KNOWN_SECONDS = 2.5  # all nodes that reach the store know a request by then
 _ENDLESS_BYTES = 2_000_000  # nodes close the connection long before
 ENDLESS = (
@@ -388,12 +389,24 @@
     seconds: float,
     outages: list[float],
 ) -> None:
-    """Let the store refuse all calls; note the disturbances."""
-    for is_refusing in (True, False):
-        outages.append(time.monotonic())
-        soak.witness.store_disturbed.append(outages[-1])
-        soak.store.is_refusing = is_refusing
-        await asyncio.sleep(seconds if is_refusing else 0)
+    """Let the store refuse all calls; note the disturbances.
+
+    One is noted every ``OUTAGE_NOTE_SECONDS``: a node that has not reached the
+    store for longer than it takes to settle is not in touch either.
+    """
+    ends_at = time.monotonic() + seconds
+    soak.store.is_refusing = True
+    while time.monotonic() < ends_at:
+        _note_outage(soak, outages)
+        left = ends_at - time.monotonic()
+        await asyncio.sleep(max(0.0, min(OUTAGE_NOTE_SECONDS, left)))
+    _note_outage(soak, outages)
+    soak.store.is_refusing = False
+
+
+def _note_outage(soak: Soak, outages: list[float]) -> None:
+    outages.append(time.monotonic())
+    soak.witness.store_disturbed.append(outages[-1])
 
 
 @fault
