Measure idle connections on the guard's clock

Cause: ServerConnection stamped idle_since with the steady clock of the process, while its pool compares it with the clock of the guard. In service both are the same. In tests the guard's clock is a manual one that starts at 1000 s, so on a machine that has been up for less than that, each idle connection looked hundreds of seconds old: 14 tests of test_path_learned_limits.py failed on the untouched at an uptime of 665 s and passed at higher ones.

Ruled out: the changes beside it; they failed on alone.

Change: the clock is passed to the pool and its connections.

Test: test_idle_connection_is_used_again at both ends of the scale; one of its cases fails without the change.

--- a/packages/sidecar/src/boragetrestle_sidecar/guard.py
+++ b/packages/sidecar/src/boragetrestle_sidecar/guard.py
@@ -87,7 +87,9 @@
             settings.target,
             heartbeat=settings.heartbeat_seconds,
         )
-        self.pool = TargetPool(settings.target, id_header=names.request_id)
+        self.pool = TargetPool(
+            settings.target, id_header=names.request_id, clock=clock
+        )
         self.queue = GuardQueue()
         self.meter = RunMeter()
         self.terms = StatedTerms(names, log)
--- a/packages/sidecar/src/boragetrestle_sidecar/server_connection.py
+++ b/packages/sidecar/src/boragetrestle_sidecar/server_connection.py
@@ -1,6 +1,7 @@
 """A keep-alive connection to an HTTP server, one exchange at a time."""
 
 import asyncio
+from collections.abc import Callable
 from enum import Enum
 from typing import TYPE_CHECKING, Protocol, cast
 
@@ -49,7 +50,9 @@
         *,
         id_header: bytes = b'',
         buffers: AnswerBuffers | None = None,
+        clock: Callable[[], float] = steady_now,
     ) -> None:
+        self.clock = clock
         self.id_header = id_header
         self.buffers = buffers or AnswerBuffers()
         self.error: HttpError | None = None
@@ -59,7 +62,7 @@
         self.matching_answer: TargetAnswer | None = None
         self.transport: asyncio.Transport | None = None
         self.idle_seconds = _DEFAULT_IDLE_SECONDS
-        self.idle_since = steady_now()
+        self.idle_since = self.clock()
         self.is_usable = False
         self.served = 0
 
@@ -145,7 +148,7 @@
         self.matching_answer = None
         self.listener = None
         self.served += 1
-        self.idle_since = steady_now()
+        self.idle_since = self.clock()
         self._update_reuse(answer)
         if not self.is_usable:
             self.close()
--- a/packages/sidecar/src/boragetrestle_sidecar/target_pool.py
+++ b/packages/sidecar/src/boragetrestle_sidecar/target_pool.py
@@ -1,11 +1,13 @@
 """Pool the connections from a guard to its target."""
 
 import asyncio
+from collections.abc import Callable
 from typing import TYPE_CHECKING
 
 from boragetrestle_sidecar.answer_buffers import AnswerBuffers
 from boragetrestle_sidecar.link_socket import set_keepalive
 from boragetrestle_sidecar.server_connection import ServerConnection
+from boragetrestle_sidecar.steady_clock import steady_now
 
 if TYPE_CHECKING:
     from boragetrestle_kernel.address import Address
@@ -20,7 +22,14 @@
 class TargetPool:
     """Idle connections, the most recently used first."""
 
-    def __init__(self, address: 'Address', *, id_header: bytes) -> None:
+    def __init__(
+        self,
+        address: 'Address',
+        *,
+        id_header: bytes,
+        clock: Callable[[], float] = steady_now,
+    ) -> None:
+        self.clock = clock
         self.address = address
         self.id_header = id_header
         self.idle: list[ServerConnection] = []
@@ -75,4 +84,5 @@
         return ServerConnection(
             id_header=self.id_header,
             buffers=self.buffers,
+            clock=self.clock,
         )
--- a/tests/path_builders.py
+++ b/tests/path_builders.py
@@ -27,6 +27,7 @@
 from boragetrestle_sidecar.route_policy import RoutePolicy, ServiceShare
 from boragetrestle_sidecar.run_order import RunOrder
 from boragetrestle_sidecar.server_connection import ServerConnection
+from boragetrestle_sidecar.steady_clock import steady_now
 from boragetrestle_sidecar.target_capacity import LearnsLimits
 from boragetrestle_sidecar.target_report import TargetReport, TargetState
 from boragetrestle_sidecar.wire_names import WireNames
@@ -129,9 +130,12 @@
 
 def open_connection(
     buffers: AnswerBuffers | None = None,
+    clock: Callable[[], float] = steady_now,
 ) -> tuple[ServerConnection, Any]:
     """Return an open connection and its transport."""
-    connection = ServerConnection(id_header=NAMES.request_id, buffers=buffers)
+    connection = ServerConnection(
+        id_header=NAMES.request_id, buffers=buffers, clock=clock
+    )
     transport: Any = FakeTransport()
     connection.connection_made(transport)
     return connection, transport
@@ -248,7 +252,9 @@
     def connect(self, connections: int) -> None:
         """Add open connections to the target."""
         for _ in range(connections):
-            connection, transport = open_connection(self.guard.pool.buffers)
+            connection, transport = open_connection(
+                self.guard.pool.buffers, self.clock
+            )
             connection.idle_since = self.clock.now
             connection.idle_seconds = LONG
             self.guard.pool.idle.append(connection)
--- a/tests/test_path_guard.py
+++ b/tests/test_path_guard.py
@@ -29,6 +29,20 @@
     assert b'target: t-1\r\n' in bench.sent()
 
 
+@pytest.mark.parametrize('now', [0.0, 1e9])
+def test_idle_connection_is_used_again(now: float) -> None:
+    """The machine may have been up for a second, or for years."""
+    bench = GuardHarness(connections=0)
+    bench.clock.now = now
+    bench.guard.handle_heartbeat(report(sequence=2))
+    bench.connect(1)
+    for number in range(3):
+        job = bench.submit(run_order(f'r-{number}'))
+        bench.clock.now += 0.1
+        bench.answer(job)
+    assert len(bench.outcomes) == 3
+
+
 def test_target_never_holds_more_than_its_slots() -> None:
     """Runs beyond the slots wait, and one starts after each answer."""
     bench = GuardHarness(slots=2)
