Count runs that time out as slow runs of their target

Cause: a run time was recorded only for runs that succeeded. A target at a twelfth of its speed ends none within the routes' limit of 1 s, so its guard went on naming the quick time of before and entries went on choosing it.

Ruled out: a shortage of slots at that service; its warm targets have several times what the demand needs.

--- a/packages/sidecar/src/boragetrestle_sidecar/guard.py
+++ b/packages/sidecar/src/boragetrestle_sidecar/guard.py
@@ -3,6 +3,7 @@
 import asyncio
 import math
 from collections.abc import Callable, Mapping
+from http import HTTPStatus
 from typing import TYPE_CHECKING
 
 from boragetrestle_kernel.errors import WireError
@@ -332,6 +333,7 @@
         for job in list(self.jobs):
             is_overdue = now > job.expires_at + EXPIRY_GRACE_SECONDS
             if is_overdue and job.state is JobState.RUNNING:
+                self._record_timeout(job, now)
                 self._abort_run(job, Reason.TIME_LIMIT)
         self.terms.update_pace(now)
         self._dispatch()
@@ -513,6 +515,8 @@
         else:
             if answer.is_success:
                 self._record_run(job, seconds, now)
+            elif answer.status == HTTPStatus.GATEWAY_TIMEOUT:
+                self._record_timeout(job, now)
             self._finish(
                 job,
                 Outcome(
@@ -588,6 +592,12 @@
                 route, seconds, job.in_flight, slots=report.slots, now=now
             )
 
+    def _record_timeout(self, job: GuardJob, now: float) -> None:
+        """Learn from a run that did not end within its time."""
+        self.meter.record_timeout(
+            now - job.started_at, slowdown=self.capacity.slowdown.factor(now)
+        )
+
     def _shows_capacity(self, job: GuardJob) -> bool:
         """Return whether a run's time shows what the target handles.
 
--- a/packages/sidecar/src/boragetrestle_sidecar/run_meter.py
+++ b/packages/sidecar/src/boragetrestle_sidecar/run_meter.py
@@ -8,6 +8,8 @@
 # n of them, at least 1 - CONSECUTIVE_FAILURE_BASE**n of its runs count as
 # expected to fail.
 CONSECUTIVE_FAILURE_BASE = 0.7
+# Runs that time out hold their slots for the whole time limit, so few end.
+TIMED_OUT_RUN_WEIGHT = 0.2
 ASSUMED_RUN_SECONDS = 0.05  # until the first run has ended
 
 
@@ -83,3 +85,20 @@
             self.run_seconds_by_route[route] = known + NEWEST_RUN_WEIGHT * (
                 seconds - known
             )
+
+    def record_timeout(self, seconds: float, *, slowdown: float = 1.0) -> None:
+        """Record that a run had not ended after this many seconds.
+
+        It takes at least that long. Without this, a target that has become too
+        slow to end any run in time would keep its earlier, quick run time.
+
+        >>> meter = RunMeter()
+        >>> meter.record_run_time('walks', 0.2)
+        >>> meter.record_timeout(1.2)
+        >>> meter.record_timeout(0.1)
+        >>> round(meter.run_seconds, 2)
+        0.4
+        """
+        change = seconds / slowdown - self.run_seconds
+        if change > 0:
+            self.run_seconds += TIMED_OUT_RUN_WEIGHT * change
