Let refused callers return within their own time

Cause: Admission named a Retry-After of at most a third of the time until the request expires at the entry, which is the route's limit of 1 s on the shifted deployment, although its callers stay for 5 s and honour up to a third of that. After a loss of power, with targets cold for 3 s, they were sent away for 0.1 to 0.33 s, came back into the cold and were lost: a caller comes back once.

Change: the caller's own time is kept beside the route's limit, and the Retry-After is computed from it; its upper limit of 1.2 s stays.

--- a/packages/sidecar/src/boragetrestle_sidecar/admission.py
+++ b/packages/sidecar/src/boragetrestle_sidecar/admission.py
@@ -81,7 +81,7 @@
         admitted = self.admitted_rates.get(route.name)
         if admitted is None or admitted.take_token(self.clock()):
             return 0.0
-        return self.retry_after(request.expires_at - request.arrived_at)
+        return self.retry_after(request.caller_expires_at - self.clock())
 
     def return_token(self, request: 'EntryRequest') -> None:
         """Return the token of an admitted request that won't be sent."""
--- a/packages/sidecar/src/boragetrestle_sidecar/entry.py
+++ b/packages/sidecar/src/boragetrestle_sidecar/entry.py
@@ -208,6 +208,7 @@
             expires_at=now
             + min(left - ANSWER_RETURN_SECONDS, route.time_limit),
             goal_at=now + route.goal,
+            caller_expires_at=now + left,
         )
         self.requests.add(started)
         self.parts.retry_budget.record_request(started.service)
--- a/packages/sidecar/src/boragetrestle_sidecar/entry_request.py
+++ b/packages/sidecar/src/boragetrestle_sidecar/entry_request.py
@@ -17,8 +17,8 @@
 class EntryRequest:
     """One request, with the decisions and attempts made so far.
 
-    ``expires_at`` is when the caller's time or the route's limit is up, and
-    ``goal_at`` when the route's response time goal has passed. ``placements``
+    ``caller_expires_at`` is when the caller's time is up, ``expires_at`` when
+    that or the route's limit is up, and ``goal_at`` when the route's response time goal has passed. ``placements``
     counts the guards that were asked. ``avoided_guards`` are the addresses of
     guards that a retry doesn't go to. ``run_token`` identifies the run at
     ``hop``, the connection to the guard that was asked last.
@@ -36,6 +36,7 @@
     arrived_at: float
     expires_at: float
     goal_at: float
+    caller_expires_at: float
     head: bytes = b''
     attempts: int = 0
     placements: int = 0
