Plan with the slots of cold targets before they are back

Cause: the total of the fleet's loads counts a cold target with what it takes now.

Change: guards report the slots that return and when (ReturningSlots); sums of them are counted down on their way along the tree. Entries plan again at that moment without waiting for a report. While a service lacks most of its slots, refused callers are told when it has them again: those that can still meet their goal first, the others spread over the time after it (caller_return.py). The time is true also where it is longer than callers wait.

Targets without a limit while cold report nothing new.

--- a/packages/sidecar/src/boragetrestle_sidecar/admission.py
+++ b/packages/sidecar/src/boragetrestle_sidecar/admission.py
@@ -13,6 +13,11 @@
 from boragetrestle_sidecar.admission_plan import RouteDemand, plan_admission
 from boragetrestle_sidecar.admitted_rate import AdmittedRate
 from boragetrestle_sidecar.call_graph import CallGraph
+from boragetrestle_sidecar.caller_return import (
+    CallerTime,
+    return_to_capacity,
+    return_to_usual_swings,
+)
 from boragetrestle_sidecar.fleet_load import FleetLoad
 from boragetrestle_sidecar.steady_clock import steady_now
 
@@ -31,11 +36,6 @@
 # Part of a route's rate that is divided evenly among the entries, as callers
 # move between them; the rest is divided by the arrivals at each entry.
 EVEN_ARRIVALS_SHARE = 0.2
-# Refused callers are asked to wait at most this share of their remaining time.
-MAX_RETRY_AFTER_SHARE = 0.33
-MIN_RETRY_AFTER_SPREAD = 0.3  # of the longest wait; avoids simultaneous retries
-MIN_RETRY_AFTER_SECONDS = 0.05  # a few times the mean run time
-MAX_RETRY_AFTER_SECONDS = 1.2  # a few times as long as usual demand swings
 
 
 class Admission:
@@ -59,6 +59,10 @@
         self.admitted_rates: dict[str, AdmittedRate] = {}
         self.call_graph = CallGraph(())
         self.admitted_shares: dict[str, float] = {}
+        self.total = FleetLoad()
+        self.planned_at = -math.inf
+        # When services that lack most of their slots have them again.
+        self.capacity_back_at: dict[ServiceName, float] = {}
 
     def configure(self, configuration: 'Configuration') -> None:
         """Use the routes of a new configuration, keeping measured costs."""
@@ -81,7 +85,7 @@
         admitted = self.admitted_rates.get(route.name)
         if admitted is None or admitted.take_token(self.clock()):
             return 0.0
-        return self.retry_after(request.caller_expires_at - self.clock())
+        return self.retry_after(request)
 
     def return_token(self, request: 'EntryRequest') -> None:
         """Return the token of an admitted request that won't be sent."""
@@ -89,14 +93,34 @@
         if admitted is not None:
             admitted.return_token()
 
-    def retry_after(self, left: float) -> float:
-        """Return the seconds until a retry, spread at random.
+    def retry_after(self, request: 'EntryRequest') -> float:
+        """Return the seconds until a refused caller should return."""
+        now = self.clock()
+        caller = CallerTime(
+            request.caller_expires_at - now, request.goal_at - now
+        )
+        expected_in = self.seconds_until_capacity(request)
+        if expected_in:
+            return return_to_capacity(caller, expected_in, self.chance)
+        return return_to_usual_swings(caller, self.chance)
+
+    def seconds_until_capacity(self, request: 'EntryRequest') -> float:
+        """Return when all services that a request needs have their slots.
 
-        ``left`` is the caller's remaining time in seconds.
+        It is 0 if none lacks most of its slots for a known time.
         """
-        longest = min(MAX_RETRY_AFTER_SECONDS, left * MAX_RETRY_AFTER_SHARE)
-        spread = self.chance.uniform(MIN_RETRY_AFTER_SPREAD, 1.0)
-        return max(MIN_RETRY_AFTER_SECONDS, spread * longest)
+        if not self.capacity_back_at:
+            return 0.0
+        now = self.clock()
+        needed = self.call_graph.usage_of(request.route.name)
+        return max(
+            (
+                back_at - now
+                for service, back_at in self.capacity_back_at.items()
+                if service in needed or service == request.service
+            ),
+            default=0.0,
+        )
 
     def retry_costs(
         self,
@@ -107,10 +131,24 @@
         costs = {service: used.runs for service, used in usage.items()}
         return costs or {request.service: 1.0}
 
+    def refresh(self) -> None:
+        """Plan again if slots are back that the last plan did not have."""
+        now = self.clock()
+        if any(back_at <= now for back_at in self.capacity_back_at.values()):
+            self.plan(self.total.after(now - self.planned_at))
+
     def plan(self, total: FleetLoad) -> None:
         """Recompute the admitted rates from the total of all nodes' loads."""
         self.call_graph.update_costs(total.costs)
+        now = self.clock()
+        self.total = total
+        self.planned_at = now
         capacity = _capacity(total)
+        self.capacity_back_at = {
+            ServiceName(service): now + load.returning.seconds
+            for service, load in total.services.items()
+            if load.is_returning
+        }
         demands = [
             self._demand(route, rate)
             for route, rate in total.arrivals.items()
--- /dev/null
+++ b/packages/sidecar/src/boragetrestle_sidecar/caller_return.py
@@ -0,0 +1,59 @@
+"""Choose when a refused caller should come back.
+
+Callers wait as long as they are told, but at most for a part of the time that
+they have left, and come back a few times only. One that returns before there is
+room is lost; if all return at the moment at which there is room again, they
+exceed it once more.
+"""
+
+import random
+from typing import NamedTuple
+
+# Callers wait at most this share of their remaining time.
+MAX_SHARE_OF_TIME = 0.33
+MIN_SPREAD_SHARE = 0.3  # of the longest wait; avoids simultaneous returns
+MIN_SECONDS = 0.05  # a few times the mean run time
+MAX_SECONDS = 1.2  # a few times as long as usual demand swings
+# A caller that returns within this part of the time until its response-time
+# goal can still be answered by then.
+GOAL_SHARE = 0.8
+# Callers that are too late for their goal return over this time.
+LATE_SPREAD_SECONDS = 1.5
+
+
+class CallerTime(NamedTuple):
+    """The seconds that a caller has left, and those until its goal."""
+
+    left: float
+    until_goal: float
+
+
+def return_to_usual_swings(
+    caller: CallerTime,
+    chance: random.Random,
+) -> float:
+    """Return the seconds until a retry, where demand swings around capacity."""
+    longest = min(MAX_SECONDS, caller.left * MAX_SHARE_OF_TIME)
+    return max(MIN_SECONDS, chance.uniform(MIN_SPREAD_SHARE, 1.0) * longest)
+
+
+def return_to_capacity(
+    caller: CallerTime,
+    expected_in: float,
+    chance: random.Random,
+) -> float:
+    """Return the seconds until a retry once there is capacity again.
+
+    ``expected_in`` is the time until then. Callers that can still meet their
+    goal return first; the others are spread over the time after it.
+
+    >>> caller = CallerTime(left=5.0, until_goal=1.5)
+    >>> 0.5 <= return_to_capacity(caller, 0.5, random.Random(1)) <= 1.2
+    True
+    """
+    latest = caller.until_goal * GOAL_SHARE
+    if latest < expected_in:
+        latest = min(
+            caller.left * MAX_SHARE_OF_TIME, expected_in + LATE_SPREAD_SECONDS
+        )
+    return chance.uniform(expected_in, max(expected_in, latest))
--- a/packages/sidecar/src/boragetrestle_sidecar/cold_phase.py
+++ b/packages/sidecar/src/boragetrestle_sidecar/cold_phase.py
@@ -65,6 +65,15 @@
         self.assumed_at = now
         self.until = math.inf
 
+    def seconds_left(self, *, now: float) -> float | None:
+        """Return how long the target stays cold, None if that is unknown.
+
+        It is 0 for a target that is warm, or whose service names no limit.
+        """
+        if self.limit(now=now) is None:
+            return 0.0
+        return self.until - now if math.isfinite(self.until) else None
+
     def limit(self, *, now: float) -> float | None:
         """Return the requests a second that the target takes, None if warm."""
         return self.rate if now < self.until else None
--- a/packages/sidecar/src/boragetrestle_sidecar/fleet_load.py
+++ b/packages/sidecar/src/boragetrestle_sidecar/fleet_load.py
@@ -8,13 +8,39 @@
 
 from boragetrestle_sidecar.call_attribution import MIN_COMPLETED_RUNS
 from boragetrestle_sidecar.node_status import NodeStatus, RouteCost
+from boragetrestle_sidecar.returning_slots import (
+    ReturningSlots,
+    combine_returning,
+)
 
 
 class ServiceLoad(NamedTuple):
-    """Slots of a service's open guards, and seconds of runs that wait."""
+    """Slots of a service's open guards, and seconds of runs that wait.
+
+    ``returning`` are slots that they do not have now but get back.
+
+    >>> load = ServiceLoad(2.0, returning=ReturningSlots(20.0, 1.0))
+    >>> load.after(0.5).slots, load.after(1.0).slots
+    (2.0, 22.0)
+    """
 
     slots: float = 0.0
     waiting_seconds: float = 0.0
+    returning: ReturningSlots = ReturningSlots()
+
+    @property
+    def is_returning(self) -> bool:
+        """Whether most of the slots are still to come back."""
+        return self.returning.slots > self.slots
+
+    def after(self, elapsed: float) -> 'ServiceLoad':
+        """Return the load as expected after ``elapsed`` seconds."""
+        if not self.returning.slots:
+            return self
+        returning = self.returning.after(elapsed)
+        if returning.seconds:
+            return self._replace(returning=returning)
+        return ServiceLoad(self.slots + returning.slots, self.waiting_seconds)
 
 
 class CostSum(NamedTuple):
@@ -43,13 +69,26 @@
     services: dict[str, ServiceLoad] = {}
     costs: dict[str, CostSum] = {}
 
+    def after(self, elapsed: float) -> 'FleetLoad':
+        """Return the load with the slots that are back after some seconds."""
+        if not any(load.returning.slots for load in self.services.values()):
+            return self
+        return self._replace(
+            services={
+                service: load.after(elapsed)
+                for service, load in self.services.items()
+            }
+        )
+
 
 def load_of(status: NodeStatus) -> FleetLoad:
     """Return the load of a single node."""
     services: dict[str, ServiceLoad] = {}
     if status.is_open and status.service:
         waiting = status.waiting * status.run_seconds
-        services[status.service] = ServiceLoad(status.limit, waiting)
+        services[status.service] = ServiceLoad(
+            status.limit, waiting, status.returning
+        )
     return FleetLoad(
         nodes=1,
         arrivals=status.arrivals,
@@ -78,6 +117,7 @@
             services[service] = ServiceLoad(
                 round(known.slots + found.slots, 2),
                 round(known.waiting_seconds + found.waiting_seconds, 3),
+                combine_returning((known.returning, found.returning)),
             )
         for route, cost in load.costs.items():
             costs[route] = _add_costs(costs.get(route, CostSum()), cost)
--- a/packages/sidecar/src/boragetrestle_sidecar/guard.py
+++ b/packages/sidecar/src/boragetrestle_sidecar/guard.py
@@ -23,6 +23,7 @@
     Reason,
 )
 from boragetrestle_sidecar.reported_target import ReportedTarget
+from boragetrestle_sidecar.returning_slots import ReturningSlots
 from boragetrestle_sidecar.run_meter import RunMeter
 from boragetrestle_sidecar.server_connection import Loss, ServerConnection
 from boragetrestle_sidecar.stated_terms import StatedTerms
@@ -136,6 +137,14 @@
             return self.limit
         return min(self.limit, pace.rate * self.run_seconds)
 
+    @property
+    def returning_slots(self) -> ReturningSlots:
+        """The slots that a cold target has again when it is warm."""
+        seconds = self.terms.cold.seconds_left(now=self.clock())
+        if not seconds or self.terms.rate_limit is not None:
+            return ReturningSlots()
+        return ReturningSlots(self.limit - self.effective_slots, seconds)
+
     @property
     def is_open(self) -> bool:
         """Whether the guard accepts runs for the target."""
--- a/packages/sidecar/src/boragetrestle_sidecar/load_aggregation.py
+++ b/packages/sidecar/src/boragetrestle_sidecar/load_aggregation.py
@@ -48,13 +48,17 @@
 
     def subtree(self) -> FleetLoad:
         """Return the load of this node and of those below it."""
-        oldest = self.clock() - CHILD_TTL_SECONDS
+        now = self.clock()
+        oldest = now - CHILD_TTL_SECONDS
         for address, child in list(self.children.items()):
             if child.received_at < oldest:
                 self.children.pop(address)
         return combine_loads([
             self.own,
-            *(child.load for child in self.children.values()),
+            *(
+                child.load.after(now - child.received_at)
+                for child in self.children.values()
+            ),
         ])
 
     def total_to_plan(self, members: int) -> FleetLoad | None:
--- a/packages/sidecar/src/boragetrestle_sidecar/node_status.py
+++ b/packages/sidecar/src/boragetrestle_sidecar/node_status.py
@@ -2,6 +2,8 @@
 
 from typing import NamedTuple
 
+from boragetrestle_sidecar.returning_slots import ReturningSlots
+
 
 class RouteCost(NamedTuple):
     """Mean cost of a run on a route: its duration and its onward calls.
@@ -26,7 +28,8 @@
     ``limit`` is how many runs the guard admits to the target at once,
     ``waiting`` how many wait, ``run_seconds`` how long one takes.
     ``arrivals`` holds the callers' requests per second by route, ``costs`` the
-    measured cost of the runs at the target.
+    measured cost of the runs at the target. ``returning`` are the slots that it
+    gets back when its target is warm.
     """
 
     service: str
@@ -36,3 +39,4 @@
     run_seconds: float
     arrivals: dict[str, float]
     costs: list[RouteCost]
+    returning: ReturningSlots = ReturningSlots()
--- a/packages/sidecar/src/boragetrestle_sidecar/sidecar.py
+++ b/packages/sidecar/src/boragetrestle_sidecar/sidecar.py
@@ -376,6 +376,7 @@
             await asyncio.sleep(self._seconds_to_sweep())
             self.guard.sweep()
             self.entry.expire_overdue_requests()
+            self.admission.refresh()
             self.reporter.send_if_guard_changed()
 
     def _seconds_to_sweep(self) -> float:
--- a/packages/sidecar/src/boragetrestle_sidecar/status_reporter.py
+++ b/packages/sidecar/src/boragetrestle_sidecar/status_reporter.py
@@ -91,4 +91,5 @@
                 )
                 for route, seconds in guard.meter.run_seconds_by_route.items()
             ],
+            returning=guard.returning_slots,
         )
--- a/tests/test_path_returning_callers.py
+++ b/tests/test_path_returning_callers.py
@@ -2,18 +2,30 @@
 
 import re
 
+import pytest
 from entry_builders import EntryHarness, request_bytes, status, total_of
+from path_builders import ManualClock
 
-from boragetrestle_sidecar.node_status import RouteCost
+from boragetrestle_sidecar.fleet_load import load_of
+from boragetrestle_sidecar.load_aggregation import LoadAggregation
+from boragetrestle_sidecar.node_status import NodeStatus, RouteCost
+from boragetrestle_sidecar.returning_slots import ReturningSlots
 
 CALLER_SECONDS = 5.0
+WARM_SECONDS = 1.0
+ARRIVALS_PER_SECOND = 100.0
+ROUNDING_SECONDS = 0.01  # of the header
 ROUTE_SECONDS = 2.0  # of the route that the builders make
 
 
 def returns_of(harness: EntryHarness, count: int = 100) -> list[float]:
-    """Return when refused callers are told to return, in seconds."""
+    """Return the seconds after which refused callers are told to return.
+
+    Requests arrive in the time that they take in service.
+    """
     found = []
     for number in range(count):
+        harness.clock.now += 1 / ARRIVALS_PER_SECOND
         connection, transport = harness.connect()
         connection.data_received(
             request_bytes(
@@ -26,26 +38,74 @@
     return found
 
 
-def harness_without_room() -> EntryHarness:
-    """Return an entry whose plan finds no slots for its only route."""
-    harness = EntryHarness()
-    harness.admission.own_arrivals = {'browse': 1.0}
-    harness.admission.plan(
-        total_of(
-            status(
-                'walks',
-                limit=0.001,
-                arrivals={'browse': 100.0},
-                costs=[RouteCost('browse', {}, 0.2, 9.0)],
-            )
-        )
+def admitted_of(harness: EntryHarness, count: int) -> int:
+    """Return how many of some requests are sent to a guard."""
+    before = len(harness.sent())
+    returns_of(harness, count)
+    return len(harness.sent()) - before
+
+
+def warming_status(seconds: float) -> NodeStatus:
+    """Return the status of a node whose target warms up in some seconds."""
+    returning = ReturningSlots(40.0, seconds) if seconds else ReturningSlots()
+    return status(
+        'walks',
+        limit=0.001,
+        arrivals={'browse': ARRIVALS_PER_SECOND},
+        costs=[RouteCost('browse', {}, 0.2, 9.0)],
+        returning=returning,
     )
+
+
+def harness_that_warms_up(seconds: float = WARM_SECONDS) -> EntryHarness:
+    """Return an entry whose plan finds no slots before some seconds."""
+    harness = EntryHarness()
+    harness.admission.own_arrivals = {'browse': ARRIVALS_PER_SECOND}
+    harness.admission.plan(total_of(warming_status(seconds)))
+    rate = harness.admission.admitted_rates['browse']
+    while rate.take_token(harness.clock.now):
+        pass
     return harness
 
 
 def test_refused_callers_return_within_their_own_time() -> None:
     """A route's limit on the wait says nothing about how long callers stay."""
-    returns = returns_of(harness_without_room())
+    returns = returns_of(harness_that_warms_up(seconds=0.0))
     assert len(returns) > 90
     assert max(returns) > ROUTE_SECONDS / 3
     assert max(returns) <= CALLER_SECONDS / 3
+
+
+def test_capacity_that_returns_is_used_at_once() -> None:
+    """The next report of the fleet may take a second to come."""
+    harness = harness_that_warms_up()
+    assert not admitted_of(harness, 20)
+    harness.clock.now += WARM_SECONDS
+    harness.admission.refresh()
+    assert admitted_of(harness, 50) > 45
+
+
+def test_refused_callers_return_when_there_is_capacity_again() -> None:
+    """One that returns to cold targets is lost."""
+    harness = harness_that_warms_up()
+    warm_at = harness.clock.now + WARM_SECONDS
+    for _ in range(80):
+        for seconds in returns_of(harness, 1):
+            assert warm_at <= harness.clock.now + seconds + ROUNDING_SECONDS
+            assert seconds <= CALLER_SECONDS / 3
+
+
+def test_time_of_return_is_true_although_callers_leave_before() -> None:
+    """They are not told to return when there is nothing for them."""
+    harness = harness_that_warms_up(seconds=4.0)
+    assert min(returns_of(harness, 10)) >= 3.9 - ROUNDING_SECONDS
+
+
+def test_time_until_slots_return_is_counted_down_along_the_tree() -> None:
+    """A report is seconds old when it has passed all nodes above."""
+    clock = ManualClock()
+    aggregation = LoadAggregation(clock=clock)
+    aggregation.record_child('child', load_of(warming_status(3.0)))
+    clock.now += 1
+    load = aggregation.subtree().services['walks']
+    assert load.returning.seconds == pytest.approx(2.0)
