Send no callers to cold targets before the first plan

Until then entries admitted everything: calls failed at cold targets, and tokens of the organisations' rates, which a fresh node does not have, were used up, so that others were refused with rate-exceeded (103 lines from 31.5 to 32.0 s) and came back into the cold.

Change: guards state in their load how long their target stays cold. While there is no plan, an entry refuses a request if all open guards that it knows of some service in the request's call graph are cold, and names the time at which the first is warm.

Kept since requests that would fail no longer use up rates and the scarce runs of cold targets, and callers are told a true time.

Tests: a node without a plan between cold targets, and one that restarts alone among warm ones; the first failed before.

--- a/packages/sidecar/src/boragetrestle_sidecar/admission.py
+++ b/packages/sidecar/src/boragetrestle_sidecar/admission.py
@@ -42,7 +42,8 @@
     """Admit requests at the rate planned for each route at this entry.
 
     ``chance`` is a random number generator; ``own_arrivals`` holds the callers'
-    requests a second that come to this entry, by route.
+    requests a second that come to this entry, by route. ``seconds_until_warm``
+    returns how long all targets of a service stay cold.
     """
 
     def __init__(
@@ -50,6 +51,7 @@
         chance: random.Random,
         log: 'DecisionLog',
         *,
+        seconds_until_warm: Callable[[str], float] = lambda _service: 0.0,
         clock: Callable[[], float] = steady_now,
     ) -> None:
         self.chance = chance
@@ -59,11 +61,17 @@
         self.admitted_rates: dict[str, AdmittedRate] = {}
         self.call_graph = CallGraph(())
         self.admitted_shares: dict[str, float] = {}
+        self.seconds_until_warm = seconds_until_warm
         self.total = FleetLoad()
         self.planned_at = -math.inf
         # When services that lack most of their slots have them again.
         self.capacity_back_at: dict[ServiceName, float] = {}
 
+    @property
+    def has_planned(self) -> bool:
+        """Whether the capacity of the fleet is known."""
+        return math.isfinite(self.planned_at)
+
     def configure(self, configuration: 'Configuration') -> None:
         """Use the routes of a new configuration, keeping measured costs."""
         costs = self.call_graph.costs.values()
@@ -83,7 +91,10 @@
         if not route.needs_key:
             return 0.0
         admitted = self.admitted_rates.get(route.name)
-        if admitted is None or admitted.take_token(self.clock()):
+        if admitted is None:
+            if self.has_planned or not self.seconds_until_capacity(request):
+                return 0.0
+        elif admitted.take_token(self.clock()):
             return 0.0
         return self.retry_after(request)
 
@@ -107,20 +118,22 @@
     def seconds_until_capacity(self, request: 'EntryRequest') -> float:
         """Return when all services that a request needs have their slots.
 
-        It is 0 if none lacks most of its slots for a known time.
+        It is 0 if none lacks most of its slots for a known time. Before the
+        first plan, services whose targets are all cold count as such.
         """
-        if not self.capacity_back_at:
+        if self.has_planned and not self.capacity_back_at:
             return 0.0
-        now = self.clock()
-        needed = self.call_graph.usage_of(request.route.name)
-        return max(
-            (
-                back_at - now
-                for service, back_at in self.capacity_back_at.items()
-                if service in needed or service == request.service
-            ),
-            default=0.0,
-        )
+        needed = {
+            request.service,
+            *self.call_graph.usage_of(request.route.name),
+        }
+        return max(self._seconds_until_slots(service) for service in needed)
+
+    def _seconds_until_slots(self, service: ServiceName) -> float:
+        if not self.has_planned:
+            return self.seconds_until_warm(service)
+        back_at = self.capacity_back_at.get(service)
+        return max(0.0, back_at - self.clock()) if back_at else 0.0
 
     def retry_costs(
         self,
--- a/packages/sidecar/src/boragetrestle_sidecar/fleet.py
+++ b/packages/sidecar/src/boragetrestle_sidecar/fleet.py
@@ -129,6 +129,21 @@
             self._update_local_view(self.local_guard, service)
         return self.views_by_service.get(service, ())
 
+    def seconds_until_warm(self, service: str) -> float:
+        """Return when the first target of a service is warm, 0 if one is.
+
+        It is 0 as well if no guard of the service has been heard.
+        """
+        now = self.clock()
+        return min(
+            (
+                max(0.0, view.warm_at - now)
+                for view in self.guards_of(service)
+                if view.is_open
+            ),
+            default=0.0,
+        )
+
     def update_load(self, load: 'NodeLoad') -> None:
         """Update the view of a guard from what its node sent."""
         view = self.views.get(load.address)
@@ -172,6 +187,7 @@
         view.limit = load.limit
         view.run_seconds = load.run_seconds
         view.failing_share = load.failing_share
+        view.warm_at = view.heard_at + load.cold_seconds
         if view.service != service:
             view.service = service
             self._rebuild_service_index()
--- a/packages/sidecar/src/boragetrestle_sidecar/guard.py
+++ b/packages/sidecar/src/boragetrestle_sidecar/guard.py
@@ -171,6 +171,7 @@
             round(self.meter.failing_share(now), 3),
             self._is_open_at(now),
             self.notice,
+            round(self.terms.cold.seconds_left(now=now) or 0.0, 3),
         )
 
     @property
--- a/packages/sidecar/src/boragetrestle_sidecar/outcome.py
+++ b/packages/sidecar/src/boragetrestle_sidecar/outcome.py
@@ -59,8 +59,9 @@
     ``limit`` is how many runs fit at once, a fraction for a target that names a
     low rate limit; ``run_seconds`` is the mean time that a run holds a slot, and
     ``failing_share`` the share of runs that the target rejected or failed.
-    ``is_open`` tells whether the guard accepts runs, and ``notice`` what entries
-    have to remember of its target.
+    ``is_open`` tells whether the guard accepts runs, ``notice`` what entries
+    have to remember of its target, and ``cold_seconds`` how long the target is
+    known to stay cold.
     """
 
     running: int = 0
@@ -70,6 +71,7 @@
     failing_share: float = 0.0
     is_open: bool = True
     notice: TargetNotice | None = None
+    cold_seconds: float = 0.0
 
 
 class Outcome(NamedTuple):
--- a/packages/sidecar/src/boragetrestle_sidecar/placement.py
+++ b/packages/sidecar/src/boragetrestle_sidecar/placement.py
@@ -42,6 +42,7 @@
     ``unconfirmed_runs`` counts runs sent since the guard last reported its
     load, at ``heard_at``. ``is_open`` tells whether the guard accepts runs, and
     ``limit`` how many run at once, a fraction for a target with a rate limit.
+    The target is cold until ``warm_at``.
     ``waits`` are called when it is heard again.
     """
 
@@ -57,6 +58,7 @@
     failing_share: float = 0.0
     unconfirmed_runs: int = 0
     heard_at: float = 0.0
+    warm_at: float = 0.0
     is_local: bool = False
     waits: list[Callable[[], None]] = field(default_factory=list)
 
--- a/packages/sidecar/src/boragetrestle_sidecar/sidecar.py
+++ b/packages/sidecar/src/boragetrestle_sidecar/sidecar.py
@@ -115,7 +115,11 @@
             self.keeper, self._use_configuration
         )
         self.suspects = Suspects()
-        self.admission = Admission(self.chance, log)
+        self.admission = Admission(
+            self.chance,
+            log,
+            seconds_until_warm=self.fleet.seconds_until_warm,
+        )
         self.rates = RateGate(
             RateShares(self.address, slack=self.settings.rate_slack),
             link_of=self.links.open,
--- a/tests/entry_builders.py
+++ b/tests/entry_builders.py
@@ -130,6 +130,7 @@
         self.admission = Admission(
             chance(),
             self.log,
+            seconds_until_warm=self.fleet.seconds_until_warm,
             clock=self.clock,
         )
         parts = EntryParts(
--- a/tests/test_path_returning_callers.py
+++ b/tests/test_path_returning_callers.py
@@ -3,7 +3,14 @@
 import re
 
 import pytest
-from entry_builders import EntryHarness, request_bytes, status, total_of
+from entry_builders import (
+    LOAD,
+    EntryHarness,
+    node_load,
+    request_bytes,
+    status,
+    total_of,
+)
 from path_builders import ManualClock
 
 from boragetrestle_sidecar.fleet_load import load_of
@@ -109,3 +116,30 @@
     clock.now += 1
     load = aggregation.subtree().services['walks']
     assert load.returning.seconds == pytest.approx(2.0)
+
+
+def test_node_without_a_plan_sends_no_callers_to_cold_targets() -> None:
+    """After a loss of power nodes are ready a second before the first plan.
+
+    Requests that such targets fail are lost, and use up their organisation's
+    rate.
+    """
+    harness = EntryHarness()
+    cold = LOAD._replace(cold_seconds=WARM_SECONDS)
+    for name in harness.hops:
+        harness.fleet.update_load(node_load(name, load=cold))
+    warm_at = harness.clock.now + WARM_SECONDS
+    for _ in range(50):
+        (seconds,) = returns_of(harness, 1)
+        assert warm_at <= harness.clock.now + seconds + ROUNDING_SECONDS
+    assert not harness.sent()
+    harness.clock.now = warm_at
+    assert admitted_of(harness, 10) == 10
+
+
+def test_single_warm_target_is_used_before_the_first_plan() -> None:
+    """A node that restarts alone finds the other targets warm."""
+    harness = EntryHarness()
+    cold = LOAD._replace(cold_seconds=WARM_SECONDS)
+    harness.fleet.update_load(node_load('b', load=cold))
+    assert admitted_of(harness, 10) == 10
