Let runs wait at a guard for a target that is warm in time

Cause: a guard estimated the wait for a cold target as if it stayed cold for good: twenty runs at 6 a second are 3 s, although it may be warm in 0.4 s. Runs that had the time were refused, and so were onward calls of requests that had already cost several runs.

Change: StatedTerms.wait_for takes the end of the cold phase into account, which the target has stated.

Kept because the estimate was wrong: the time in the refusal is that of the target now.

Tests: runs wait for a target that is warm in 0.4 s (failed before), and are refused at once, with the time, by one that stays cold for 3 s.

--- a/packages/sidecar/src/boragetrestle_sidecar/guard.py
+++ b/packages/sidecar/src/boragetrestle_sidecar/guard.py
@@ -359,7 +359,7 @@
 
     def _enqueue_or_refuse(self, job: GuardJob, now: float) -> None:
         wait = self.expected_wait(job)
-        paced_wait = self.terms.pace.wait_for(len(self.queue) + 1, now=now)
+        paced_wait = self.terms.wait_for(len(self.queue) + 1, now=now)
         is_call = job.order.is_call
         until = job.expires_at if is_call else job.goal_at
         max_wait = (until - now) * MAX_WAIT_FRACTION - self.run_seconds
--- a/packages/sidecar/src/boragetrestle_sidecar/stated_terms.py
+++ b/packages/sidecar/src/boragetrestle_sidecar/stated_terms.py
@@ -101,6 +101,17 @@
         self.pace_limit = limit
         self.pace.set_limit(limit, now=now)
 
+    def wait_for(self, requests: int, *, now: float) -> float:
+        """Return the seconds until that many more requests may be sent.
+
+        A target that is only cold takes them all once it is warm.
+        """
+        paced = self.pace.wait_for(requests, now=now)
+        cold_left = self.cold.seconds_left(now=now)
+        if self.rate_limit is not None or cold_left is None:
+            return paced
+        return min(paced, cold_left)
+
     def remember(
         self,
         notice: TargetNotice,
--- a/tests/test_path_cold_targets.py
+++ b/tests/test_path_cold_targets.py
@@ -8,6 +8,7 @@
 
 from boragetrestle_kernel.ids import ServiceName
 from boragetrestle_sidecar.cold_phase import MIN_ASSUMED_SECONDS
+from boragetrestle_sidecar.guard_job import JobState
 
 COLD_RATE = 6.0
 ALLOWED_IN_SECOND = COLD_RATE * 1.5 + 8
@@ -146,3 +147,34 @@
     target.bench.clock.now += MIN_ASSUMED_SECONDS * 1.1
     target.report()
     assert guard.terms.pace_limit is None
+
+
+def test_runs_wait_for_a_target_that_is_warm_in_time() -> None:
+    """At the pace of a cold target the last of them would wait seconds."""
+    target = cold_target()
+    restart_cold(target, 0.4)
+    bench = target.bench
+    jobs = [
+        bench.submit(run_order(f'waits-{number}', is_call=True))
+        for number in range(20)
+    ]
+    assert not [job for job in jobs if job.state is JobState.ENDED]
+    bench.clock.now += 0.41
+    bench.guard.sweep()
+    assert bench.guard.running == bench.guard.limit
+
+
+def test_runs_are_refused_by_a_target_that_is_warm_too_late() -> None:
+    """They are told when it is."""
+    target = cold_target()
+    restart_cold(target, 3.0)
+    bench = target.bench
+    for number in range(20):
+        bench.submit(run_order(f'refused-{number}', is_call=True))
+    waits = [
+        outcome.retry_after
+        for name, outcome in bench.outcomes.items()
+        if name.startswith('refused')
+    ]
+    assert len(waits) > 10
+    assert max(waits) <= 3.0
