Name the time of return where guards refuse and nodes start

Cause: two more refusals knew nothing of cold targets. A request that no guard could serve was sent away for what its last guard expected of its own target, or for 0.4 s, while targets further down were cold.

Change: the first asks Admission.seconds_until_capacity as others do. The second goes by the targets of its own service: if all that it knows are cold, hosts have started together, and other services are cold too.

Tests: one for each refusal; both failed before.

--- a/packages/sidecar/src/boragetrestle_sidecar/entry.py
+++ b/packages/sidecar/src/boragetrestle_sidecar/entry.py
@@ -13,6 +13,10 @@
 
 from boragetrestle_kernel.ids import RequestId
 from boragetrestle_sidecar.body_budget import BODY_MEMORY_SHARE, BodyBudget
+from boragetrestle_sidecar.caller_return import (
+    CallerTime,
+    return_to_capacity,
+)
 from boragetrestle_sidecar.connection_headers import (
     HOP_BY_HOP_HEADERS,
     parse_connection_header,
@@ -115,8 +119,7 @@
         """Start a request; return it unless it is already over."""
         found = self._resolve(request)
         if isinstance(found, Reason):
-            request_id = request.header(self.names.request_id) or b''
-            self._refuse_unresolved(answer, found, request_id)
+            self._refuse_unresolved(answer, found, request)
             return None
         started = self._create_request(answer, request, found)
         self._admit(started)
@@ -291,7 +294,7 @@
         if guard is None:
             reason = request.last_reason or self._reason_without_guard(request)
             self._refuse(
-                request, reason, retry_after=NO_TARGET_RETRY_AFTER_SECONDS
+                request, reason, retry_after=self._retry_after(request)
             )
             return
         if not request.head:
@@ -380,8 +383,9 @@
             self._refuse(
                 request,
                 outcome.reason,
-                retry_after=outcome.retry_after
-                or NO_TARGET_RETRY_AFTER_SECONDS,
+                retry_after=self._retry_after(
+                    request, usual=outcome.retry_after
+                ),
             )
 
     def _handle_answer(
@@ -498,6 +502,20 @@
             may_have_run=request.may_have_run,
         )
 
+    def _retry_after(
+        self,
+        request: EntryRequest,
+        *,
+        usual: float = 0.0,
+    ) -> float:
+        """Return when a caller should return that no guard could serve.
+
+        ``usual`` is what a guard expects that does not wait for others.
+        """
+        if self.admission.seconds_until_capacity(request):
+            return self.admission.retry_after(request)
+        return usual or NO_TARGET_RETRY_AFTER_SECONDS
+
     def _finish(self, request: EntryRequest) -> None:
         request.is_over = True
         request.hop = None
@@ -507,8 +525,9 @@
         self,
         answer: 'PendingAnswer',
         reason: Reason,
-        request_id: bytes = b'',
+        request: 'CallerRequest',
     ) -> None:
+        request_id = request.header(self.names.request_id) or b''
         self.log.write_limited(
             'refused',
             request=request_id.decode('latin-1'),
@@ -516,11 +535,24 @@
             version=self.configuration.version if self.configuration else 0,
         )
         self.telemetry.count('', 'refused', reason)
-        retry_after = NO_TARGET_RETRY_AFTER_SECONDS
-        if reason is not Reason.NO_CONFIGURATION:
-            retry_after = 0.0
+        retry_after = 0.0
+        if reason is Reason.NO_CONFIGURATION:
+            retry_after = self._return_after_start(request)
         answer.write_refusal(reason, retry_after=retry_after)
 
+    def _return_after_start(self, request: 'CallerRequest') -> float:
+        """Return when callers of a node that has just started may return.
+
+        Without a configuration it knows no services but that of its own target.
+        If that is cold, so are others, since hosts have started together.
+        """
+        expected_in = self.fleet.seconds_until_warm(self.settings.service)
+        left = self._stated_time_left(request)
+        if not expected_in or left is None:
+            return NO_TARGET_RETRY_AFTER_SECONDS
+        caller = CallerTime(left, until_goal=0.0)
+        return return_to_capacity(caller, expected_in, self.parts.chance)
+
     def _api_key(self, request: 'CallerRequest') -> str:
         value = request.header(b'authorization') or b''
         scheme, _, key = value.partition(b' ')
@@ -533,9 +565,13 @@
         request: 'CallerRequest',
         route: 'RoutePolicy',
     ) -> float:
+        stated = self._stated_time_left(request)
+        return route.time_limit if stated is None else stated
+
+    def _stated_time_left(self, request: 'CallerRequest') -> float | None:
         stated = request.header(self.names.time_left)
         if stated is None or not stated.isdigit():
-            return route.time_limit
+            return None
         return int(stated) / 1000
 
     def _build_head(self, request: EntryRequest) -> bytes:
--- a/tests/test_path_cold_targets.py
+++ b/tests/test_path_cold_targets.py
@@ -158,7 +158,7 @@
         bench.submit(run_order(f'waits-{number}', is_call=True))
         for number in range(20)
     ]
-    assert not [job for job in jobs if job.state is JobState.ENDED]
+    assert all(job.state is JobState.WAITING for job in jobs)
     bench.clock.now += 0.41
     bench.guard.sweep()
     assert bench.guard.running == bench.guard.limit
--- a/tests/test_path_returning_callers.py
+++ b/tests/test_path_returning_callers.py
@@ -16,6 +16,7 @@
 from boragetrestle_sidecar.fleet_load import load_of
 from boragetrestle_sidecar.load_aggregation import LoadAggregation
 from boragetrestle_sidecar.node_status import NodeStatus, RouteCost
+from boragetrestle_sidecar.outcome import OutcomeKind, Reason
 from boragetrestle_sidecar.returning_slots import ReturningSlots
 
 CALLER_SECONDS = 5.0
@@ -69,9 +70,7 @@
     harness = EntryHarness()
     harness.admission.own_arrivals = {'browse': ARRIVALS_PER_SECOND}
     harness.admission.plan(total_of(warming_status(seconds)))
-    rate = harness.admission.admitted_rates['browse']
-    while rate.take_token(harness.clock.now):
-        pass
+    harness.admission.admitted_rates['browse'].tokens = 0.0
     return harness
 
 
@@ -143,3 +142,26 @@
     cold = LOAD._replace(cold_seconds=WARM_SECONDS)
     harness.fleet.update_load(node_load('b', load=cold))
     assert admitted_of(harness, 10) == 10
+
+
+def test_node_without_a_configuration_says_when_its_target_is_warm() -> None:
+    """After a loss of power it has callers before it has a configuration."""
+    harness = EntryHarness()
+    harness.entry.configuration = None
+    cold = LOAD._replace(cold_seconds=WARM_SECONDS)
+    harness.fleet.update_load(node_load('a', load=cold))
+    harness.fleet.update_load(node_load('b', load=cold))
+    (seconds,) = returns_of(harness, 1)
+    assert WARM_SECONDS - 1 / ARRIVALS_PER_SECOND <= seconds + ROUNDING_SECONDS
+
+
+def test_caller_that_guards_refuse_returns_to_warm_targets() -> None:
+    """Guards say when their own targets are, not those of onward calls."""
+    harness = harness_that_warms_up()
+    harness.admission.admitted_rates.clear()
+    connection, transport = harness.connect()
+    connection.data_received(request_bytes(time_left=5000))
+    for run in harness.sent():
+        run.end(OutcomeKind.NOT_SENT, Reason.EXPIRED)
+    (seconds,) = re.findall(rb'retry-after: ([0-9.]+)', transport.written)
+    assert float(seconds) >= WARM_SECONDS - ROUNDING_SECONDS
