--- a/tests/test_path_returning_callers.py
+++ b/tests/test_path_returning_callers.py
@@ -165,3 +165,11 @@
         run.end(OutcomeKind.NOT_SENT, Reason.EXPIRED)
     (seconds,) = re.findall(rb'retry-after: ([0-9.]+)', transport.written)
     assert float(seconds) >= WARM_SECONDS - ROUNDING_SECONDS
+
+
+def test_first_plan_in_a_shortage_admits_no_burst() -> None:
+    """A few requests at each of hundreds of entries exceed cold targets."""
+    harness = EntryHarness()
+    harness.admission.own_arrivals = {'browse': 1.0}
+    harness.admission.plan(total_of(warming_status(WARM_SECONDS)))
+    assert not admitted_of(harness, 3)
