Move the decisions of admission into a folder of their own

Only moves: admission, admission_plan, admitted_rate, call_graph and caller_return of the sidecar, with the imports that name them.

--- a/packages/sidecar/src/boragetrestle_sidecar/admission.py
+++ b/packages/sidecar/src/boragetrestle_sidecar/admission/admission.py
@@ -10,14 +10,17 @@
 from typing import TYPE_CHECKING
 
 from boragetrestle_kernel.ids import ServiceName
-from boragetrestle_sidecar.admission_plan import RouteDemand, plan_admission
-from boragetrestle_sidecar.admitted_rate import (
+from boragetrestle_sidecar.admission.admission_plan import (
+    RouteDemand,
+    plan_admission,
+)
+from boragetrestle_sidecar.admission.admitted_rate import (
     BURST_SECONDS,
     MIN_BURST_REQUESTS,
     AdmittedRate,
 )
-from boragetrestle_sidecar.call_graph import CallGraph
-from boragetrestle_sidecar.caller_return import (
+from boragetrestle_sidecar.admission.call_graph import CallGraph
+from boragetrestle_sidecar.admission.caller_return import (
     CallerTime,
     return_to_capacity,
     return_to_usual_swings,
--- a/packages/sidecar/src/boragetrestle_sidecar/cost_archive.py
+++ b/packages/sidecar/src/boragetrestle_sidecar/cost_archive.py
@@ -16,7 +16,7 @@
 from boragetrestle_sidecar.node_status import RouteCost
 
 if TYPE_CHECKING:
-    from boragetrestle_sidecar.admission import Admission
+    from boragetrestle_sidecar.admission.admission import Admission
     from boragetrestle_sidecar.decision_log import DecisionLog
     from boragetrestle_sidecar.store_client import StoreClient
 
--- a/packages/sidecar/src/boragetrestle_sidecar/entry.py
+++ b/packages/sidecar/src/boragetrestle_sidecar/entry.py
@@ -12,11 +12,11 @@
 from typing import TYPE_CHECKING, NamedTuple
 
 from boragetrestle_kernel.ids import RequestId
-from boragetrestle_sidecar.body_budget import BODY_MEMORY_SHARE, BodyBudget
-from boragetrestle_sidecar.caller_return import (
+from boragetrestle_sidecar.admission.caller_return import (
     CallerTime,
     return_to_capacity,
 )
+from boragetrestle_sidecar.body_budget import BODY_MEMORY_SHARE, BodyBudget
 from boragetrestle_sidecar.connection_headers import (
     HOP_BY_HOP_HEADERS,
     parse_connection_header,
--- a/packages/sidecar/src/boragetrestle_sidecar/entry_parts.py
+++ b/packages/sidecar/src/boragetrestle_sidecar/entry_parts.py
@@ -7,7 +7,7 @@
 if TYPE_CHECKING:
     import random
 
-    from boragetrestle_sidecar.admission import Admission
+    from boragetrestle_sidecar.admission.admission import Admission
     from boragetrestle_sidecar.call_attribution import CallAttribution
     from boragetrestle_sidecar.decision_log import DecisionLog
     from boragetrestle_sidecar.fleet import Fleet
--- a/packages/sidecar/src/boragetrestle_sidecar/sidecar.py
+++ b/packages/sidecar/src/boragetrestle_sidecar/sidecar.py
@@ -11,7 +11,7 @@
 from typing import TYPE_CHECKING, Any
 
 from boragetrestle_kernel.errors import SettingsError
-from boragetrestle_sidecar.admission import Admission
+from boragetrestle_sidecar.admission.admission import Admission
 from boragetrestle_sidecar.caller_connection import CallerConnection
 from boragetrestle_sidecar.config_keeper import ConfigKeeper
 from boragetrestle_sidecar.endpoint_server import EndpointConnection
--- a/packages/sidecar/src/boragetrestle_sidecar/store_sync.py
+++ b/packages/sidecar/src/boragetrestle_sidecar/store_sync.py
@@ -15,7 +15,7 @@
 from boragetrestle_sidecar.table_watch import REJOIN_SECONDS, TableWatch
 
 if TYPE_CHECKING:
-    from boragetrestle_sidecar.admission import Admission
+    from boragetrestle_sidecar.admission.admission import Admission
     from boragetrestle_sidecar.config_keeper import ConfigKeeper
     from boragetrestle_sidecar.decision_log import DecisionLog
     from boragetrestle_sidecar.fleet import Fleet
--- a/tests/entry_builders.py
+++ b/tests/entry_builders.py
@@ -13,7 +13,7 @@
     settings,
 )
 
-from boragetrestle_sidecar.admission import Admission
+from boragetrestle_sidecar.admission.admission import Admission
 from boragetrestle_sidecar.call_attribution import CallAttribution
 from boragetrestle_sidecar.caller_connection import CallerConnection
 from boragetrestle_sidecar.entry import Entry
--- a/tests/test_log_story.py
+++ b/tests/test_log_story.py
@@ -10,7 +10,7 @@
 from boragetrestle.exit_code import ExitCode
 from boragetrestle.main import run_command
 from boragetrestle.request_log import explain_request, read_log
-from boragetrestle_sidecar.admitted_rate import AdmittedRate
+from boragetrestle_sidecar.admission.admitted_rate import AdmittedRate
 from boragetrestle_sidecar.outcome import OutcomeKind, Reason
 from boragetrestle_sidecar.target_report import TargetState
 
--- a/tests/test_path_costs.py
+++ b/tests/test_path_costs.py
@@ -10,7 +10,7 @@
 
 from boragetrestle_kernel.errors import StoreError
 from boragetrestle_sidecar import cost_archive
-from boragetrestle_sidecar.admission import Admission
+from boragetrestle_sidecar.admission.admission import Admission
 from boragetrestle_sidecar.cost_archive import COSTS_TABLE, CostArchive
 from boragetrestle_sidecar.counted_store import CountedStore
 from boragetrestle_sidecar.node_status import RouteCost
--- a/tests/test_path_policies.py
+++ b/tests/test_path_policies.py
@@ -26,10 +26,13 @@
 )
 
 from boragetrestle_kernel.ids import ServiceName
-from boragetrestle_sidecar.admission import Admission
-from boragetrestle_sidecar.admission_plan import RouteDemand, plan_admission
+from boragetrestle_sidecar.admission.admission import Admission
+from boragetrestle_sidecar.admission.admission_plan import (
+    RouteDemand,
+    plan_admission,
+)
+from boragetrestle_sidecar.admission.call_graph import CallGraph
 from boragetrestle_sidecar.call_attribution import CallAttribution
-from boragetrestle_sidecar.call_graph import CallGraph
 from boragetrestle_sidecar.fleet import Fleet
 from boragetrestle_sidecar.fleet_load import CostSum
 from boragetrestle_sidecar.node_status import RouteCost
--- a/tests/test_path_returning_callers.py
+++ b/tests/test_path_returning_callers.py
@@ -13,8 +13,8 @@
 )
 from path_builders import ManualClock, chance
 
-from boragetrestle_sidecar.admission import RUN_TIME_MARGIN
-from boragetrestle_sidecar.caller_return import (
+from boragetrestle_sidecar.admission.admission import RUN_TIME_MARGIN
+from boragetrestle_sidecar.admission.caller_return import (
     CallerTime,
     return_to_capacity,
 )
