--- a/packages/sidecar/src/boragetrestle_sidecar/admission/admission.py
+++ b/packages/sidecar/src/boragetrestle_sidecar/admission/admission.py
@@ -128,6 +128,18 @@
             return return_to_capacity(caller, expected_in, self.chance)
         return return_to_usual_swings(caller, self.chance)
 
+    def retry_after_start(self, service: ServiceName, left: float) -> float:
+        """Return the seconds until a retry at a node without a configuration.
+
+        They are 0 unless all known targets of ``service`` are cold. ``left`` is
+        the caller's remaining time.
+        """
+        expected_in = self.seconds_until_warm(service)
+        if not expected_in:
+            return 0.0
+        caller = CallerTime(left, until_last_start=0.0)
+        return return_to_capacity(caller, expected_in, self.chance)
+
     def seconds_until_capacity(self, request: 'EntryRequest') -> float:
         """Return when all services that a request needs have their slots.
 
--- a/packages/sidecar/src/boragetrestle_sidecar/entry.py
+++ b/packages/sidecar/src/boragetrestle_sidecar/entry.py
@@ -12,10 +12,6 @@
 from typing import TYPE_CHECKING, NamedTuple
 
 from boragetrestle_kernel.ids import RequestId
-from boragetrestle_sidecar.admission.caller_return import (
-    CallerTime,
-    return_to_capacity,
-)
 from boragetrestle_sidecar.body_budget import BODY_MEMORY_SHARE, BodyBudget
 from boragetrestle_sidecar.connection_headers import (
     HOP_BY_HOP_HEADERS,
@@ -546,12 +542,10 @@
         Without a configuration it knows no services but that of its own target.
         If that is cold, so are others, since hosts have started together.
         """
-        expected_in = self.fleet.seconds_until_warm(self.settings.service)
-        left = self._stated_time_left(request)
-        if not expected_in or left is None:
-            return NO_TARGET_RETRY_AFTER_SECONDS
-        caller = CallerTime(left, until_last_start=0.0)
-        return return_to_capacity(caller, expected_in, self.parts.chance)
+        known = self.admission.retry_after_start(
+            self.settings.service, self._stated_time_left(request) or 0.0
+        )
+        return known or NO_TARGET_RETRY_AFTER_SECONDS
 
     def _api_key(self, request: 'CallerRequest') -> str:
         value = request.header(b'authorization') or b''
