Spread returns also where capacity is back after callers' patience

Cause: where a service is back later than a third of a caller's time, all refused callers were told the same moment. Those that honour any time would return together and exceed the capacity again.

The functions are named after what they answer, and `admission-planned` logs the time until slots are back (back_in).

Test: test_callers_are_spread_where_all_wait_longer_than_usual; on the code before, all 20 callers of one moment get the same time.

--- a/packages/sidecar/src/boragetrestle_sidecar/admission/admission.py
+++ b/packages/sidecar/src/boragetrestle_sidecar/admission/admission.py
@@ -22,8 +22,8 @@
 from boragetrestle_sidecar.admission.call_graph import CallGraph
 from boragetrestle_sidecar.admission.caller_return import (
     CallerTime,
-    return_to_capacity,
-    return_to_usual_swings,
+    return_when_capacity_is_back,
+    return_within_demand_swings,
 )
 from boragetrestle_sidecar.fleet_load import FleetLoad
 from boragetrestle_sidecar.steady_clock import steady_now
@@ -125,8 +125,10 @@
         )
         expected_in = self.seconds_until_capacity(request)
         if expected_in:
-            return return_to_capacity(caller, expected_in, self.chance)
-        return return_to_usual_swings(caller, self.chance)
+            return return_when_capacity_is_back(
+                caller, expected_in, self.chance
+            )
+        return return_within_demand_swings(caller, self.chance)
 
     def retry_after_start(self, service: ServiceName, left: float) -> float:
         """Return the seconds until a retry at a node without a configuration.
@@ -138,7 +140,7 @@
         if not expected_in:
             return 0.0
         caller = CallerTime(left, until_last_start=0.0)
-        return return_to_capacity(caller, expected_in, self.chance)
+        return return_when_capacity_is_back(caller, expected_in, self.chance)
 
     def seconds_until_capacity(self, request: 'EntryRequest') -> float:
         """Return when all services that a request needs have their slots.
@@ -207,6 +209,11 @@
             arrivals=total.arrivals,
             capacity=capacity,
             usage={demand.route: demand.slot_seconds for demand in demands},
+            back_in={
+                service: load.returning.seconds
+                for service, load in total.services.items()
+                if load.is_returning
+            },
             nodes=total.nodes,
         )
 
--- a/packages/sidecar/src/boragetrestle_sidecar/admission/caller_return.py
+++ b/packages/sidecar/src/boragetrestle_sidecar/admission/caller_return.py
@@ -29,7 +29,7 @@
     until_last_start: float
 
 
-def return_to_usual_swings(
+def return_within_demand_swings(
     caller: CallerTime,
     chance: random.Random,
 ) -> float:
@@ -38,7 +38,7 @@
     return max(MIN_SECONDS, chance.uniform(MIN_SPREAD_SHARE, 1.0) * longest)
 
 
-def return_to_capacity(
+def return_when_capacity_is_back(
     caller: CallerTime,
     expected_in: float,
     chance: random.Random,
@@ -49,12 +49,13 @@
     goal return first; the others are spread over the time after it.
 
     >>> caller = CallerTime(left=5.0, until_last_start=1.0)
-    >>> 0.5 <= return_to_capacity(caller, 0.5, random.Random(1)) <= 1.0
+    >>> 0.5 <= return_when_capacity_is_back(caller, 0.5, random.Random(1)) <= 1.0
     True
     """
     latest = caller.until_last_start
     if latest < expected_in:
-        latest = min(
-            caller.left * MAX_SHARE_OF_TIME, expected_in + LATE_SPREAD_SECONDS
-        )
-    return chance.uniform(expected_in, max(expected_in, latest))
+        latest = expected_in + LATE_SPREAD_SECONDS
+        longest_wait = caller.left * MAX_SHARE_OF_TIME
+        if longest_wait > expected_in:
+            latest = min(latest, longest_wait)
+    return chance.uniform(expected_in, latest)
--- a/packages/sidecar/src/boragetrestle_sidecar/entry_request.py
+++ b/packages/sidecar/src/boragetrestle_sidecar/entry_request.py
@@ -18,11 +18,11 @@
     """One request, with the decisions and attempts made so far.
 
     ``caller_expires_at`` is when the caller's time is up, ``expires_at`` when
-    that or the route's limit is up, and ``goal_at`` when the route's response time goal has passed. ``placements``
-    counts the guards that were asked. ``avoided_guards`` are the addresses of
-    guards that a retry doesn't go to. ``run_token`` identifies the run at
-    ``hop``, the connection to the guard that was asked last.
-    ``guard_address`` is the address of the guard that was asked last.
+    that or the route's limit is up, and ``goal_at`` when the route's response
+    time goal has passed. ``placements`` counts the guards that were asked.
+    ``avoided_guards`` are the addresses of guards that a retry doesn't go to.
+    ``run_token`` identifies the run at ``hop``, the connection to the guard
+    that was asked last, and ``guard_address`` is that guard's address.
     ``attempts`` counts the targets that were sent the request, and
     ``may_have_run`` tells whether one of them may have run it.
     """
--- a/tests/test_path_returning_callers.py
+++ b/tests/test_path_returning_callers.py
@@ -16,7 +16,7 @@
 from boragetrestle_sidecar.admission.admission import RUN_TIME_MARGIN
 from boragetrestle_sidecar.admission.caller_return import (
     CallerTime,
-    return_to_capacity,
+    return_when_capacity_is_back,
 )
 from boragetrestle_sidecar.fleet_load import load_of
 from boragetrestle_sidecar.load_aggregation import LoadAggregation
@@ -112,6 +112,12 @@
     assert min(returns_of(harness, 10)) >= 3.9 - ROUNDING_SECONDS
 
 
+def test_callers_are_spread_where_all_wait_longer_than_usual() -> None:
+    """Those that honour any time would else return at the same moment."""
+    returns = returns_of(harness_that_warms_up(seconds=4.0), 20)
+    assert max(returns) - min(returns) > 0.5
+
+
 def test_time_until_slots_return_is_counted_down_along_the_tree() -> None:
     """A report is seconds old when it has passed all nodes above."""
     clock = ManualClock()
@@ -196,7 +202,7 @@
             left=CALLER_SECONDS,
             until_last_start=goal_seconds - run_seconds * RUN_TIME_MARGIN,
         )
-        seconds = return_to_capacity(caller, expected_in, random)
+        seconds = return_when_capacity_is_back(caller, expected_in, random)
         answered_in.append(seconds + run_seconds)
         started_at.append(seconds - expected_in)
     in_time = sum(seconds <= goal_seconds for seconds in answered_in)
