Hold requests that can wait for capacity to return

Cause: a refused caller comes back after a third of its time at the latest. Those that were refused between 2.1 and 1.65 s before targets were warm came back just before, were refused again and lost; so were requests with a short time of their own.

Change: a request is held at the entry if capacity is expected within half of the time until its goal or its end, and admitted once then, over a fifth of that time. It is refused at once if there is no room after all, and leaves with its caller. When slots are back, routes begin with a new first burst, which the held requests find.

--- a/packages/sidecar/src/boragetrestle_sidecar/admission/admission.py
+++ b/packages/sidecar/src/boragetrestle_sidecar/admission/admission.py
@@ -42,6 +42,11 @@
 MIN_ADMITTED_SCALE = 0.02
 # Runs take up to twice as long while a service recovers.
 RUN_TIME_MARGIN = 2.0
+# A request is held until there is capacity again at most for this share of the
+# time until its goal or its end, whichever is first.
+MAX_HOLD_SHARE = 0.5
+# Held requests start over this share of that time once there is capacity.
+HOLD_SPREAD_SHARE = 0.2
 # Part of a route's rate that is divided evenly among the entries, as callers
 # move between them; the rest is divided by the arrivals at each entry.
 EVEN_ARRIVALS_SHARE = 0.2
@@ -107,6 +112,18 @@
             return 0.0
         return self.retry_after(request)
 
+    def seconds_to_hold(self, request: 'EntryRequest') -> float:
+        """Return how long to hold a request instead of refusing it, or 0.
+
+        It is held only if there is time to serve it afterwards.
+        """
+        expected_in = self.seconds_until_capacity(request)
+        left = min(request.expires_at, request.goal_at) - self.clock()
+        if not 0 < expected_in <= left * MAX_HOLD_SHARE:
+            return 0.0
+        spread = self.chance.uniform(0.0, HOLD_SPREAD_SHARE)
+        return expected_in + spread * left
+
     def return_token(self, request: 'EntryRequest') -> None:
         """Return the token of an admitted request that won't be sent."""
         admitted = self.admitted_rates.get(request.route.name)
@@ -175,6 +192,8 @@
         """Plan again if slots are back that the last plan did not have."""
         now = self.clock()
         if any(back_at <= now for back_at in self.capacity_back_at.values()):
+            # Held requests find a first burst of tokens.
+            self.admitted_rates.clear()
             self.plan(self.total.after(now - self.planned_at))
 
     def plan(self, total: FleetLoad) -> None:
--- a/packages/sidecar/src/boragetrestle_sidecar/entry.py
+++ b/packages/sidecar/src/boragetrestle_sidecar/entry.py
@@ -5,6 +5,7 @@
 retries at other guards while the request's time and the retry budget allow.
 """
 
+import asyncio
 import math
 from collections import Counter
 from collections.abc import Callable, Sequence
@@ -224,9 +225,27 @@
             self._refuse(request, Reason.SUSPECT, retry_after=1.0)
             return
         refused = self.admission.admit_or_retry_after(request)
-        if refused:
-            self._refuse(request, Reason.SHORTAGE, retry_after=refused)
+        if not refused:
+            self._take_token(request)
             return
+        seconds = self.admission.seconds_to_hold(request)
+        if seconds and not request.is_held:
+            self._hold(request, seconds)
+        else:
+            self._refuse(request, Reason.SHORTAGE, retry_after=refused)
+
+    def _hold(self, request: EntryRequest, seconds: float) -> None:
+        """Admit a request later, when there is capacity again."""
+        request.is_held = True
+        self.telemetry.count(request.route.name, 'held', '')
+        asyncio.get_running_loop().call_later(seconds, self._release, request)
+
+    def _release(self, request: EntryRequest) -> None:
+        if not request.is_over:
+            self.admission.refresh()
+            self._admit(request)
+
+    def _take_token(self, request: EntryRequest) -> None:
         policy = request.organisation
         if policy is None or self.rate_gate.take_token(policy):
             self._place(request)
--- a/packages/sidecar/src/boragetrestle_sidecar/entry_request.py
+++ b/packages/sidecar/src/boragetrestle_sidecar/entry_request.py
@@ -23,6 +23,7 @@
     ``avoided_guards`` are the addresses of guards that a retry doesn't go to.
     ``run_token`` identifies the run at ``hop``, the connection to the guard
     that was asked last, and ``guard_address`` is that guard's address.
+    ``is_held`` tells that it has waited here for capacity to return.
     ``attempts`` counts the targets that were sent the request, and
     ``may_have_run`` tells whether one of them may have run it.
     """
@@ -42,6 +43,7 @@
     placements: int = 0
     may_have_run: bool = False
     is_over: bool = False
+    is_held: bool = False
     hop: 'Hop | None' = None
     run_token: int = 0
     guard_address: str = ''
