Read the clock after the own guard's view when asking what is cold

Cause: Fleet.seconds_until_warm read the clock and then the views, of which that of the own guard is renewed at each look. So a node whose own target was the only open one it knew took it for cold for a few microseconds, and before its first plan held and refused its callers.

Change: the clock is read after the views.

Test: test_own_warm_target_is_used_before_the_first_plan, with a clock that ticks at each reading, failed before (1 us).

--- a/packages/sidecar/src/boragetrestle_sidecar/fleet.py
+++ b/packages/sidecar/src/boragetrestle_sidecar/fleet.py
@@ -134,14 +134,10 @@
 
         It is 0 as well if no guard of the service has been heard.
         """
-        now = self.clock()
+        views = [view for view in self.guards_of(service) if view.is_open]
+        now = self.clock()  # after the view of the own guard has been renewed
         return min(
-            (
-                max(0.0, view.warm_at - now)
-                for view in self.guards_of(service)
-                if view.is_open
-            ),
-            default=0.0,
+            (max(0.0, view.warm_at - now) for view in views), default=0.0
         )
 
     def update_load(self, load: 'NodeLoad') -> None:
--- a/tests/test_path_returning_callers.py
+++ b/tests/test_path_returning_callers.py
@@ -1,18 +1,20 @@
 """When callers that a shortage refuses may return."""
 
 import asyncio
+import itertools
 import re
 
 import pytest
 from entry_builders import (
     LOAD,
     EntryHarness,
+    FakeHop,
     node_load,
     request_bytes,
     status,
     total_of,
 )
-from path_builders import ManualClock, chance
+from path_builders import GuardHarness, ManualClock, chance
 
 from boragetrestle_sidecar.admission.admission import RUN_TIME_MARGIN
 from boragetrestle_sidecar.admission.caller_return import (
@@ -148,6 +150,17 @@
     assert admitted_of(harness, 10) == 10
 
 
+def test_own_warm_target_is_used_before_the_first_plan() -> None:
+    """Its view is renewed at each look, some microseconds after the first."""
+    harness = EntryHarness()
+    for name in harness.hops:
+        harness.fleet.remove(name)
+    harness.fleet.add_local(GuardHarness().guard, FakeHop())
+    ticks = itertools.count(harness.clock.now, 1e-6)
+    harness.fleet.clock = lambda: next(ticks)
+    assert harness.fleet.seconds_until_warm('walks') == 0
+
+
 def test_single_warm_target_is_used_before_the_first_plan() -> None:
     """A node that restarts alone finds the other targets warm."""
     harness = EntryHarness()
