Let the first burst of a route shrink with its share

Cause: the first plan of a shortage gave a route what its rate gains in 0.3 s. At an entry with a request a second that is no whole token, so that the first requests were refused even if nine tenths of them fit.

Change: the burst of three tokens shrinks with the share that fits. In the cold (shares of 0.02) it stays below one token.

Test: test_first_plan_in_a_slight_shortage_admits_first_requests failed before; the one without a burst in the cold holds.

--- a/packages/sidecar/src/boragetrestle_sidecar/admission/admission.py
+++ b/packages/sidecar/src/boragetrestle_sidecar/admission/admission.py
@@ -15,7 +15,6 @@
     plan_admission,
 )
 from boragetrestle_sidecar.admission.admitted_rate import (
-    BURST_SECONDS,
     MIN_BURST_REQUESTS,
     AdmittedRate,
 )
@@ -253,7 +252,9 @@
                     EVEN_ARRIVALS_SHARE * even + (1 - EVEN_ARRIVALS_SHARE) * own
                 )
                 rate = max(scale, MIN_ADMITTED_SCALE) * part
-                admitted = known.get(route) or _new_rate(rate, scale, now)
+                admitted = known.get(route) or AdmittedRate(
+                    rate, now, tokens=MIN_BURST_REQUESTS * min(1.0, scale)
+                )
                 admitted.set_rate(rate, now)
                 self.admitted_rates[route] = admitted
 
@@ -266,17 +267,6 @@
         return RouteDemand(route, policy.priority, rate, seconds)
 
 
-def _new_rate(rate: float, scale: float, now: float) -> AdmittedRate:
-    """Return a route's first rate, without a spare burst in a shortage.
-
-    A few requests at each of hundreds of entries would exceed what is left.
-    """
-    if scale >= 1:
-        return AdmittedRate(rate, now)
-    tokens = min(MIN_BURST_REQUESTS, rate * BURST_SECONDS)
-    return AdmittedRate(rate, now, tokens=tokens)
-
-
 def _capacity(total: FleetLoad) -> dict[ServiceName, float]:
     """Return the slots that new requests may fill, by service."""
     return {
--- a/tests/test_path_returning_callers.py
+++ b/tests/test_path_returning_callers.py
@@ -200,6 +200,21 @@
     assert not admitted_of(harness, 3)
 
 
+def test_first_plan_in_a_slight_shortage_admits_first_requests() -> None:
+    """At entries with a request a second most of them still fit."""
+    harness = EntryHarness()
+    harness.admission.own_arrivals = {'browse': 1.0}
+    slight = status(
+        'walks',
+        limit=18.0,
+        arrivals={'browse': 1.0},
+        costs=[RouteCost('browse', {}, 20.0, 9.0)],
+    )
+    harness.admission.plan(total_of(slight))
+    assert 0.8 < harness.admission.admitted_shares['browse'] < 0.9
+    assert admitted_of(harness, 3) == 2
+
+
 def test_callers_that_can_meet_their_goal_return_in_time_for_it() -> None:
     """A service is back at second 0; it runs requests in 0.35 s.
 
