--- a/review/standins.py
+++ b/review/standins.py
@@ -28,6 +28,7 @@
 HAS_TROUBLE = os.environ.get('TROUBLE', '1') != '0'
 HELD, BROKEN, COULD_NOT_RUN = 0, 1, 2
 HEARTBEAT_S = 1.5
+LONGEST_S = 115
 BOUNDS = {
     'SeedLagS': 3,
     'AddrReuseS': 2,
@@ -583,7 +584,7 @@
         }
         if key is not None:
             headers['Authorization'] = f'Bearer {key}'
-        path = f'/{route}/1'
+        path = f'/{route}/{request_id}'
         sent = Sent(request_id, route, time.monotonic())
         self.fleet.sent[request_id] = sent
         self.fleet.record.write(
@@ -775,11 +776,19 @@
     return ports
 
 
+async def _run(case: Callable[[Path], Awaitable[int]], folder: Path) -> int:
+    task = asyncio.current_task()
+    assert task is not None
+    # A script that is stopped from outside ends its processes, too.
+    asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, task.cancel)
+    async with asyncio.timeout(LONGEST_S):
+        return await case(folder)
+
+
 def run_case(case: Callable[[Path], Awaitable[int]], path: str) -> None:
     """Run a case and exit with its code, or with 2 if it could not run."""
-    folder = Path(path).resolve().parent
     try:
-        code = asyncio.run(asyncio.wait_for(case(folder), 115))
+        code = asyncio.run(_run(case, Path(path).resolve().parent))
     except BaseException as error:  # noqa: BLE001
         sys.stderr.write(f'the case could not run: {error!r}\n')
         traceback.print_exc()
