Log what a stop cuts, why callers' connections close, and what answers hold

Cause: the logs could not tell the three hypotheses of the incident apart. A stop logged two counts, a closed connection nothing, and only the bodies of callers had a metric.

Change: 'cut-by-stop' names each request that a stop ends, how long it has run, when it came after the stop began and whether it may be repeated. 'caller-connection-closed' gives the reason and what was unanswered; the metric counts all closes by reason. Two more metrics: bytes of unfinished answers, and the peak of the process.

--- a/packages/sidecar/src/boragetrestle_sidecar/answer_buffers.py
+++ b/packages/sidecar/src/boragetrestle_sidecar/answer_buffers.py
@@ -27,13 +27,18 @@
     def __init__(self) -> None:
         self.held: dict[AnswerHolder, int] = {}
 
+    @property
+    def held_bytes(self) -> int:
+        """How many bytes of long unfinished answers are held."""
+        return sum(self.held.values())
+
     def record(self, holder: AnswerHolder, held_bytes: int) -> None:
         """Note how much a connection holds, 0 if its answer has ended."""
         if held_bytes <= SMALL_ANSWER_BYTES:
             self.held.pop(holder, None)
             return
         self.held[holder] = held_bytes
-        total = sum(self.held.values())
+        total = self.held_bytes
         if total > MAX_HELD_BYTES:
             longest = max(self.held, key=self.held.__getitem__)
             error = HttpError(
--- a/packages/sidecar/src/boragetrestle_sidecar/caller_connection.py
+++ b/packages/sidecar/src/boragetrestle_sidecar/caller_connection.py
@@ -10,6 +10,7 @@
     HeadTooLargeError,
 )
 from boragetrestle_sidecar.caller_limits import CallerLimits
+from boragetrestle_sidecar.close_reason import CloseReason
 from boragetrestle_sidecar.outcome import Reason
 from boragetrestle_sidecar.pending_answer import PendingAnswer
 from boragetrestle_sidecar.refusal_answer import refusal_bytes
@@ -133,14 +134,22 @@
         if self in self.entry.bodies.paused:
             return
         if not self.pending and now - self.last_used_at > idle_seconds:
-            self.close()
+            self.close(CloseReason.IDLE)
 
-    def close(self) -> None:
+    def close(self, reason: CloseReason) -> None:
         """Close once everything written has been sent."""
+        self._record_close(reason)
         self.is_closing = True
         if self.transport is not None:
             self.transport.close()
 
+    def abort(self, reason: CloseReason) -> None:
+        """Close at once; what has not been sent is lost."""
+        self._record_close(reason)
+        self.is_closing = True
+        if self.transport is not None:
+            self.transport.abort()
+
     @property
     def owes_answers(self) -> bool:
         """Whether a request is read or runs, or an answer is still to be sent.
@@ -188,7 +197,7 @@
                     answer.request = request
         except Exception:
             # The answer would never come and hold back those behind it.
-            self._abort()
+            self.abort(CloseReason.FAILURE)
             raise
         finally:
             self.is_starting = False
@@ -222,7 +231,7 @@
             self._write_answer(answer, keeps_open=keeps_open)
             self.last_used_at = steady_now()
             if not keeps_open:
-                self.close()
+                self.close(CloseReason.LAST_ANSWER)
                 self._record_bodies()
                 return
         if self.is_starting:
@@ -240,13 +249,32 @@
             self._write(answer.render(keeps_open))
         except Exception:
             # Later answers would be taken for the one that is missing.
-            self._abort()
+            self.abort(CloseReason.FAILURE)
             raise
 
-    def _abort(self) -> None:
-        self.is_closing = True
-        if self.transport is not None:
-            self.transport.abort()
+    def _record_close(self, reason: CloseReason) -> None:
+        """Count the close; log it if a request is still unanswered."""
+        self.entry.telemetry.count('', 'connection-closed', reason)
+        reader = self.reader
+        if self.transport is not None and (
+            self.pending or reader.ready or reader.is_amid_request
+        ):
+            self.entry.log.write_limited(
+                'caller-connection-closed',
+                reason=reason,
+                running=[
+                    answer.request.log_id
+                    for answer in self.pending
+                    if answer.request is not None
+                ],
+                answered=sum(
+                    answer.render is not None for answer in self.pending
+                ),
+                waiting=len(reader.ready),
+                is_reading=reader.is_amid_request,
+                unsent_bytes=self.transport.get_write_buffer_size(),
+                silent_seconds=steady_now() - self.last_used_at,
+            )
 
     def _go_on(self) -> None:
         """Start requests that waited, and read on."""
@@ -266,7 +294,10 @@
             return
         if self.rejection is not None:
             self._write(refusal_bytes(self.rejection, keeps_open=False))
-            self.close()
+            is_stalled = self.rejection is Reason.BODY_STALLED
+            self.close(
+                CloseReason.STALLED if is_stalled else CloseReason.BAD_INPUT
+            )
         elif self.reader.awaits_continue:
             if self.entry.bodies.is_full:
                 self.entry.bodies.wait(self)
--- /dev/null
+++ b/packages/sidecar/src/boragetrestle_sidecar/close_reason.py
@@ -0,0 +1,20 @@
+"""Why a node closes the connection of a caller."""
+
+from enum import StrEnum
+
+
+class CloseReason(StrEnum):
+    """What ended a connection.
+
+    ``LAST_ANSWER``: the answer said that the connection closes. ``BAD_INPUT``:
+    the bytes were no request, or over a limit. ``STALLED``: a body stopped while
+    others waited for its memory. ``IDLE``: nothing came for the idle limit.
+    ``FAILURE``: a callback raised an exception. ``STOP``: the node ends.
+    """
+
+    LAST_ANSWER = 'last-answer'
+    BAD_INPUT = 'bad-input'
+    STALLED = 'body-stalled'
+    IDLE = 'idle'
+    FAILURE = 'failure'
+    STOP = 'stop'
--- a/packages/sidecar/src/boragetrestle_sidecar/sidecar.py
+++ b/packages/sidecar/src/boragetrestle_sidecar/sidecar.py
@@ -27,6 +27,7 @@
 from boragetrestle_sidecar.member import Member
 from boragetrestle_sidecar.member_links import MemberLinks
 from boragetrestle_sidecar.node_endpoints import NodeEndpoints
+from boragetrestle_sidecar.peak_memory import peak_memory_bytes
 from boragetrestle_sidecar.peer_messages import PeerMessages
 from boragetrestle_sidecar.peer_server import PeerConnection, PeerServer
 from boragetrestle_sidecar.rate_gate import RateGate
@@ -243,6 +244,7 @@
                 break
             await asyncio.sleep(SWEEP_INTERVAL_SECONDS)
         removal.cancel()
+        self._log_cut_requests(began)
         self.close()
         self.log.write_unlimited(
             'stopped',
@@ -253,6 +255,22 @@
             after=steady_now() - began,
         )
 
+    def _log_cut_requests(self, began: float) -> None:
+        """Log the requests that a stop ends without an answer."""
+        now = steady_now()
+        for request in self.entry.requests:
+            self.log.write_limited(
+                'cut-by-stop',
+                request=request.log_id,
+                route=request.route.name,
+                may_repeat=request.route.may_repeat,
+                guard=request.guard_address,
+                attempts=request.attempts,
+                after=now - request.arrived_at,
+                arrived_after_stop=request.arrived_at - began,
+                left=request.expires_at - now,
+            )
+
     @property
     def _owes_answers(self) -> bool:
         """Whether callers or other nodes still wait for this node."""
@@ -321,6 +339,8 @@
             ),
             'guard_pace_limit': lambda: self.guard.terms.pace_metric,
             'request_body_bytes': lambda: self.entry.bodies.held_bytes,
+            'answer_body_bytes': lambda: self.guard.pool.buffers.held_bytes,
+            'peak_memory_bytes': peak_memory_bytes,
             'evacuated_domains': lambda: len(self.fleet.evacuations.domains),
             'configuration_version': lambda: self.keeper.version,
             'configuration_age_seconds': lambda: self.keeper.age,
