Run the view of cancelled runs on the clock of its link

Cause: the harness has a clock of its own that starts at 1000 s, the link reads the clock of the machine. While the machine has been up for less than 1000 s, the link looks silent for the difference, and the other guard is chosen.

Change: the harness starts at the clock of the link. The checks are as before.

--- a/tests/test_path_links.py
+++ b/tests/test_path_links.py
@@ -154,6 +154,7 @@
 def test_caller_that_left_leaves_no_run_behind_in_the_view() -> None:
     """The view would count it until the link is lost."""
     bench = EntryHarness()
+    bench.clock.now = steady_now()  # the link's clock
     peer = _Peer()
     bench.fleet.add('a', peer.link)
     bench.fleet.update_load(node_load('a'))
