Show requests cut late in a stop, and processes that outgrow their memory

Stop of 5.4 s, kept so long by one slow reader, targets that take 1.5 s: 2 of 18 requests were passed on and got no answer, with time limits of 2 and of 6 s.

Two nodes in a process, targets and callers in another: peaks of 364 (length), 398 (chunks) and 427 MB (end of the connection) with 16 answers without end, 715 and 756 MB with 16 uploads of 60 MB (length, chunks), 1018 MB with both. The sites end a process at 300 MB. One request after the answers without end was refused with 503.

Memory is read as the peak of resident memory of the process, not as the sum that a budget believes it holds.

--- /dev/null
+++ b/tests/endless_builders.py
@@ -0,0 +1,143 @@
+"""Targets that send without end, and callers that upload or wait for answers."""
+
+import asyncio
+import re
+from collections.abc import AsyncGenerator, Awaitable, Callable
+from contextlib import asynccontextmanager
+
+from entry_builders import request_bytes
+from memory_process import NODE_IPS
+
+TARGET_PORT = 7001
+CALLER_PORT = 7002
+PART_BYTES = 100_000
+UPLOAD_BYTES = 60_000_000
+CALL_SECONDS = 20.0
+_PART = b'x' * PART_BYTES
+_HEAD = b'HTTP/1.1 200 OK\r\ncall-id: %s\r\nseal: s\r\n'
+# How an endless answer is framed: the rest of its head and each part.
+ENDLESS_FRAMINGS = {
+    'length': (b'content-length: 99999999999\r\n\r\n', _PART),
+    'chunks': (
+        b'transfer-encoding: chunked\r\n\r\n',
+        b'%x\r\n%s\r\n' % (PART_BYTES, _PART),
+    ),
+    'end of the connection': (b'\r\n', _PART),
+}
+
+
+class RawTarget:
+    """A target that reads requests and answers with raw bytes.
+
+    Requests whose path contains ``endless`` get an answer without end in the
+    framing that follows, all others get ``whole``.
+    """
+
+    def __init__(self) -> None:
+        self.framing = 'length'
+
+    async def serve(
+        self,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+    ) -> None:
+        """Answer the requests of one connection."""
+        try:
+            while True:
+                await self._answer(reader, writer)
+        except (OSError, EOFError):
+            writer.close()
+
+    async def _answer(
+        self,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+    ) -> None:
+        head = await reader.readuntil(b'\r\n\r\n')
+        length = re.search(rb'content-length: (\d+)', head)
+        left = int(length[1]) if length else 0
+        while left:
+            left -= len(await reader.read(min(left, PART_BYTES)))
+        found = re.search(rb'call-id: (\S+)', head, re.IGNORECASE)
+        assert found is not None
+        writer.write(_HEAD % found[1])
+        if b'endless' not in head.split(b'\r\n')[0]:
+            writer.write(b'content-length: 5\r\n\r\nwhole')
+            return
+        start, part = ENDLESS_FRAMINGS[self.framing]
+        writer.write(start)
+        while True:
+            writer.write(part)
+            await writer.drain()
+
+
+@asynccontextmanager
+async def raw_targets() -> AsyncGenerator[list[RawTarget], None]:
+    """Run a target beside each node."""
+    targets = [RawTarget() for _ip in NODE_IPS]
+    servers = [
+        await asyncio.start_server(target.serve, ip, TARGET_PORT)
+        for ip, target in zip(NODE_IPS, targets, strict=True)
+    ]
+    try:
+        yield targets
+    finally:
+        for server in servers:
+            server.close()
+
+
+async def ask(name: str, path: str = '/walks/1') -> int:
+    """Return the status of one request, 0 if its connection was closed."""
+    sent = request_bytes(name, path=path, time_left=int(CALL_SECONDS * 1000))
+    return await _exchange(name, sent, 0)
+
+
+async def upload(name: str, *, is_chunked: bool = False) -> int:
+    """Return the status of a large upload, 0 if its connection was closed."""
+    framing = 'Transfer-Encoding: chunked\r\n'
+    if not is_chunked:
+        framing = f'Content-Length: {UPLOAD_BYTES}\r\n'
+    sent = request_bytes(
+        name,
+        method='POST',
+        path='/buy/1',
+        extra=framing,
+        time_left=int(CALL_SECONDS * 1000),
+    )
+    return await _exchange(name, sent, UPLOAD_BYTES, is_chunked=is_chunked)
+
+
+async def _exchange(
+    name: str,
+    head: bytes,
+    size: int,
+    *,
+    is_chunked: bool = False,
+) -> int:
+    ip = NODE_IPS[len(name) % len(NODE_IPS)]
+    reader, writer = await asyncio.open_connection(ip, CALLER_PORT)
+    writer.write(head)
+    part = b'%x\r\n%s\r\n' % (PART_BYTES, _PART) if is_chunked else _PART
+    try:
+        async with asyncio.timeout(CALL_SECONDS + 1):
+            for _ in range(0, size, PART_BYTES):
+                writer.write(part)
+                await writer.drain()
+            if is_chunked:
+                writer.write(b'0\r\n\r\n')
+            answer = await reader.readuntil(b'\r\n\r\n')
+    except (OSError, EOFError):
+        return 0
+    finally:
+        writer.close()
+    return int(answer.split()[1])
+
+
+async def together(
+    count: int,
+    start: Callable[[int], Awaitable[int]],
+) -> list[int]:
+    """Return the statuses of requests that are sent at the same time."""
+    return list(
+        await asyncio.gather(*[start(number) for number in range(count)])
+    )
--- a/tests/path_standins.py
+++ b/tests/path_standins.py
@@ -276,6 +276,7 @@
         log: Any,
         *,
         domain: str = 'a',
+        memory_bytes: int = 200_000_000,
     ) -> None:
         self.ip = f'127.7.0.{number}'
         self.target = StandinTarget()
@@ -292,6 +293,7 @@
             target=self.target_address,
             store=Address(self.ip, 7007),
             stop_seconds=2.0,
+            memory_bytes=memory_bytes,
         )
         self.adapter = StandinAdapter(self.settings, store)
         self.node = Sidecar(self.adapter, log)
@@ -318,7 +320,8 @@
 
     def report(self, **changes: Any) -> None:
         """Report the target to its node and send the node's status."""
-        found = report(target=f't-{self.ip}', slots=8, **changes)
+        changes.setdefault('slots', 8)
+        found = report(target=f't-{self.ip}', **changes)
         self.node.guard.handle_heartbeat(
             _with_address(found, self.target_address)
         )
--- /dev/null
+++ b/tests/stop_builders.py
@@ -0,0 +1,143 @@
+"""Requests that callers send while a node stops, and what became of them."""
+
+import asyncio
+import socket
+from dataclasses import dataclass, field, replace
+from typing import NamedTuple
+
+from entry_builders import request_bytes
+from path_standins import Host
+
+from boragetrestle_sidecar.caller_request import CallerRequest
+from boragetrestle_sidecar.close_reason import CloseReason
+from boragetrestle_sidecar.endpoint_server import EndpointAnswer
+
+GRACE_SECONDS = 6.0
+LARGE_PATH = '/walks/large'
+LARGE_BODY = b'x' * 8_000_000
+RECEIVE_BYTES = 65_536  # small, so that most of a large answer stays unread
+CALL_TIMEOUT_SECONDS = 10.0
+
+
+class StopRequest(NamedTuple):
+    """A request that is sent ``moment`` seconds after a stop began."""
+
+    name: str
+    moment: float
+    is_kept: bool = False
+    may_repeat: bool = True
+    time_left: int = 2000
+
+    def encode(self) -> bytes:
+        """Return the bytes that the caller sends."""
+        return request_bytes(
+            self.name,
+            path='/walks/1' if self.may_repeat else '/buy/1',
+            method='GET' if self.may_repeat else 'POST',
+            time_left=self.time_left,
+            extra='' if self.may_repeat else 'Content-Length: 0\r\n',
+        )
+
+
+@dataclass
+class StopWitness:
+    """What callers got, by the name of the request; None without an answer."""
+
+    hosts: list[Host]
+    statuses: dict[str, int | None] = field(default_factory=dict)
+
+    @property
+    def ran(self) -> set[str]:
+        """The requests that reached a target."""
+        return {
+            (run.header(b'call-id') or b'').decode()
+            for host in self.hosts
+            for run in host.target.runs
+        }
+
+    @property
+    def cut(self) -> list[str]:
+        """The requests that reached a target whose answer did not arrive."""
+        return sorted(
+            name
+            for name, status in self.statuses.items()
+            if status != 200 and name in self.ran
+        )
+
+    @property
+    def unanswered(self) -> list[str]:
+        """The requests that were accepted and got no answer at all."""
+        return sorted(
+            name for name, status in self.statuses.items() if status is None
+        )
+
+
+def expect_long_stop(hosts: list[Host], *, run_seconds: float) -> None:
+    """Give nodes their whole grace period and targets long runs."""
+    for host in hosts:
+        host.target.answers_after = run_seconds
+        host.target.answer = _answer
+        host.node.settings = replace(
+            host.node.settings, stop_seconds=GRACE_SECONDS
+        )
+
+
+async def read_slowly(host: Host) -> socket.socket:
+    """Begin a large download and return its connection, left unread."""
+    loop = asyncio.get_running_loop()
+    caller = socket.socket()
+    caller.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BYTES)
+    caller.setblocking(False)
+    await loop.sock_connect(caller, (host.ip, 7002))
+    request = request_bytes('large', path=LARGE_PATH, time_left=60_000)
+    await loop.sock_sendall(caller, request)
+    await loop.sock_recv(caller, 1000)
+    return caller
+
+
+async def send_during_stop(
+    host: Host,
+    requests: list[StopRequest],
+    witness: StopWitness,
+) -> None:
+    """Stop a node while callers send, then close what is still open."""
+    kept = {
+        request.name: await asyncio.open_connection(host.ip, 7002)
+        for request in requests
+        if request.is_kept
+    }
+    async with asyncio.TaskGroup() as callers:
+        stopping = callers.create_task(host.node.stop())
+        for request in requests:
+            callers.create_task(
+                _send(host, request, kept.get(request.name), witness)
+            )
+        await stopping
+        for connection in list(host.node.entry.connections):
+            connection.abort(CloseReason.STOP)  # as the end of the process
+
+
+async def _send(
+    host: Host,
+    request: StopRequest,
+    streams: tuple[asyncio.StreamReader, asyncio.StreamWriter] | None,
+    witness: StopWitness,
+) -> None:
+    await asyncio.sleep(request.moment)
+    try:
+        async with asyncio.timeout(CALL_TIMEOUT_SECONDS):
+            reader, writer = streams or await asyncio.open_connection(
+                host.ip, 7002
+            )
+            writer.write(request.encode())
+            head = await reader.readuntil(b'\r\n\r\n')
+    except (OSError, EOFError):
+        witness.statuses[request.name] = None
+        return
+    witness.statuses[request.name] = int(head.split()[1])
+    writer.close()
+
+
+def _answer(request: CallerRequest) -> EndpointAnswer:
+    is_large = request.path == LARGE_PATH
+    return EndpointAnswer(200, LARGE_BODY if is_large else b'whole')
