Refuse requests that could outlast a planned stop

Callers saw: requests sent late in a planned stop were accepted, passed on, run and cut without an answer, among them some that may not be repeated.

Waiting for callers that read slowly made long stops frequent, but steady traffic alone keeps a node up as long.

Change: once callers have had the time to move to another node, a request is sent on only if its time limit ends before the node closes. Others get 503, stated as not run, with Retry-After and a connection that closes, so also those that may not be repeated can go elsewhere. The same holds for retries and for requests that waited here; a failure that a target has answered is passed on instead of being replaced. Requests sent on earlier may still be cut if they run to the end of the grace period; that is what the platform's rules excuse, and no more.

Ruled out: a shorter time limit for the target, since its answer would then be a failure that the caller's own limit does not ask for.

--- a/packages/sidecar/src/boragetrestle_sidecar/entry.py
+++ b/packages/sidecar/src/boragetrestle_sidecar/entry.py
@@ -30,6 +30,7 @@
 from boragetrestle_sidecar.run_order import RunOrder
 from boragetrestle_sidecar.service_split import ServiceSplit
 from boragetrestle_sidecar.steady_clock import steady_now
+from boragetrestle_sidecar.stop_window import NO_STOP
 from boragetrestle_sidecar.suspects import fingerprint
 
 if TYPE_CHECKING:
@@ -100,6 +101,7 @@
         self.bodies = BodyBudget(int(settings.memory_bytes * BODY_MEMORY_SHARE))
         self.arrivals: Counter[str] = Counter()
         self.is_stopping = False
+        self.stop_window = NO_STOP
         self.dropped_headers = frozenset((
             *HOP_BY_HOP_HEADERS,
             names.time_left,
@@ -174,6 +176,16 @@
                 if hop is not None:
                     hop.cancel(request.run_token)
 
+    def _ends_before_stop(self, request: EntryRequest) -> bool:
+        """Return whether the node sees a request through if it sends it on."""
+        ends_at = request.expires_at + ANSWER_GRACE_SECONDS
+        return self.stop_window.may_send(self.clock(), ends_at=ends_at)
+
+    def _refuse_for_stop(self, request: EntryRequest) -> None:
+        self._refuse(
+            request, Reason.STOPPING, retry_after=self._retry_after(request)
+        )
+
     def _resolve(self, request: 'CallerRequest') -> '_ResolvedRequest | Reason':
         """Return the route and organisation, or the reason for refusal."""
         configuration = self.configuration
@@ -225,6 +237,9 @@
         return started
 
     def _admit(self, request: EntryRequest) -> None:
+        if not self._ends_before_stop(request):
+            self._refuse_for_stop(request)
+            return
         if self.suspects.crashes and self.suspects.is_blocked(
             _request_fingerprint(request)
         ):
@@ -305,6 +320,9 @@
         if request.is_over:
             return
         now = self.clock()
+        if not self._ends_before_stop(request):
+            self._refuse_for_stop(request)
+            return
         guard = choose_guard(
             guards,
             domain=self.settings.domain,
@@ -467,6 +485,8 @@
             return False
         if request.placements >= MAX_PLACEMENTS:
             return False
+        if not self._ends_before_stop(request):
+            return False
         if outcome.kind is OutcomeKind.NOT_SENT:
             return outcome.reason is not Reason.EXPIRED
         is_safe = (
--- a/packages/sidecar/src/boragetrestle_sidecar/sidecar.py
+++ b/packages/sidecar/src/boragetrestle_sidecar/sidecar.py
@@ -37,6 +37,7 @@
 from boragetrestle_sidecar.route_query import RouteQueries
 from boragetrestle_sidecar.status_reporter import StatusReporter
 from boragetrestle_sidecar.steady_clock import steady_now
+from boragetrestle_sidecar.stop_window import StopWindow
 from boragetrestle_sidecar.store_sync import StoreSync
 from boragetrestle_sidecar.suspects import Suspects
 from boragetrestle_sidecar.telemetry import Telemetry
@@ -226,16 +227,22 @@
 
         Answers that callers and other nodes have not taken yet are waited for.
         Takes at least ``MIN_STOP_SECONDS`` and at most the grace period.
+        Requests that could outlast it are refused once callers have had the
+        time to move.
         """
         began = steady_now()
+        longest = self.settings.stop_seconds * (1 - CLOSE_MARGIN_FRACTION)
         self.entry.is_stopping = True
+        self.entry.stop_window = StopWindow(
+            accepts_until=began + min(MIN_STOP_SECONDS, longest / 2),
+            closes_at=began + longest,
+        )
         self.log.write_unlimited('stopping', requests=len(self.entry.requests))
         self.guard.stop()
         self.rates.shares.release_shares()
         self.reporter.send()
         loop = asyncio.get_running_loop()
         removal = loop.create_task(self.sync.registration.remove())
-        longest = self.settings.stop_seconds * (1 - CLOSE_MARGIN_FRACTION)
         while steady_now() - began < longest:
             if (
                 steady_now() - began > MIN_STOP_SECONDS
--- a/tests/test_path_stop_requests.py
+++ b/tests/test_path_stop_requests.py
@@ -1,6 +1,8 @@
 """Requests that come while a node stops, from its first to its last moment."""
 
 import pytest
+from entry_builders import EntryHarness, request_bytes
+from path_builders import route
 from path_standins import Host, MemoryStore
 from stop_builders import (
     StopRequest,
@@ -11,10 +13,24 @@
 )
 from test_path_nodes import run_with_hosts
 
-pytestmark = pytest.mark.loopback
+from boragetrestle_sidecar.outcome import OutcomeKind, Reason
+from boragetrestle_sidecar.sidecar import MIN_STOP_SECONDS
+from boragetrestle_sidecar.stop_window import StopWindow
+
+
+def stopping_entry() -> EntryHarness:
+    """Return an entry that closes in 1.5 s and sees only short requests through."""
+    bench = EntryHarness(
+        route(), route('buy', prefix='/buy/', may_repeat=False)
+    )
+    now = bench.clock.now
+    bench.entry.is_stopping = True
+    bench.entry.stop_window = StopWindow(now - 0.1, now + 1.5)
+    return bench
 
 
 # Guards against requests that a stopping node passes on and then cuts.
+@pytest.mark.loopback
 @pytest.mark.parametrize('time_left', [2000, 6000])
 def test_request_late_in_a_stop_is_not_passed_on_and_cut(
     time_left: int,
@@ -44,3 +60,87 @@
         assert set(statuses) <= {200, 503, None}
 
     run_with_hosts(test)
+
+
+# Guards against requests that a stopping node passes on and then cuts.
+@pytest.mark.loopback
+def test_steady_requests_through_a_stop_are_not_cut() -> None:
+    """They alone keep the node up to the end of its grace period."""
+    requests = [
+        StopRequest(
+            f'r-{number}',
+            moment=number // 2 * 0.2,
+            is_kept=number % 2 == 0,
+            may_repeat=number % 4 < 2,
+        )
+        for number in range(54)
+    ]
+
+    async def test(hosts: list[Host], _store: MemoryStore) -> None:
+        expect_long_stop(hosts, run_seconds=0.8)
+        witness = StopWitness(hosts)
+        await send_during_stop(hosts[0], requests, witness)
+        assert not witness.cut
+        early = [
+            witness.statuses[request.name]
+            for request in requests
+            if request.moment < MIN_STOP_SECONDS
+        ]
+        assert set(early) <= {200, 503}
+
+    run_with_hosts(test)
+
+
+@pytest.mark.parametrize(
+    ('time_left', 'is_sent'), [(1400, True), (1600, False), (6000, False)]
+)
+@pytest.mark.parametrize('path', ['/walks/1', '/buy/1'])
+def test_request_that_could_outlast_the_stop_is_refused_as_not_run(
+    time_left: int,
+    is_sent: bool,
+    path: str,
+) -> None:
+    """Its caller may go to another node at once."""
+    bench = stopping_entry()
+    connection, transport = bench.connect()
+    connection.data_received(request_bytes(path=path, time_left=time_left))
+    assert bool(bench.sent()) == is_sent
+    if not is_sent:
+        assert transport.written.startswith(b'HTTP/1.1 503')
+        assert b'"run": "not-run"' in transport.written
+        assert b'retry-after: ' in transport.written
+        assert transport.is_closed
+
+
+# Guards against retries that end with the node.
+@pytest.mark.parametrize(
+    'kind', [OutcomeKind.UNKNOWN, OutcomeKind.REJECTED, OutcomeKind.NOT_SENT]
+)
+def test_retry_that_could_outlast_the_stop_is_not_sent(
+    kind: OutcomeKind,
+) -> None:
+    """The request was sent on before callers had the time to move."""
+    bench = stopping_entry()
+    window = bench.entry.stop_window
+    bench.entry.stop_window = StopWindow()
+    connection, transport = bench.connect()
+    connection.data_received(request_bytes(time_left=3000))
+    bench.entry.stop_window = window
+    (run,) = bench.sent()
+    run.end(kind, Reason.CONNECTION_LOST)
+    assert len(bench.sent()) == 1
+    assert transport.written.startswith(b'HTTP/1.1 502')
+
+
+# Guards against refusals in the place of what a target has answered.
+def test_failure_that_a_target_answers_late_in_a_stop_is_passed_on() -> None:
+    """It could be retried if the node had the time."""
+    bench = stopping_entry()
+    window = bench.entry.stop_window
+    bench.entry.stop_window = StopWindow()
+    connection, transport = bench.connect()
+    connection.data_received(request_bytes(time_left=3000))
+    bench.entry.stop_window = window
+    bench.sent()[0].answer(500, b'own failure')
+    assert transport.written.startswith(b'HTTP/1.1 500')
+    assert transport.written.endswith(b'own failure')
