Answer what a stop has read behind other requests

Callers saw: of requests sent one behind the other, those that a stopping node had read but not started ended with the connection, without an answer.

Cause: while a node stops, the answer to the last request that runs closes the connection, although others have been read and wait behind it.

Change: the connection closes with the answer to the last request that was read.

The test of a stop with pipelined requests expected the fault: it asserted that a request that was read whole is dropped. It is replaced by one that is as strict on the order of starts and on which answer closes, and asks for the third answer too.

--- a/packages/sidecar/src/boragetrestle_sidecar/caller_connection.py
+++ b/packages/sidecar/src/boragetrestle_sidecar/caller_connection.py
@@ -225,8 +225,9 @@
         """Write the answers that no earlier one holds back."""
         while self.pending and self.pending[0].render is not None:
             answer = self.pending.popleft()
+            is_last = not self.pending and not self.reader.ready
             keeps_open = answer.sent.keeps_open and not (
-                self.entry.is_stopping and not self.pending
+                self.entry.is_stopping and is_last
             )
             self._write_answer(answer, keeps_open=keeps_open)
             self.last_used_at = steady_now()
--- a/tests/test_path_pipelining.py
+++ b/tests/test_path_pipelining.py
@@ -77,20 +77,25 @@
     assert names_started(bench) == {'a'}
 
 
-def test_planned_stop_answers_all_that_runs_and_starts_nothing_more() -> None:
+# Guards against requests that a stop reads and never answers.
+def test_planned_stop_answers_all_that_it_has_read() -> None:
     """Only the last answer closes the connection."""
     bench = bench_with_two_routes()
     connection, transport = bench.connect()
     connection.data_received(requests('a', 'b'))
     bench.entry.is_stopping = True
     connection.data_received(requests('c'))
+    assert names_started(bench) == {'a', 'b'}
     bench.sent_for('b')[0].answer(body=b'body-b')
-    bench.sent_for('a')[0].answer(body=b'body-a')
     assert names_started(bench) == {'a', 'b'}
-    head, _, last = transport.written.partition(b'body-a')
-    assert b'connection: close' not in head
-    assert b'connection: close' in last
-    assert last.endswith(b'body-b')
+    bench.sent_for('a')[0].answer(body=b'body-a')
+    assert names_started(bench) == {'a', 'b', 'c'}
+    assert not transport.is_closed
+    bench.sent_for('c')[0].answer(body=b'body-c')
+    heads = transport.written.partition(b'body-b')
+    assert b'connection: close' not in heads[0]
+    assert b'connection: close' in heads[2]
+    assert transport.written.endswith(b'body-c')
     assert transport.is_closed
 
 
