Refuse what a stop leaves, and close callers' connections before the process

Callers saw: a request that met the end of a stop was read, passed on and run, and its answer went with the process. Requests that waited at a node when its grace period was over got nothing.

Cause: a stop closed the listeners and left the connections of callers to the end of the process. The event loop goes on for some rounds after that, and reads.

Change: at its end a stop refuses the requests that are left: 503 if none has been sent to a guard, 502 with an unknown outcome otherwise. It closes the connections of callers once what was written has left, for up to a twentieth of the grace period, and refuses whatever is still read.

--- a/packages/sidecar/src/boragetrestle_sidecar/entry.py
+++ b/packages/sidecar/src/boragetrestle_sidecar/entry.py
@@ -30,7 +30,7 @@
 from boragetrestle_sidecar.run_order import RunOrder
 from boragetrestle_sidecar.service_split import ServiceSplit
 from boragetrestle_sidecar.steady_clock import steady_now
-from boragetrestle_sidecar.stop_window import NO_STOP
+from boragetrestle_sidecar.stop_window import CLOSED, NO_STOP
 from boragetrestle_sidecar.suspects import fingerprint
 
 if TYPE_CHECKING:
@@ -176,6 +176,19 @@
                 if hop is not None:
                     hop.cancel(request.run_token)
 
+    def finish_stop(self) -> None:
+        """Refuse the requests that are left, and all that come later.
+
+        Those at a guard may have run.
+        """
+        self.stop_window = CLOSED
+        for request in list(self.requests):
+            hop = request.hop
+            request.may_have_run |= hop is not None
+            self._refuse_for_stop(request)
+            if hop is not None:
+                hop.cancel(request.run_token)
+
     def _ends_before_stop(self, request: EntryRequest) -> bool:
         """Return whether the node sees a request through if it sends it on."""
         ends_at = request.expires_at + ANSWER_GRACE_SECONDS
--- a/packages/sidecar/src/boragetrestle_sidecar/sidecar.py
+++ b/packages/sidecar/src/boragetrestle_sidecar/sidecar.py
@@ -13,6 +13,7 @@
 from boragetrestle_kernel.errors import SettingsError
 from boragetrestle_sidecar.admission.admission import Admission
 from boragetrestle_sidecar.caller_connection import CallerConnection
+from boragetrestle_sidecar.close_reason import CloseReason
 from boragetrestle_sidecar.config_keeper import ConfigKeeper
 from boragetrestle_sidecar.endpoint_server import EndpointConnection
 from boragetrestle_sidecar.entry import Entry
@@ -65,6 +66,7 @@
 # Fraction of the grace period reserved for closing. Runs that callers wait for
 # must continue through five sixths of it, so this is less than a sixth.
 CLOSE_MARGIN_FRACTION = 0.1
+FLUSH_FRACTION = 0.05  # of the grace period, for the last answers to leave
 # A node that has just started is ready when its links are up, or after this.
 LINK_WAIT_SECONDS = 1.0
 # In fleets up to this size loads are reported at each interval; in larger ones
@@ -252,18 +254,34 @@
             await asyncio.sleep(SWEEP_INTERVAL_SECONDS)
         removal.cancel()
         self._log_cut_requests(began)
+        requests = len(self.entry.requests)
+        callers = sum(
+            connection.owes_answers for connection in self.entry.connections
+        )
+        await self._close_callers()
         self.close()
         self.log.write_unlimited(
             'stopped',
-            requests=len(self.entry.requests),
-            callers=sum(
-                connection.owes_answers for connection in self.entry.connections
-            ),
+            requests=requests,
+            callers=callers,
             after=steady_now() - began,
         )
 
+    async def _close_callers(self) -> None:
+        """Refuse what is left and let the last answers leave.
+
+        Callers may send until the process is gone, so the listener stays open
+        and what is read meanwhile is refused.
+        """
+        self.entry.finish_stop()
+        for connection in list(self.entry.connections):
+            connection.close(CloseReason.STOP)
+        flush_until = steady_now() + FLUSH_FRACTION * self.settings.stop_seconds
+        while self.entry.connections and steady_now() < flush_until:
+            await asyncio.sleep(SWEEP_INTERVAL_SECONDS)
+
     def _log_cut_requests(self, began: float) -> None:
-        """Log the requests that a stop ends without an answer."""
+        """Log the requests that a stop gives up."""
         now = steady_now()
         for request in self.entry.requests:
             self.log.write_limited(
--- a/packages/sidecar/src/boragetrestle_sidecar/stop_window.py
+++ b/packages/sidecar/src/boragetrestle_sidecar/stop_window.py
@@ -27,3 +27,4 @@
 
 
 NO_STOP = StopWindow()
+CLOSED = StopWindow(accepts_until=-math.inf, closes_at=-math.inf)
--- a/tests/test_path_stop_requests.py
+++ b/tests/test_path_stop_requests.py
@@ -1,5 +1,9 @@
 """Requests that come while a node stops, from its first to its last moment."""
 
+import asyncio
+from contextlib import suppress
+from typing import Any
+
 import pytest
 from entry_builders import EntryHarness, request_bytes
 from path_builders import route
@@ -144,3 +148,48 @@
     bench.sent()[0].answer(500, b'own failure')
     assert transport.written.startswith(b'HTTP/1.1 500')
     assert transport.written.endswith(b'own failure')
+
+
+# Guards against requests that are read when the node has decided to end.
+@pytest.mark.loopback
+def test_request_that_meets_the_end_of_a_stop_is_not_passed_on() -> None:
+    """The event loop goes on for some rounds before the process is gone."""
+
+    async def test(hosts: list[Host], _store: MemoryStore) -> None:
+        expect_long_stop(hosts, run_seconds=0.1)
+        reader, writer = await asyncio.open_connection(hosts[0].ip, 7002)
+        await hosts[0].node.stop()
+        writer.write(request_bytes(time_left=500))
+        with suppress(ConnectionError):
+            assert not await reader.read()
+        writer.close()
+        assert not StopWitness(hosts).ran
+
+    run_with_hosts(test)
+
+
+@pytest.mark.parametrize(
+    ('is_placed', 'status'), [(True, b'502'), (False, b'503')]
+)
+def test_request_left_at_the_end_of_a_stop_is_told_whether_it_may_have_run(
+    is_placed: bool,
+    status: bytes,
+) -> None:
+    """One that waits for tokens has not been sent to a target."""
+    bench = EntryHarness()
+    if not is_placed:
+        rates: Any = bench.rates
+        rates.take_token = lambda _policy: False
+        rates.request_tokens = lambda *_call: None
+    connection, transport = bench.connect()
+    connection.data_received(request_bytes())
+    assert bool(bench.sent()) == is_placed
+    bench.entry.is_stopping = True
+    bench.entry.finish_stop()
+    assert transport.written.startswith(b'HTTP/1.1 ' + status)
+    assert transport.is_closed
+    assert not bench.entry.requests
+    late, transport = bench.connect()
+    late.data_received(request_bytes('r-2'))
+    assert transport.written.startswith(b'HTTP/1.1 503')
+    assert len(bench.sent()) == is_placed
