Bound the Keep-Alive timeout of an answer before its caller is forgotten

Callers saw 504 at their time limit for whole, sound answers whose Keep-Alive timeout had 310 digits or more. The number was converted after the listener of the exchange had been taken off: int() refuses more than 4300 digits (ValueError), and the subtraction overflows above 308 (OverflowError). The event loop then closed the connection, nobody was told, and the slot stayed in use.

Reuse is decided before the listener is taken off, and read_count bounds a number by its digits before it converts them.

Before: test_answer_with_an_odd_keep_alive_is_passed_on fails with both errors. After: 200 and no run in progress for all examples. Rate limit, stated load, leaving, Retry-After and Age with numbers of up to 6000 digits passed before and after: their patterns bound them.

--- a/packages/sidecar/src/boragetrestle_sidecar/server_connection.py
+++ b/packages/sidecar/src/boragetrestle_sidecar/server_connection.py
@@ -8,6 +8,7 @@
 from boragetrestle_kernel.errors import HttpError
 from boragetrestle_sidecar.answer_buffers import AnswerBuffers
 from boragetrestle_sidecar.answer_reader import AnswerReader
+from boragetrestle_sidecar.header_number import read_count
 from boragetrestle_sidecar.steady_clock import steady_now
 
 if TYPE_CHECKING:
@@ -16,6 +17,7 @@
 
 _DEFAULT_IDLE_SECONDS = 4.0  # for servers that state no Keep-Alive timeout
 _IDLE_MARGIN_SECONDS = 1.0  # Keep-Alive states seconds, rounded down
+_MAX_KEEP_ALIVE_SECONDS = 86_400
 MAX_REFUSED_IDS = 100  # a connection with more is closed
 
 
@@ -155,11 +157,11 @@
         listener = self.listener
         if answer is None or listener is None:
             return
+        self._update_reuse(answer)
         self.matching_answer = None
         self.listener = None
         self.served += 1
         self.idle_since = self.clock()
-        self._update_reuse(answer)
         if not self.is_usable:
             self.close()
         listener.answered(answer)
@@ -193,7 +195,8 @@
     9.0
     """
     for part in keep_alive.split(b','):
-        name, _, seconds = part.strip().partition(b'=')
-        if name.lower() == b'timeout' and seconds.isdigit():
-            return max(0.0, int(seconds) - _IDLE_MARGIN_SECONDS)
+        name, _, stated = part.strip().partition(b'=')
+        seconds = read_count(stated, most=_MAX_KEEP_ALIVE_SECONDS)
+        if name.lower() == b'timeout' and seconds is not None:
+            return max(0.0, seconds - _IDLE_MARGIN_SECONDS)
     return _DEFAULT_IDLE_SECONDS
--- /dev/null
+++ b/tests/test_path_header_numbers.py
@@ -0,0 +1,49 @@
+"""Numbers of any length in headers of other programs."""
+
+import pytest
+from hypothesis import example, given
+from hypothesis import strategies as st
+from path_builders import GuardHarness, run_order
+
+from boragetrestle_sidecar.outcome import OutcomeKind
+
+ODD_NUMBERS = st.one_of(
+    st.integers(1, 6000).map(lambda length: b'9' * length),
+    st.integers(1, 6000).map(lambda length: b'0' * length + b'5'),
+    st.from_regex(rb'[+-]?[0-9]{0,400}(\.[0-9]{0,30})?', fullmatch=True),
+    st.sampled_from([b'', b'inf', b'-inf', b'nan', b'1e999', b'0x1f']),
+    st.sampled_from(['٣', '²', '५५']).map(str.encode),
+)
+ANSWER_HEADERS = (b'rate-limit', b'load', b'leaving', b'retry-after', b'age')
+
+
+def answer_with(extra: bytes) -> GuardHarness:
+    """Let a target answer a run with another header."""
+    bench = GuardHarness()
+    job = bench.submit(run_order())
+    bench.answer(job, extra=b'seal: s\r\n' + extra)
+    return bench
+
+
+# Guards against whole answers that are lost to one odd header.
+@pytest.mark.parametrize('name', ANSWER_HEADERS)
+@given(stated=ODD_NUMBERS)
+def test_answer_with_an_odd_number_is_passed_on(
+    name: bytes, stated: bytes
+) -> None:
+    """Terms that cannot be read concern later runs."""
+    bench = answer_with(b'%s: %s\r\n' % (name, stated))
+    assert bench.outcomes['r-1'].kind is OutcomeKind.ANSWERED
+    assert bench.guard.running == 0
+
+
+# Guards against a Keep-Alive timeout that no number of Python holds, and after
+# which callers wait until their time limit.
+@given(stated=ODD_NUMBERS)
+@example(stated=b'9' * 400)
+@example(stated=b'9' * 5000)
+def test_answer_with_an_odd_keep_alive_is_passed_on(stated: bytes) -> None:
+    """The connection is kept if the number can be read."""
+    bench = answer_with(b'Keep-Alive: timeout=%s\r\n' % stated)
+    assert bench.outcomes['r-1'].status == 200
+    assert bench.guard.running == 0
