Bound the time limit that a caller states before it is converted

Callers saw their connection reset, with every request that was read, waited or ran on it, when one request stated a time limit of 400 digits (OverflowError in the division) or of more than 4300 (ValueError of int()). The header limit of 16 KB admits both.

Before: test_request_with_an_odd_time_limit_is_answered fails with OverflowError in _stated_time_left and a closed connection. After: both requests of a pipeline are answered in all examples.

--- a/packages/sidecar/src/boragetrestle_sidecar/entry.py
+++ b/packages/sidecar/src/boragetrestle_sidecar/entry.py
@@ -20,6 +20,7 @@
 )
 from boragetrestle_sidecar.entry_request import EntryRequest
 from boragetrestle_sidecar.guard_probe import GuardProbe
+from boragetrestle_sidecar.header_number import read_count
 from boragetrestle_sidecar.outcome import Outcome, OutcomeKind, Reason
 from boragetrestle_sidecar.placement import choose_guard
 from boragetrestle_sidecar.region_policy import (
@@ -53,6 +54,7 @@
 ANSWER_GRACE_SECONDS = 0.03
 # Reserved from a caller's time for sending the last answer back.
 ANSWER_RETURN_SECONDS = 0.04
+MAX_TIME_LEFT_MS = 86_400_000  # a day; routes allow seconds
 MIN_RETRY_RUN_SECONDS = 0.02  # less is not enough for another run
 NO_TARGET_RETRY_AFTER_SECONDS = 0.4  # crashed targets restart within seconds
 # Names in a Connection header that don't remove a header of that name.
@@ -626,10 +628,9 @@
         return route.time_limit if stated is None else stated
 
     def _stated_time_left(self, request: 'CallerRequest') -> float | None:
-        stated = request.header(self.names.time_left)
-        if stated is None or not stated.isdigit():
-            return None
-        return int(stated) / 1000
+        stated = request.header(self.names.time_left) or b''
+        left = read_count(stated, most=MAX_TIME_LEFT_MS)
+        return None if left is None else left / 1000
 
     def _build_head(self, request: EntryRequest) -> bytes:
         """Return request line and headers, without those added per run."""
--- a/tests/test_path_header_numbers.py
+++ b/tests/test_path_header_numbers.py
@@ -1,6 +1,7 @@
 """Numbers of any length in headers of other programs."""
 
 import pytest
+from entry_builders import EntryHarness, request_bytes
 from hypothesis import example, given
 from hypothesis import strategies as st
 from path_builders import GuardHarness, run_order
@@ -47,3 +48,21 @@
     bench = answer_with(b'Keep-Alive: timeout=%s\r\n' % stated)
     assert bench.outcomes['r-1'].status == 200
     assert bench.guard.running == 0
+
+
+# Guards against a caller's time limit that no number of Python holds, and that
+# closed the connection with all requests on it.
+@given(stated=ODD_NUMBERS)
+@example(stated=b'9' * 400)
+@example(stated=b'9' * 5000)
+def test_request_with_an_odd_time_limit_is_answered(stated: bytes) -> None:
+    """The time limit of its route bounds it."""
+    bench = EntryHarness()
+    connection, transport = bench.connect()
+    usual, odd = request_bytes('r-1'), request_bytes('r-2', time_left=7)
+    odd = odd.replace(b'Time-Left: 7', b'Time-Left: ' + stated)
+    connection.data_received(usual + odd)
+    for run in bench.sent():
+        run.answer()
+    assert transport.written.count(b'HTTP/1.1 ') == 2
+    assert not transport.is_closed
