Read bodies whose stated length has leading zeros

A caller saw 400 for a valid request whose Content-Length has more than 4300 leading zeros: the parser reads it, but int() refuses it inside the parser's callback. 400 denies what the configuration allows.

Before: test_body_whose_length_has_leading_zeros_is_read fails, no run is sent. After: it passes, as do the tests of uploads and the fuzzing against h11.

--- a/packages/sidecar/src/boragetrestle_sidecar/request_reader.py
+++ b/packages/sidecar/src/boragetrestle_sidecar/request_reader.py
@@ -11,10 +11,12 @@
     MalformedRequestError,
 )
 from boragetrestle_sidecar.caller_request import CallerRequest
+from boragetrestle_sidecar.header_number import read_count
 
 if TYPE_CHECKING:
     from boragetrestle_sidecar.caller_limits import CallerLimits
 
+_MAX_PARSED_LENGTH = 2**64 - 1  # the parser refuses greater ones
 
 class RequestReader:
     """Parse bytes into complete requests, one after the other.
@@ -165,5 +167,5 @@
     """Return the length that a valid head states, 0 if it states none."""
     for name, value in headers:
         if name == b'content-length':
-            return int(value)
+            return read_count(value.strip(), most=_MAX_PARSED_LENGTH) or 0
     return 0
--- a/tests/test_path_header_numbers.py
+++ b/tests/test_path_header_numbers.py
@@ -66,3 +66,15 @@
         run.answer()
     assert transport.written.count(b'HTTP/1.1 ') == 2
     assert not transport.is_closed
+
+
+# Guards against a valid length of a body that is refused for its leading zeros.
+def test_body_whose_length_has_leading_zeros_is_read() -> None:
+    """The head is within its limit."""
+    bench = EntryHarness()
+    connection, _transport = bench.connect()
+    length = f'Content-Length: {"0" * 5000}5\r\n'
+    connection.data_received(
+        request_bytes(method='POST', extra=length, body='whole')
+    )
+    assert [run.order.body for run in bench.sent()] == [b'whole']
