Refuse epochs of the store that are no number of a usual size

An epoch of more than 4300 digits raised ValueError, which the readers of the store don't expect: a task that fails so stops its node, and one malformed answer of the store could end every node that reads it.

Before: test_odd_epoch_of_the_store_is_a_store_error fails with ValueError.

--- a/packages/sidecar/src/boragetrestle_sidecar/store_epochs.py
+++ b/packages/sidecar/src/boragetrestle_sidecar/store_epochs.py
@@ -5,6 +5,10 @@
 """
 
 from boragetrestle_kernel.errors import OutcomeUnknownError, StoreError
+from boragetrestle_sidecar.header_number import read_count
+
+_MAX_EPOCH = 1_000_000_000_000_000  # far above the milliseconds of today
+_MAX_SHOWN_BYTES = 60
 
 
 class StoreEpochs:
@@ -32,12 +36,13 @@
         """
         if stated is None and not self.is_stated:
             return
-        if stated is None or not stated.isdigit():
+        epoch = read_count(stated or b'', most=_MAX_EPOCH + 1)
+        if epoch is None or epoch > _MAX_EPOCH:
+            shown = stated and stated[:_MAX_SHOWN_BYTES]
             raise StoreError(
-                f'an answer of the store names the epoch {stated!r}',
+                f'an answer of the store names the epoch {shown!r}',
                 remedy='check the store for faults',
             )
-        epoch = int(stated)
         if epoch < self.newest:
             raise OutcomeUnknownError(
                 f'an answer of the store is of epoch {epoch}, which ended when '
--- a/tests/test_path_header_numbers.py
+++ b/tests/test_path_header_numbers.py
@@ -1,12 +1,16 @@
 """Numbers of any length in headers of other programs."""
 
+from contextlib import suppress
+
 import pytest
 from entry_builders import EntryHarness, request_bytes
 from hypothesis import example, given
 from hypothesis import strategies as st
 from path_builders import GuardHarness, run_order
 
+from boragetrestle_kernel.errors import StoreError
 from boragetrestle_sidecar.outcome import OutcomeKind
+from boragetrestle_sidecar.store_epochs import StoreEpochs
 
 ODD_NUMBERS = st.one_of(
     st.integers(1, 6000).map(lambda length: b'9' * length),
@@ -78,3 +82,15 @@
         request_bytes(method='POST', extra=length, body='whole')
     )
     assert [run.order.body for run in bench.sent()] == [b'whole']
+
+
+# Guards against an epoch of the store that ends the tasks that read it.
+@given(stated=ODD_NUMBERS)
+@example(stated=b'9' * 5000)
+def test_odd_epoch_of_the_store_is_a_store_error(stated: bytes) -> None:
+    """A task that fails in another way stops its node."""
+    epochs = StoreEpochs()
+    epochs.check(b'3')
+    with suppress(StoreError):
+        epochs.check(stated)
+    assert epochs.newest < 10**18
