--- a/tests/test_deploy_store.py
+++ b/tests/test_deploy_store.py
@@ -46,6 +46,9 @@
     return TargetAnswer(status, headers, msgspec.json.encode(body), True)
 
 
+EMPTY_PAGE = TargetAnswer(200, [], b'{"HasMore": true}', keeps_open=True)
+
+
 def store_with(*answers: TargetAnswer) -> PlatformStore:
     """Return a client that gets these answers."""
     caller: Any = ScriptedCaller(*answers)
@@ -81,6 +84,22 @@
         result_of(store.view('t'))
 
 
+# Guards against pages of a table that end the process or never end.
+@pytest.mark.parametrize(
+    'pages',
+    [
+        (EMPTY_PAGE,),
+        (answer('4', key='b', has_more=True), answer('4', has_more=True)),
+    ],
+)
+def test_page_that_does_not_go_on_is_refused(
+    pages: tuple[TargetAnswer, ...],
+) -> None:
+    """The store says that there are more rows and sends none."""
+    with pytest.raises(StoreError):
+        result_of(store_with(*pages).view('t'))
+
+
 def test_position_that_the_copy_does_not_have_is_lost_history() -> None:
     """The table has to be read whole."""
     store = store_with(answer('5', status=410))
