End a run in which its guard fails, and pass its whole answer on

An exception while a guard handled the end of an exchange left three things behind: a caller that waited until its time limit, a slot in use for good, and a closed connection. It came after the connection had forgotten its listener, so nobody was left to be told.

The outcome is built before anything else changes. What is learned from an answer may fail without the answer being lost. Any other failure ends that one run at once, with an unknown outcome once it was handed to a connection and as not sent before, and is logged as run-failed with its trace. A run knows whether it holds a slot, so that the slot is released once.

The reasons are those that nodes of earlier builds can read.

--- a/packages/sidecar/src/boragetrestle_sidecar/guard.py
+++ b/packages/sidecar/src/boragetrestle_sidecar/guard.py
@@ -15,6 +15,7 @@
 from boragetrestle_sidecar.configured_services import ConfiguredServices
 from boragetrestle_sidecar.crash_watch import CrashWatch
 from boragetrestle_sidecar.evacuations import Evacuations
+from boragetrestle_sidecar.failure_trace import failure_trace
 from boragetrestle_sidecar.guard_job import GuardJob, JobState
 from boragetrestle_sidecar.guard_queue import GuardQueue
 from boragetrestle_sidecar.leave_source import LeaveSource
@@ -342,17 +343,10 @@
             expires_at=now + order.time_left - transit_delay,
             goal_at=now + order.goal_left - transit_delay,
         )
-        if job.expires_at - now < MIN_REMAINING_SECONDS:
-            self._finish(job, _not_sent(Reason.EXPIRED))
-        elif not self.is_open:
-            self._finish(job, _not_sent(self._closed_reason))
-        elif not self._serves(job):
-            self._finish(job, _not_sent(Reason.NO_TARGET))
-        elif self._has_room(now) and not self.queue:
-            self.jobs.add(job)
-            self._start(job, now)
-        else:
-            self._enqueue_or_refuse(job, now)
+        try:
+            self._accept(job, now)
+        except Exception as error:
+            self.fail_run(job, error)
         return job
 
     def cancel(self, job: GuardJob) -> None:
@@ -384,11 +378,62 @@
         for job in list(self.jobs):
             is_overdue = now > job.expires_at + EXPIRY_GRACE_SECONDS
             if is_overdue and job.state is JobState.RUNNING:
-                self._record_timeout(job, now)
-                self._abort_run(job, Reason.TIME_LIMIT)
+                self._expire(job, now)
         self.terms.update_pace(now)
         self._dispatch()
 
+    def fail_run(self, job: GuardJob, error: Exception) -> None:
+        """End a run that this node failed to handle; others go on.
+
+        The reasons are those that nodes of earlier builds know.
+        """
+        self._log_failure(job, error)
+        was_sent = job.state is JobState.RUNNING
+        if job.holds_slot and job.connection is not None:
+            job.connection.close()
+        self._release_slot(job)
+        if job.state is JobState.ENDED:
+            return
+        self._finish(
+            job,
+            Outcome(OutcomeKind.UNKNOWN, Reason.ANSWER_GARBLED)
+            if was_sent
+            else _not_sent(Reason.UNREACHABLE),
+        )
+
+    def _log_failure(self, job: GuardJob, error: Exception) -> None:
+        self.log.write_limited(
+            'run-failed',
+            request=job.order.request_id.decode('latin-1'),
+            route=job.order.route,
+            state=job.state.value,
+            error=repr(error),
+            trace=failure_trace(error),
+        )
+
+    def _accept(self, job: GuardJob, now: float) -> None:
+        """Start a run, queue it, or refuse it."""
+        if job.expires_at - now < MIN_REMAINING_SECONDS:
+            self._finish(job, _not_sent(Reason.EXPIRED))
+        elif not self.is_open:
+            self._finish(job, _not_sent(self._closed_reason))
+        elif not self._serves(job):
+            self._finish(job, _not_sent(Reason.NO_TARGET))
+        elif self._has_room(now) and not self.queue:
+            self.jobs.add(job)
+            self._start(job, now)
+        else:
+            self._enqueue_or_refuse(job, now)
+
+    def _expire(self, job: GuardJob, now: float) -> None:
+        """End a run whose deadline has passed."""
+        try:
+            self._record_timeout(job, now)
+        except Exception as error:
+            self.fail_run(job, error)
+        else:
+            self._abort_run(job, Reason.TIME_LIMIT)
+
     def _is_open_at(self, now: float) -> bool:
         if self.is_stopping or now < self.unreachable_until:
             return False
@@ -435,7 +480,15 @@
             self._start(job, now)
 
     def _start(self, job: GuardJob, now: float) -> None:
+        try:
+            self._occupy_slot(job, now)
+        except Exception as error:
+            self.fail_run(job, error)
+
+    def _occupy_slot(self, job: GuardJob, now: float) -> None:
+        """Send a run, or open a connection for it."""
         self.running += 1
+        job.holds_slot = True
         job.in_flight = self.running
         self.terms.pace.take(now=now)
         connection = self.pool.acquire(
@@ -450,6 +503,12 @@
             self._send(job, connection, now)
 
     async def _connect(self, job: GuardJob) -> None:
+        try:
+            await self._connect_and_send(job)
+        except Exception as error:
+            self.fail_run(job, error)
+
+    async def _connect_and_send(self, job: GuardJob) -> None:
         pool = self.pool
         pace = self.terms.pace
         was_limited = pace.is_limited
@@ -547,7 +606,40 @@
         )
 
     def finish_with_answer(self, job: GuardJob, answer: 'TargetAnswer') -> None:
-        """Finish a run with the answer of the target."""
+        """Finish a run with the answer of the target.
+
+        A whole answer is passed on also if nothing can be learned from it.
+        """
+        outcome = self._outcome_of(answer)
+        try:
+            self._learn_from_answer(job, answer)
+        except Exception as error:
+            self._log_failure(job, error)
+            assert job.connection is not None
+            job.connection.close()
+        self._release_slot(job)
+        self._finish(job, outcome)
+        self._dispatch()
+
+    def _outcome_of(self, answer: 'TargetAnswer') -> Outcome:
+        """Return the outcome of a run that the target has answered."""
+        if self._is_rejection(answer):
+            return self._rejected(answer)
+        has_marker = answer.header(self.names.target_answer_marker) is not None
+        if answer.is_success and not has_marker:
+            return Outcome(OutcomeKind.UNKNOWN, Reason.ANSWER_GARBLED)
+        return Outcome(
+            OutcomeKind.ANSWERED,
+            status=answer.status,
+            head=answer_head(answer, self.names),
+            body=answer.body,
+        )
+
+    def _learn_from_answer(self, job: GuardJob, answer: 'TargetAnswer') -> None:
+        """Record what an answer tells of the target; free slot and connection.
+
+        A success without the target's marker is not one of the target's runs.
+        """
         now = self.clock()
         seconds = now - job.started_at
         self.telemetry.observe('run_seconds', job.order.route, seconds)
@@ -563,29 +655,14 @@
         is_failure = is_rejection or answer.status in FAILURE_STATUSES
         self.meter.record_result(is_failure=is_failure, now=now)
         if is_rejection:
-            self._finish(job, self._rejected(answer))
+            return
+        if answer.status == HTTPStatus.GATEWAY_TIMEOUT:
+            self._record_timeout(job, now)
         elif (
             answer.is_success
-            and answer.header(self.names.target_answer_marker) is None
+            and answer.header(self.names.target_answer_marker) is not None
         ):
-            self._finish(
-                job, Outcome(OutcomeKind.UNKNOWN, Reason.ANSWER_GARBLED)
-            )
-        else:
-            if answer.is_success:
-                self._record_run(job, seconds, now)
-            elif answer.status == HTTPStatus.GATEWAY_TIMEOUT:
-                self._record_timeout(job, now)
-            self._finish(
-                job,
-                Outcome(
-                    OutcomeKind.ANSWERED,
-                    status=answer.status,
-                    head=answer_head(answer, self.names),
-                    body=answer.body,
-                ),
-            )
-        self._dispatch()
+            self._record_run(job, seconds, now)
 
     def finish_with_loss(self, job: GuardJob, loss: Loss) -> None:
         """Finish a run whose connection broke."""
@@ -720,6 +797,9 @@
             self._finish(job, _not_sent(reason))
 
     def _release_slot(self, job: GuardJob, *, is_whole: bool = False) -> None:
+        if not job.holds_slot:
+            return
+        job.holds_slot = False
         self.running -= 1
         if job.calls is not None:
             self.attribution.end_run(job.calls, is_whole=is_whole)
@@ -741,11 +821,17 @@
 
     def answered(self, answer: 'TargetAnswer') -> None:
         """Finish the run with a complete answer."""
-        self.guard.finish_with_answer(self.job, answer)
+        try:
+            self.guard.finish_with_answer(self.job, answer)
+        except Exception as error:
+            self.guard.fail_run(self.job, error)
 
     def lost(self, loss: Loss) -> None:
         """Finish the run without an answer."""
-        self.guard.finish_with_loss(self.job, loss)
+        try:
+            self.guard.finish_with_loss(self.job, loss)
+        except Exception as error:
+            self.guard.fail_run(self.job, error)
 
 
 def _not_sent(reason: Reason, *, retry_after: float = 0.0) -> Outcome:
--- a/packages/sidecar/src/boragetrestle_sidecar/guard_job.py
+++ b/packages/sidecar/src/boragetrestle_sidecar/guard_job.py
@@ -27,7 +27,8 @@
 
     ``goal_at`` is the response-time goal and ``expires_at`` the deadline.
     ``in_flight`` counts the runs at the target, with this one, at its start.
-    ``calls`` holds the onward calls that are attributed to this run.
+    ``calls`` holds the onward calls that are attributed to this run, and
+    ``holds_slot`` tells that it counts as one at the target.
     """
 
     order: 'RunOrder'
@@ -40,3 +41,4 @@
     in_flight: int = 0
     connection: 'ServerConnection | None' = None
     calls: 'RunCalls | None' = None
+    holds_slot: bool = False
--- a/packages/sidecar/src/boragetrestle_sidecar/sidecar.py
+++ b/packages/sidecar/src/boragetrestle_sidecar/sidecar.py
@@ -5,7 +5,6 @@
 import os
 import random
 import signal
-import traceback
 from collections.abc import Sequence
 from functools import partial
 from typing import TYPE_CHECKING, Any
@@ -19,6 +18,7 @@
 from boragetrestle_sidecar.entry import Entry
 from boragetrestle_sidecar.entry_parts import EntryParts
 from boragetrestle_sidecar.evacuations import Evacuations
+from boragetrestle_sidecar.failure_trace import failure_trace
 from boragetrestle_sidecar.first_configuration import FirstConfiguration
 from boragetrestle_sidecar.fleet import Fleet
 from boragetrestle_sidecar.fleet_load import load_of
@@ -74,7 +74,6 @@
 MAX_SMALL_FLEET = 17
 TICKS_IN_LARGE_FLEET = 2
 LISTEN_BACKLOG = 1024  # after a restart all callers connect at once
-MAX_TRACE_ENTRIES = 6  # last entries of a traceback in a log line
 _INCARNATION_BITS = 48  # random numbers of two starts don't coincide
 
 
@@ -429,12 +428,11 @@
     ) -> None:
         """Log an exception that a callback of the event loop raised."""
         error = context.get('exception')
-        trace = traceback.format_exception(error) if error else []
         self.log.write_limited(
             'callback-failed',
             message=context.get('message', ''),
             error=repr(error),
-            trace=trace[-MAX_TRACE_ENTRIES:],
+            trace=failure_trace(error) if error else [],
         )
 
     async def _sweep_deadlines(self) -> None:
