Count a refused answer as a sign of life of its target

What callers saw: after 16 endless answers, plain requests to the same service got 503 (no-target) until the next heartbeat, although both targets were well.

Cause: TargetSilence takes a target for stuck after 0.5 s in which runs were at it and none was answered. An answer that is refused ended its run, but did not end the silence, not even when no run was left. The logs show no-target refusals 0.5 s after the first endless request, and no target-unreachable.

Change: a refused answer restarts the silence, as a whole one does. Bytes without a meaning come from a target that runs; a frozen one sends none.

Before: the new test fails (is_open is False).

--- a/packages/sidecar/src/boragetrestle_sidecar/guard.py
+++ b/packages/sidecar/src/boragetrestle_sidecar/guard.py
@@ -682,6 +682,10 @@
             self.silence_detector.restart(
                 self.clock(), is_idle=not self.running
             )
+        if loss is Loss.GARBLED:
+            self.silence_detector.restart(
+                self.clock(), is_idle=not self.running
+            )
         if loss is Loss.CLOSED:
             self.crash_watch.record_loss(job.order, self.clock())
         self._finish(job, Outcome(OutcomeKind.UNKNOWN, _LOSS_REASON[loss]))
--- a/tests/test_path_guard.py
+++ b/tests/test_path_guard.py
@@ -9,6 +9,7 @@
 from boragetrestle_sidecar.outcome import OutcomeKind, Reason
 from boragetrestle_sidecar.server_connection import ServerConnection
 from boragetrestle_sidecar.target_report import TargetReport, TargetState
+from boragetrestle_sidecar.target_silence import MIN_SILENT_SECONDS
 
 
 def test_queue_waits_and_run_times_are_measured() -> None:
@@ -274,6 +275,17 @@
     assert bench.guard.is_open
 
 
+# Guards against bytes that are no answer being taken for silence.
+def test_target_with_a_refused_answer_is_not_silent() -> None:
+    """It stays open although it has answered nothing for long."""
+    bench = GuardHarness()
+    job = bench.submit(run_order())
+    bench.clock.now += MIN_SILENT_SECONDS * 0.8
+    job.connection.data_received(b'no answer')
+    bench.clock.now += MIN_SILENT_SECONDS * 0.8
+    assert bench.guard.is_open
+
+
 def test_connection_that_breaks_alone_is_no_crash() -> None:
     """Requests become suspects only if the target restarts afterwards."""
     bench = GuardHarness()
