--- a/packages/sidecar/src/boragetrestle_sidecar/request_reader.py
+++ b/packages/sidecar/src/boragetrestle_sidecar/request_reader.py
@@ -16,7 +16,9 @@
 if TYPE_CHECKING:
     from boragetrestle_sidecar.caller_limits import CallerLimits
 
-_MAX_PARSED_LENGTH = 2**64 - 1  # the parser refuses greater ones
+_PARSED_BITS = 64  # the parser refuses greater lengths
+_MAX_PARSED_LENGTH = 2**_PARSED_BITS - 1
+
 
 class RequestReader:
     """Parse bytes into complete requests, one after the other.
