Answer a request whose handling fails at its entry, and spare the others

An exception in the handling of one request had no end at its entry. Out of the start of a request it closed the connection of all others that its caller had sent. Out of an outcome it went into the callback of the link, which dropped the link with the runs of all other requests, and the request itself waited until its time limit. Steps that only count came before the answer was written, so a fault in one lost a whole answer.

Each step of a request (start, tokens, answers of guards, outcome, deadline, cancellation) runs through one place that logs a failure as request-failed with its trace, answers 502 with the code internal-failure, and cancels the run. Steps that only count are logged when they fail, and the answer is written. A request is listed only once it is complete.

--- a/packages/sidecar/src/boragetrestle_sidecar/entry.py
+++ b/packages/sidecar/src/boragetrestle_sidecar/entry.py
@@ -9,6 +9,7 @@
 import math
 from collections import Counter
 from collections.abc import Callable, Sequence
+from functools import partial
 from http import HTTPStatus
 from typing import TYPE_CHECKING, NamedTuple
 
@@ -19,6 +20,7 @@
     parse_connection_header,
 )
 from boragetrestle_sidecar.entry_request import EntryRequest
+from boragetrestle_sidecar.failure_trace import failure_trace
 from boragetrestle_sidecar.guard_probe import GuardProbe
 from boragetrestle_sidecar.header_number import read_count
 from boragetrestle_sidecar.outcome import Outcome, OutcomeKind, Reason
@@ -124,12 +126,16 @@
         request: 'CallerRequest',
     ) -> EntryRequest | None:
         """Start a request; return it unless it is already over."""
-        found = self._resolve(request)
-        if isinstance(found, Reason):
-            self._refuse_unresolved(answer, found, request)
+        try:
+            started = self._begin_request(answer, request)
+        except Exception as error:
+            self._log_failure(request, error)
+            if answer.render is None:
+                answer.write_refusal(Reason.INTERNAL)
+            return None
+        if started is None:
             return None
-        started = self._create_request(answer, request, found)
-        self._admit(started)
+        self._run_step(started, partial(self._admit, started))
         return None if started.is_over else started
 
     def may_repeat(self, request: 'CallerRequest') -> bool:
@@ -144,8 +150,10 @@
 
     def abandon(self, request: EntryRequest) -> None:
         """Cancel a request whose caller has closed its connection."""
-        if request.is_over:
-            return
+        if not request.is_over:
+            self._run_step(request, partial(self._cancel, request))
+
+    def _cancel(self, request: EntryRequest) -> None:
         self.log.write_limited(
             'caller-gone',
             request=request.log_id,
@@ -173,10 +181,69 @@
         now = self.clock()
         for request in list(self.requests):
             if now > request.expires_at + ANSWER_GRACE_SECONDS:
-                hop = request.hop
-                self._refuse(request, Reason.TIME_LIMIT)
-                if hop is not None:
-                    hop.cancel(request.run_token)
+                self._run_step(request, partial(self._expire, request))
+
+    def _expire(self, request: EntryRequest) -> None:
+        hop = request.hop
+        self._refuse(request, Reason.TIME_LIMIT)
+        if hop is not None:
+            hop.cancel(request.run_token)
+
+    def _run_step(
+        self,
+        request: EntryRequest,
+        step: Callable[[], object],
+    ) -> None:
+        """Run a step of one request, which ends alone if the step fails.
+
+        Its caller is not left waiting, and the exception reaches neither the
+        link nor the connection that other requests share.
+        """
+        try:
+            step()
+        except Exception as error:
+            self._log_failure(request.request, error)
+            if not request.is_over:
+                self._end_failed(request)
+
+    def _end_failed(self, request: EntryRequest) -> None:
+        """Answer that the outcome is unknown, and cancel the run."""
+        hop = request.hop
+        self._finish(request)
+        refuse = partial(request.answer.write_refusal, Reason.INTERNAL)
+        self._run_step(request, refuse)
+        if hop is not None:
+            self._run_step(request, partial(hop.cancel, request.run_token))
+
+    def _record(
+        self, request: EntryRequest, step: Callable[[], object]
+    ) -> None:
+        """Run a step that only counts; the request goes on if it fails."""
+        try:
+            step()
+        except Exception as error:
+            self._log_failure(request.request, error)
+
+    def _log_failure(self, request: 'CallerRequest', error: Exception) -> None:
+        request_id = request.header(self.names.request_id) or b''
+        self.log.write_limited(
+            'request-failed',
+            request=request_id.decode('latin-1'),
+            error=repr(error),
+            trace=failure_trace(error),
+        )
+
+    def _begin_request(
+        self,
+        answer: 'PendingAnswer',
+        request: 'CallerRequest',
+    ) -> EntryRequest | None:
+        """Return a request that may be admitted; refuse it otherwise."""
+        found = self._resolve(request)
+        if isinstance(found, Reason):
+            self._refuse_unresolved(answer, found, request)
+            return None
+        return self._create_request(answer, request, found)
 
     def finish_stop(self) -> None:
         """Refuse the requests that are left, and all that come later.
@@ -243,12 +310,12 @@
             goal_at=now + route.goal,
             caller_expires_at=now + left,
         )
-        self.requests.add(started)
         self.parts.retry_budget.record_request(started.service)
         if route.needs_key:
             self.arrivals[route.name] += 1
         else:
             self.parts.attribution.attribute_call(route.name, now + left)
+        self.requests.add(started)
         return started
 
     def _admit(self, request: EntryRequest) -> None:
@@ -278,16 +345,20 @@
 
     def _release(self, request: EntryRequest) -> None:
         if not request.is_over:
-            self.admission.refresh()
-            self._admit(request)
+            self._run_step(request, partial(self._admit_held, request))
+
+    def _admit_held(self, request: EntryRequest) -> None:
+        self.admission.refresh()
+        self._admit(request)
 
     def _take_token(self, request: EntryRequest) -> None:
         policy = request.organisation
         if policy is None or self.rate_gate.take_token(policy):
             self._place(request)
             return
+        resume = partial(self._resume_after_token_request, request)
         self.rate_gate.request_tokens(
-            policy, lambda: self._resume_after_token_request(request)
+            policy, lambda: self._run_step(request, resume)
         )
 
     def _resume_after_token_request(self, request: EntryRequest) -> None:
@@ -310,15 +381,18 @@
         guards = self._guards_for(request)
         if not request.placements:
             unknown = self.probe.choose_guards(guards)
+            place = partial(self._place_after_probe, request)
             if unknown and self.probe.ask(
-                unknown,
-                lambda: self._choose_guard(request, self._guards_for(request)),
+                unknown, lambda: self._run_step(request, place)
             ):
                 return
             if guards:
                 self.probe.refresh_one(guards)
         self._choose_guard(request, guards)
 
+    def _place_after_probe(self, request: EntryRequest) -> None:
+        self._choose_guard(request, self._guards_for(request))
+
     def _guards_for(self, request: EntryRequest) -> 'Sequence[GuardView]':
         """Return the guards that may serve a request."""
         return guards_in_regions(
@@ -388,7 +462,9 @@
         placement = request.placements
         token = guard.hop.run(
             order,
-            lambda outcome: self._handle_outcome(request, guard, outcome),
+            lambda outcome: self._run_step(
+                request, partial(self._handle_outcome, request, guard, outcome)
+            ),
         )
         # The own guard may refuse before it returns, and the request be placed
         # at another one, under another number.
@@ -422,7 +498,9 @@
         guard: 'GuardView',
         outcome: Outcome,
     ) -> None:
-        self.fleet.record_outcome(guard, outcome)
+        self._record(
+            request, partial(self.fleet.record_outcome, guard, outcome)
+        )
         if request.is_over:
             return
         request.hop = None
@@ -460,6 +538,20 @@
             self._log_retry(request, guard, outcome)
             self._place(request)
             return
+        self._record(
+            request, partial(self._record_answer, request, guard, outcome)
+        )
+        self._finish(request)
+        request.answer.write_answer(outcome.head, outcome.body)
+
+    def _record_answer(
+        self,
+        request: EntryRequest,
+        guard: 'GuardView',
+        outcome: Outcome,
+    ) -> None:
+        """Count an answer that its caller gets."""
+        is_failure = outcome.status in _RETRIED_STATUSES
         seconds = self.clock() - request.arrived_at
         self.telemetry.count_answer(request.route.name, outcome.status, seconds)
         if is_failure:
@@ -473,8 +565,6 @@
             )
         if self.suspects.crashes and not is_failure:
             self.suspects.clear(_request_fingerprint(request), is_own=True)
-        self._finish(request)
-        request.answer.write_answer(outcome.head, outcome.body)
 
     def _may_retry_failed_answer(
         self,
--- a/packages/sidecar/src/boragetrestle_sidecar/outcome.py
+++ b/packages/sidecar/src/boragetrestle_sidecar/outcome.py
@@ -51,6 +51,7 @@
     TOO_LARGE = 'request-too-large'
     HEAD_TOO_LARGE = 'head-too-large'
     BODY_STALLED = 'body-stalled'
+    INTERNAL = 'internal-failure'  # of entries only: earlier builds lack it
 
 
 class GuardLoad(NamedTuple):
--- a/packages/sidecar/src/boragetrestle_sidecar/refusal_answer.py
+++ b/packages/sidecar/src/boragetrestle_sidecar/refusal_answer.py
@@ -44,6 +44,7 @@
     Reason.CONNECTION_LOST: _OUTCOME_UNKNOWN,
     Reason.ANSWER_GARBLED: _OUTCOME_UNKNOWN,
     Reason.LINK_LOST: _OUTCOME_UNKNOWN,
+    Reason.INTERNAL: _OUTCOME_UNKNOWN,
     Reason.TIME_LIMIT: RefusalAnswer(HTTPStatus.GATEWAY_TIMEOUT, not_run=False),
     Reason.NO_ROUTE: RefusalAnswer(HTTPStatus.NOT_FOUND, not_run=True),
     Reason.KEY_UNKNOWN: RefusalAnswer(HTTPStatus.UNAUTHORIZED, not_run=True),
