Refuse times and numbers in frames that are none, without their link

A frame of another node is decoded by type, and NaN and infinity are floats. A run sent at infinity made all later runs of its link expire, since delays are measured against the quickest message. A goal of NaN broke the order of the queue. Infinitely many tokens, and a frame number that is a list, left the callback of the connection as OverflowError and TypeError.

Runs without finite times end as expired, each for itself; frame numbers are whole numbers; token counts are finite.

Before: 9 of the 14 new cases in test_path_peer_fuzz.py fail. After: all pass.

--- a/packages/sidecar/src/boragetrestle_sidecar/guard.py
+++ b/packages/sidecar/src/boragetrestle_sidecar/guard.py
@@ -413,7 +413,8 @@
 
     def _accept(self, job: GuardJob, now: float) -> None:
         """Start a run, queue it, or refuse it."""
-        if job.expires_at - now < MIN_REMAINING_SECONDS:
+        is_timed = math.isfinite(job.expires_at) and math.isfinite(job.goal_at)
+        if not is_timed or job.expires_at - now < MIN_REMAINING_SECONDS:
             self._finish(job, _not_sent(Reason.EXPIRED))
         elif not self.is_open:
             self._finish(job, _not_sent(self._closed_reason))
--- a/packages/sidecar/src/boragetrestle_sidecar/peer_frames.py
+++ b/packages/sidecar/src/boragetrestle_sidecar/peer_frames.py
@@ -1,6 +1,7 @@
 """Messages between nodes: length-prefixed CBOR arrays of typed fields."""
 
 from enum import IntEnum
+from operator import index
 from struct import Struct
 from typing import Any, NamedTuple, TypeVar
 
@@ -103,7 +104,7 @@
 def _decode(payload: bytes) -> Frame:
     try:
         kind, number, fields = cbor2.loads(payload)
-        return Frame(FrameKind(kind), number, fields)
+        return Frame(FrameKind(kind), index(number), fields)
     except (cbor2.CBORDecodeError, ValueError, TypeError) as error:
         raise WireError(
             'a frame from a peer cannot be decoded',
--- a/packages/sidecar/src/boragetrestle_sidecar/peer_messages.py
+++ b/packages/sidecar/src/boragetrestle_sidecar/peer_messages.py
@@ -1,8 +1,10 @@
 """Handlers of messages between nodes other than runs and outcomes."""
 
+import math
 from collections.abc import Callable
 from typing import TYPE_CHECKING, Any, NamedTuple, Protocol
 
+from boragetrestle_kernel.errors import WireError
 from boragetrestle_sidecar.evacuations import EvacuationState
 from boragetrestle_sidecar.member_table import MemberRow
 from boragetrestle_sidecar.node_load import NodeLoad
@@ -261,6 +263,16 @@
     messages.on_peer_heard(messages.keeper.version)
 
 
+def _decode_tokens(frame: Frame) -> TokenMessage:
+    message = decode_fields(frame, TokenMessage)
+    if not 0 <= message.tokens < math.inf:
+        raise WireError(
+            f'a {frame.kind.name} frame from a peer has {message.tokens} tokens',
+            remedy='run the same version on all nodes',
+        )
+    return message
+
+
 @_handles(FrameKind.ASK_TOKENS)
 def _grant_tokens(
     messages: PeerMessages,
@@ -268,7 +280,7 @@
     answer: SendFrame,
     peer: 'Address | None',
 ) -> None:
-    asked = decode_fields(frame, TokenMessage)
+    asked = _decode_tokens(frame)
     granted = messages.rates.grant_tokens(asked.organisation, asked.tokens)
     fields = [asked.organisation, granted]
     answer(FrameKind.GRANT_TOKENS, frame.number, fields)
@@ -281,7 +293,7 @@
     answer: SendFrame,
     peer: 'Address | None',
 ) -> None:
-    granted = decode_fields(frame, TokenMessage)
+    granted = _decode_tokens(frame)
     messages.rates.receive_tokens(
         granted.organisation, granted.tokens, frame.number
     )
--- a/packages/sidecar/src/boragetrestle_sidecar/peer_server.py
+++ b/packages/sidecar/src/boragetrestle_sidecar/peer_server.py
@@ -153,6 +153,8 @@
         between messages tell their delay. An interrupted link or a host that
         was paused delivers late what was sent in time.
         """
+        if not math.isfinite(sent_at):
+            return math.inf  # the others would be measured against it
         offset = steady_now() - sent_at
         self.min_clock_offset = min(self.min_clock_offset, offset)
         return offset - self.min_clock_offset
--- a/tests/test_path_peer_fuzz.py
+++ b/tests/test_path_peer_fuzz.py
@@ -7,7 +7,7 @@
 import cbor2
 import pytest
 from entry_builders import EntryHarness
-from path_builders import FakeTransport, GuardHarness, LineLog
+from path_builders import FakeTransport, GuardHarness, LineLog, run_order
 from tree_builders import ModelFleet
 
 from boragetrestle_kernel.address import Address
@@ -49,6 +49,15 @@
     return [chance.choice(_VALUES) for _ in range(chance.randint(0, 12))]
 
 
+ODD_TIMES = (float('nan'), float('inf'), -float('inf'))
+
+
+def cbor_frame(payload: Any) -> bytes:
+    """Return a frame with any payload."""
+    encoded = cbor2.dumps(payload)
+    return len(encoded).to_bytes(4, 'big') + encoded
+
+
 class Victim:
     """A node of a fleet, with connections from and to a peer."""
 
@@ -103,8 +112,7 @@
         victim = Victim()
         broken, broken_transport = victim.connection()
         _whole, whole_transport = victim.connection()
-        payload = cbor2.dumps((99, 0, []))
-        broken.data_received(len(payload).to_bytes(4, 'big') + payload)
+        broken.data_received(cbor_frame((99, 0, [])))
         assert broken_transport.is_closed
         assert not whole_transport.is_closed
         assert victim.log.kinds() == ['peer-frame-refused']
@@ -121,3 +129,51 @@
             len(payload).to_bytes(4, 'big') + payload
         ):
             decode_fields(frame, Hello)
+
+
+# Guards against a run whose times are no numbers, and that drops the link of
+# other runs or keeps a slot for good.
+@pytest.mark.parametrize('odd', ODD_TIMES)
+@pytest.mark.parametrize('field', ['sent_at', 'time_left', 'goal_left'])
+def test_run_with_an_odd_time_is_refused_alone(field: str, odd: float) -> None:
+    """The run after it is sent."""
+    victim = Victim()
+    connection, transport = victim.connection()
+    changed: dict[str, Any] = {field: odd}
+    orders = run_order('r-1')._replace(**changed), run_order('r-2')
+    for number, order in enumerate(orders):
+        connection.data_received(encode_frame(FrameKind.RUN, number, order))
+    assert not transport.is_closed
+    assert [job.order.request_id for job in victim.server.guard.jobs] == [
+        b'r-2'
+    ]
+    assert victim.server.guard.running == 1
+    assert transport.written
+
+
+# Guards against frames that leave the callback of a connection as an exception.
+@pytest.mark.parametrize(
+    'sent',
+    [
+        cbor_frame((FrameKind.OUTCOME, [], [])),
+        cbor_frame((FrameKind.CANCEL, {}, [])),
+        *(
+            encode_frame(FrameKind.GRANT_TOKENS, 1, ['acacia', odd])
+            for odd in ODD_TIMES
+        ),
+    ],
+)
+def test_odd_frame_is_refused_with_its_reason(sent: bytes) -> None:
+    """Both ends of a connection log what they refuse."""
+
+    async def test() -> None:
+        victim = Victim()
+        ends = [victim.connection(), victim.link()]
+        for receiver, _transport in ends:
+            receiver.data_received(sent)
+        closed = [transport.is_closed for _receiver, transport in ends]
+        assert any(closed)
+        refused = victim.log.kinds().count('peer-frame-refused')
+        assert refused == closed.count(True)
+
+    asyncio.run(test())
