Close no caller's connection as idle while something on it is open

A caller that takes its answers slowly lost what it had sent behind them: once its answers fill the buffer, requests that are read wait, nothing is pending, and the connection was closed as idle with them (before: seen at twice the idle limit, the request unanswered). The same held for one answer that takes longer than the idle limit to be taken: the request after it met a closed connection. A connection on its way to close was counted as closed at each check.

The idle time begins when nothing waits or runs and the caller has taken its answers.

--- a/packages/sidecar/src/boragetrestle_sidecar/caller_connection.py
+++ b/packages/sidecar/src/boragetrestle_sidecar/caller_connection.py
@@ -130,10 +130,16 @@
                 self._continue_or_close()
 
     def close_if_idle(self, now: float, idle_seconds: float) -> None:
-        """Close a connection that has been idle for too long."""
-        if self in self.entry.bodies.paused:
+        """Close a connection that has been idle for too long.
+
+        It is not idle while a request waits or runs, or its caller has not
+        taken an answer.
+        """
+        if self.is_closing or self in self.entry.bodies.paused:
             return
-        if not self.pending and now - self.last_used_at > idle_seconds:
+        if self._has_open_work:
+            self.last_used_at = now
+        elif now - self.last_used_at > idle_seconds:
             self.close(CloseReason.IDLE)
 
     def close(self, reason: CloseReason) -> None:
@@ -158,10 +164,14 @@
         """
         if self.transport is None:
             return False
+        return self._has_open_work or self.reader.is_amid_request
+
+    @property
+    def _has_open_work(self) -> bool:
+        assert self.transport is not None
         return bool(
             self.pending
             or self.reader.ready
-            or self.reader.is_amid_request
             or self.transport.get_write_buffer_size()
         )
 
--- /dev/null
+++ b/tests/test_path_caller_closes.py
@@ -0,0 +1,122 @@
+"""Closes of callers' connections, and what may be open then.
+
+``docs/design/closing-connections.md`` lists all ways with their tests.
+"""
+
+from collections.abc import Callable
+from typing import Any
+
+import pytest
+from entry_builders import EntryHarness, request_bytes
+from path_builders import ManualClock
+
+from boragetrestle_sidecar import caller_connection
+from boragetrestle_sidecar.caller_connection import CallerConnection
+from boragetrestle_sidecar.caller_limits import CallerLimits
+from boragetrestle_sidecar.close_reason import CloseReason
+
+IDLE_SECONDS = CallerLimits().idle_seconds
+LENGTH = 'Content-Length: 9\r\n'
+
+
+def answer_all(bench: EntryHarness) -> None:
+    """Let the targets answer all that they were sent."""
+    for run in bench.sent():
+        run.answer()
+
+
+def read_behind_unread_answers(
+    bench: EntryHarness, connection: CallerConnection, _transport: Any
+) -> None:
+    """Hold a request of a caller that reads no answers."""
+    connection.pause_writing()
+    connection.data_received(request_bytes())
+    assert not bench.sent()
+
+
+def run_request(
+    bench: EntryHarness, connection: CallerConnection, _transport: Any
+) -> None:
+    """Hold a request that its target has not answered."""
+    connection.data_received(request_bytes())
+    assert bench.sent()
+
+
+def finish_behind_another(
+    bench: EntryHarness, connection: CallerConnection, _transport: Any
+) -> None:
+    """Hold an answer that waits for one before it."""
+    connection.data_received(request_bytes('a') + request_bytes('b'))
+    bench.sent_for('b')[0].answer()
+
+
+def write_slowly(
+    bench: EntryHarness, connection: CallerConnection, transport: Any
+) -> None:
+    """Hold an answer that its caller takes slowly."""
+    connection.data_received(request_bytes())
+    answer_all(bench)
+    transport.unflushed = 1000
+
+
+OPEN_WORK: dict[str, Callable[[EntryHarness, CallerConnection, Any], None]] = {
+    'read behind answers that nobody reads': read_behind_unread_answers,
+    'running': run_request,
+    'answered behind another': finish_behind_another,
+    'answer taken slowly': write_slowly,
+}
+
+
+@pytest.fixture
+def clock(monkeypatch: pytest.MonkeyPatch) -> ManualClock:
+    """Replace the steady clock of connections."""
+    found = ManualClock()
+    monkeypatch.setattr(caller_connection, 'steady_now', found)
+    return found
+
+
+# Guards against a kept connection that closes as idle with a request on it.
+@pytest.mark.parametrize('state', OPEN_WORK)
+def test_connection_with_open_work_is_not_idle(
+    state: str, clock: ManualClock
+) -> None:
+    """Its idle time begins when nothing is open any more."""
+    bench = EntryHarness()
+    connection, transport = bench.connect()
+    OPEN_WORK[state](bench, connection, transport)
+    clock.now += 2 * IDLE_SECONDS
+    connection.close_if_idle(clock.now, IDLE_SECONDS)
+    assert not transport.is_closed
+    connection.resume_writing()
+    answer_all(bench)
+    transport.unflushed = 0
+    clock.now += IDLE_SECONDS / 2
+    connection.close_if_idle(clock.now, IDLE_SECONDS)
+    assert not transport.is_closed
+    clock.now += IDLE_SECONDS
+    connection.close_if_idle(clock.now, IDLE_SECONDS)
+    assert transport.is_closed
+
+
+# Guards against a body that is taken for idle while it comes slowly.
+def test_body_that_comes_slowly_is_not_idle(clock: ManualClock) -> None:
+    """Each part starts the idle time anew."""
+    bench = EntryHarness()
+    connection, transport = bench.connect()
+    connection.data_received(request_bytes(method='POST', extra=LENGTH) + b'a')
+    clock.now += 2 * IDLE_SECONDS
+    connection.data_received(b'b')
+    connection.close_if_idle(clock.now + 1, IDLE_SECONDS)
+    assert not transport.is_closed
+
+
+# Guards against a close that is counted again at each check.
+def test_connection_is_closed_as_idle_once(clock: ManualClock) -> None:
+    """The transport may take a while to close."""
+    bench = EntryHarness()
+    connection, _transport = bench.connect()
+    clock.now += 2 * IDLE_SECONDS
+    for _ in range(3):
+        connection.close_if_idle(clock.now, IDLE_SECONDS)
+    closes = '', 'connection-closed', CloseReason.IDLE.value
+    assert bench.entry.telemetry.events[closes] == 1
