Let a shorter idle limit hold from the next use of a connection

A configuration that shortens the idle limit closed, within half a second, every kept connection that had been idle for longer than the new limit. Its callers still use such connections by the limit that held when they got their last answer, so requests on their way met a closed connection, on all nodes at once.

A connection keeps the limit that was in force at its last use, if that is longer.

Before: test_shorter_idle_limit_holds_from_the_next_use fails, the connection is closed at half of its limit. After: it is open then, and closes by the shorter limit after its next request.

--- a/packages/sidecar/src/boragetrestle_sidecar/caller_connection.py
+++ b/packages/sidecar/src/boragetrestle_sidecar/caller_connection.py
@@ -28,6 +28,7 @@
 # No further request starts while answers that wait for an earlier one hold
 # this much.
 MAX_HELD_ANSWER_BYTES = 1_000_000
+IDLE_MARGIN_SECONDS = 1.0  # callers reuse connections up to their idle limit
 _ERROR_REASONS: dict[type[CallerError], Reason] = {
     BodyTooLargeError: Reason.TOO_LARGE,
     HeadTooLargeError: Reason.HEAD_TOO_LARGE,
@@ -57,6 +58,7 @@
         self.is_read_paused = False
         self.is_write_paused = False
         self.last_used_at = steady_now()
+        self.idle_seconds = limits.idle_seconds
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Note that the connection is open."""
@@ -92,7 +94,7 @@
         """Parse requests; start those that need not wait."""
         if self.is_closing or self.rejection is not None:
             return
-        self.last_used_at = steady_now()
+        self._note_use()
         try:
             self.reader.feed(received)
         except CallerError as error:
@@ -115,7 +117,7 @@
             return
         assert self.transport is not None
         self.is_read_paused = False
-        self.last_used_at = steady_now()  # the caller could not send before
+        self._note_use()  # the caller could not send before
         self.transport.resume_reading()
         self._continue_or_close()
 
@@ -133,13 +135,16 @@
         """Close a connection that has been idle for too long.
 
         It is not idle while a request waits or runs, or its caller has not
-        taken an answer.
+        taken an answer. A limit that has become shorter holds from its next
+        use on.
         """
         if self.is_closing or self in self.entry.bodies.paused:
             return
         if self._has_open_work:
             self.last_used_at = now
-        elif now - self.last_used_at > idle_seconds:
+            return
+        longest = max(idle_seconds, self.idle_seconds) + IDLE_MARGIN_SECONDS
+        if now - self.last_used_at > longest:
             self.close(CloseReason.IDLE)
 
     def close(self, reason: CloseReason) -> None:
@@ -166,6 +171,11 @@
             return False
         return self._has_open_work or self.reader.is_amid_request
 
+    def _note_use(self) -> None:
+        """Start the idle time anew, under the limit in force."""
+        self.last_used_at = steady_now()
+        self.idle_seconds = self.reader.limits.idle_seconds
+
     @property
     def _has_open_work(self) -> bool:
         assert self.transport is not None
@@ -240,7 +250,7 @@
                 self.entry.is_stopping and is_last
             )
             self._write_answer(answer, keeps_open=keeps_open)
-            self.last_used_at = steady_now()
+            self._note_use()
             if not keeps_open:
                 self.close(CloseReason.LAST_ANSWER)
                 self._record_bodies()
--- a/packages/sidecar/src/boragetrestle_sidecar/sidecar.py
+++ b/packages/sidecar/src/boragetrestle_sidecar/sidecar.py
@@ -60,7 +60,6 @@
 LINK_CHECK_INTERVAL_SECONDS = 0.2
 # Idle connections are closed at most this late.
 MAINTENANCE_INTERVAL_SECONDS = 1.0
-IDLE_MARGIN_SECONDS = 1.0  # callers reuse connections up to their idle limit
 # Callers move to another node after two failed readiness probes, one a second.
 MIN_STOP_SECONDS = 2.3
 # Fraction of the grace period reserved for closing. Runs that callers wait for
@@ -464,7 +463,7 @@
             if configuration is not None:
                 longest = configuration.limits.idle_seconds
                 for connection in list(self.entry.connections):
-                    connection.close_if_idle(now, longest + IDLE_MARGIN_SECONDS)
+                    connection.close_if_idle(now, longest)
                     connection.give_up_stalled_body(
                         now, configuration.limits.header_seconds
                     )
--- a/tests/test_path_caller_closes.py
+++ b/tests/test_path_caller_closes.py
@@ -4,21 +4,28 @@
 """
 
 from collections.abc import Callable
+from dataclasses import replace
 from typing import Any
 
 import pytest
 from entry_builders import EntryHarness, request_bytes
-from path_builders import ManualClock
+from path_builders import ManualClock, configuration
 
 from boragetrestle_sidecar import caller_connection
 from boragetrestle_sidecar.caller_connection import CallerConnection
 from boragetrestle_sidecar.caller_limits import CallerLimits
 from boragetrestle_sidecar.close_reason import CloseReason
+from boragetrestle_sidecar.configuration import Configuration
 
 IDLE_SECONDS = CallerLimits().idle_seconds
 LENGTH = 'Content-Length: 9\r\n'
 
 
+def limits_of(**limits: Any) -> Configuration:
+    """Return a newer configuration with other limits."""
+    return configuration(version=2, limits=replace(CallerLimits(), **limits))
+
+
 def answer_all(bench: EntryHarness) -> None:
     """Let the targets answer all that they were sent."""
     for run in bench.sent():
@@ -120,3 +127,32 @@
         connection.close_if_idle(clock.now, IDLE_SECONDS)
     closes = '', 'connection-closed', CloseReason.IDLE.value
     assert bench.entry.telemetry.events[closes] == 1
+
+
+# Guards against an idle limit that a configuration shortens, and that closes
+# connections that their callers still use by the limit before.
+def test_shorter_idle_limit_holds_from_the_next_use(clock: ManualClock) -> None:
+    """A request may be on its way to a connection of the earlier limit."""
+    bench = EntryHarness()
+    connection, transport = bench.connect()
+    bench.entry.configure(limits_of(idle_seconds=1.0))
+    clock.now += IDLE_SECONDS / 2
+    connection.close_if_idle(clock.now, 1.0)
+    assert not transport.is_closed
+    connection.data_received(request_bytes())
+    answer_all(bench)
+    clock.now += 3
+    connection.close_if_idle(clock.now, 1.0)
+    assert transport.is_closed
+
+
+def test_connection_of_an_earlier_limit_closes_by_it(
+    clock: ManualClock,
+) -> None:
+    """It is closed at the end of the limit that held at its last use."""
+    bench = EntryHarness()
+    connection, transport = bench.connect()
+    bench.entry.configure(limits_of(idle_seconds=1.0))
+    clock.now += IDLE_SECONDS + 2
+    connection.close_if_idle(clock.now, 1.0)
+    assert transport.is_closed
