Read what a caller still sends before its connection is closed

An answer that closes its connection was cut when the caller had sent more behind its request. The connection read no more once it was closing, and the kernel resets a socket that is closed with unread bytes, together with what it has not delivered. Every last answer is such an answer, so also those of a planned stop.

After the last answer only the sending side is closed. What comes after it is read and dropped until the caller closes, or for a second after its answers have left.

--- a/packages/sidecar/src/boragetrestle_sidecar/caller_connection.py
+++ b/packages/sidecar/src/boragetrestle_sidecar/caller_connection.py
@@ -28,6 +28,8 @@
 # No further request starts while answers that wait for an earlier one hold
 # this much.
 MAX_HELD_ANSWER_BYTES = 1_000_000
+# What a caller has sent before it saw the close arrives within this time.
+LINGER_SECONDS = 1.0
 IDLE_MARGIN_SECONDS = 1.0  # callers reuse connections up to their idle limit
 _ERROR_REASONS: dict[type[CallerError], Reason] = {
     BodyTooLargeError: Reason.TOO_LARGE,
@@ -148,11 +150,39 @@
             self.close(CloseReason.IDLE)
 
     def close(self, reason: CloseReason) -> None:
-        """Close once everything written has been sent."""
+        """Close once everything written has been sent.
+
+        What the caller still sends is read and dropped for a while: a socket
+        that is closed with unread bytes is reset, and its answers are lost.
+        """
         self._record_close(reason)
         self.is_closing = True
-        if self.transport is not None:
-            self.transport.close()
+        transport = self.transport
+        if transport is None:
+            return
+        if not transport.can_write_eof():
+            transport.close()
+            return
+        try:
+            transport.write_eof()
+        except OSError:
+            transport.abort()  # the caller has reset the connection
+            return
+        transport.resume_reading()
+        self._linger()
+
+    def _linger(self) -> None:
+        asyncio.get_running_loop().call_later(LINGER_SECONDS, self._end_linger)
+
+    def _end_linger(self) -> None:
+        """Close, or wait on while the caller takes its answers."""
+        transport = self.transport
+        if transport is None or transport.is_closing():
+            return
+        if transport.get_write_buffer_size():
+            self._linger()
+        else:
+            transport.close()
 
     def abort(self, reason: CloseReason) -> None:
         """Close at once; what has not been sent is lost."""
@@ -169,6 +199,8 @@
         """
         if self.transport is None:
             return False
+        if self.is_closing:
+            return self.transport.get_write_buffer_size() > 0
         return self._has_open_work or self.reader.is_amid_request
 
     def _note_use(self) -> None:
@@ -343,5 +375,7 @@
         )
 
     def _write(self, sent: bytes) -> None:
-        if self.transport is not None and not self.transport.is_closing():
-            self.transport.write(sent)
+        transport = self.transport
+        if transport is None or transport.is_closing() or self.is_closing:
+            return
+        transport.write(sent)
--- a/tests/path_builders.py
+++ b/tests/path_builders.py
@@ -113,6 +113,10 @@
         """Close after what was written."""
         self.is_closed = True
 
+    def can_write_eof(self) -> bool:
+        """Return that the connection can't be closed in one direction."""
+        return False
+
     def get_extra_info(self, _name: str) -> Any:
         """Return a socket that accepts all options."""
         return FakeSocket()
--- a/tests/test_path_caller_closes.py
+++ b/tests/test_path_caller_closes.py
@@ -3,6 +3,7 @@
 ``docs/design/closing-connections.md`` lists all ways with their tests.
 """
 
+import asyncio
 from collections.abc import Callable
 from dataclasses import replace
 from typing import Any
@@ -10,6 +11,9 @@
 import pytest
 from entry_builders import EntryHarness, request_bytes
 from path_builders import ManualClock, configuration
+from path_standins import Host, MemoryStore
+from test_path_nodes import run_with_hosts, wait_until
+from test_path_stop import BODY, begin_download, expect_downloads, read_rest
 
 from boragetrestle_sidecar import caller_connection
 from boragetrestle_sidecar.caller_connection import CallerConnection
@@ -156,3 +160,27 @@
     clock.now += IDLE_SECONDS + 2
     connection.close_if_idle(clock.now, 1.0)
     assert transport.is_closed
+
+
+# Guards against answers that are cut because their caller has sent more behind
+# the request that closes the connection.
+@pytest.mark.loopback
+@pytest.mark.parametrize('behind', [request_bytes('r-2'), b'x' * 200_000])
+def test_last_answer_arrives_whole_before_unread_bytes(behind: bytes) -> None:
+    """A socket that is closed with unread bytes is reset."""
+
+    async def test(hosts: list[Host], _store: MemoryStore) -> None:
+        expect_downloads(hosts)
+        caller, start = await begin_download(
+            hosts[0], extra='Connection: close\r\n'
+        )
+        await asyncio.sleep(0.3)
+        loop = asyncio.get_running_loop()
+        sending = asyncio.ensure_future(loop.sock_sendall(caller, behind))
+        assert await read_rest(caller, start) == BODY
+        await sending
+        assert not await loop.sock_recv(caller, 1)
+        caller.close()
+        await wait_until(lambda: not hosts[0].node.entry.connections)
+
+    run_with_hosts(test)
--- a/tests/test_path_stop.py
+++ b/tests/test_path_stop.py
@@ -32,14 +32,17 @@
         host.node.settings = replace(host.node.settings, stop_seconds=6.0)
 
 
-async def begin_download(host: Host) -> tuple[socket.socket, bytes]:
+async def begin_download(
+    host: Host, *, extra: str = ''
+) -> tuple[socket.socket, bytes]:
     """Send a request and return its connection, of which little is read."""
     loop = asyncio.get_running_loop()
     caller = socket.socket()
     caller.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BYTES)
     caller.setblocking(False)
     await loop.sock_connect(caller, (host.ip, 7002))
-    await loop.sock_sendall(caller, request_bytes(time_left=60_000))
+    sent = request_bytes(time_left=60_000, extra=extra)
+    await loop.sock_sendall(caller, sent)
     return caller, await loop.sock_recv(caller, 1000)
 
 
