Test closes by stalled bodies, half-closed callers and steps of the clock

Faults looked for and not found, each with its test, which passes on the code before: the refusal of a stalled body waits for the answers before it; a caller that closes its sending side gets the answer that lies in the buffer, and its running requests are cancelled, as for one that has gone; in the sidecar only notices of leaves read the wall clock, so no close and no time limit does.

--- a/tests/test_path_caller_closes.py
+++ b/tests/test_path_caller_closes.py
@@ -4,8 +4,11 @@
 """
 
 import asyncio
+import re
+import socket
 from collections.abc import Callable
 from dataclasses import replace
+from pathlib import Path
 from typing import Any
 
 import pytest
@@ -16,6 +19,7 @@
 from test_path_stop import BODY, begin_download, expect_downloads, read_rest
 
 from boragetrestle_sidecar import caller_connection
+from boragetrestle_sidecar.body_budget import BodyBudget
 from boragetrestle_sidecar.caller_connection import CallerConnection
 from boragetrestle_sidecar.caller_limits import CallerLimits
 from boragetrestle_sidecar.close_reason import CloseReason
@@ -184,3 +188,57 @@
         await wait_until(lambda: not hosts[0].node.entry.connections)
 
     run_with_hosts(test)
+
+
+# Guards against a stalled body whose refusal overtakes an answer before it.
+def test_stalled_body_is_refused_behind_the_answers_before_it() -> None:
+    """The connection closes after both."""
+    bench = EntryHarness()
+    bench.entry.bodies = BodyBudget(100)
+    stalled, transport = bench.connect()
+    upload = request_bytes(method='POST', extra='Content-Length: 500\r\n')
+    stalled.data_received(request_bytes('a') + upload + b'x' * 200)
+    bench.connect()[0].data_received(upload + b'x' * 100)
+    stalled.give_up_stalled_body(stalled.last_used_at + 4, 3.0)
+    assert not transport.written
+    answer_all(bench)
+    assert transport.written.startswith(b'HTTP/1.1 200')
+    assert b'HTTP/1.1 408' in transport.written
+    assert transport.is_closed
+
+
+# Guards against an answer that is cut when its caller closes its sending side.
+@pytest.mark.loopback
+def test_half_closed_connection_gets_what_was_answered() -> None:
+    """The rest of the answer lies in the buffer of the connection."""
+
+    async def test(hosts: list[Host], _store: MemoryStore) -> None:
+        expect_downloads(hosts)
+        caller, start = await begin_download(hosts[0])
+        caller.shutdown(socket.SHUT_WR)
+        assert await read_rest(caller, start) == BODY
+        caller.close()
+
+    run_with_hosts(test)
+
+
+# Guards against runs that go on for a caller that has closed its connection.
+def test_half_closed_connection_cancels_what_runs() -> None:
+    """A caller that has gone looks the same."""
+    bench = EntryHarness()
+    connection, _transport = bench.connect()
+    connection.data_received(request_bytes())
+    assert not connection.eof_received()
+    connection.connection_lost(None)
+    assert [hop.cancelled for hop in bench.hops.values() if hop.sent] == [[1]]
+
+
+# Guards against closes and time limits that a step of the wall clock moves.
+def test_only_notices_of_leaves_read_the_wall_clock() -> None:
+    """All else uses clocks that nobody sets."""
+    sources = Path(caller_connection.__file__).parent.rglob('*.py')
+    wall_clock = re.compile(r'\btime\.time\b|datetime|CLOCK_REALTIME')
+    users = {
+        path.name for path in sources if wall_clock.search(path.read_text())
+    }
+    assert users == {'guard.py'}
