Refuse a request that stops midway instead of closing in silence

A caller that had sent a part of a request and then nothing for the idle limit met a closed connection, which tells nothing. It gets 408 now, which promises that the request did not run, and the connection closes.

Before: both cases of test_request_that_stops_midway_is_refused fail, nothing was written. After: they pass, with the 52 tests of uploads and pipelining.

--- a/packages/sidecar/src/boragetrestle_sidecar/caller_connection.py
+++ b/packages/sidecar/src/boragetrestle_sidecar/caller_connection.py
@@ -137,8 +137,8 @@
         """Close a connection that has been idle for too long.
 
         It is not idle while a request waits or runs, or its caller has not
-        taken an answer. A limit that has become shorter holds from its next
-        use on.
+        taken an answer. A request that stops midway is refused. A limit that
+        has become shorter holds from the next use of the connection.
         """
         if self.is_closing or self in self.entry.bodies.paused:
             return
@@ -146,7 +146,12 @@
             self.last_used_at = now
             return
         longest = max(idle_seconds, self.idle_seconds) + IDLE_MARGIN_SECONDS
-        if now - self.last_used_at > longest:
+        if now - self.last_used_at <= longest:
+            return
+        if self.reader.is_amid_request and self.rejection is None:
+            self.rejection = Reason.BODY_STALLED
+            self._continue_or_close()
+        else:
             self.close(CloseReason.IDLE)
 
     def close(self, reason: CloseReason) -> None:
--- a/packages/sidecar/src/boragetrestle_sidecar/close_reason.py
+++ b/packages/sidecar/src/boragetrestle_sidecar/close_reason.py
@@ -7,8 +7,9 @@
     """What ended a connection.
 
     ``LAST_ANSWER``: the answer said that the connection closes. ``BAD_INPUT``:
-    the bytes were no request, or over a limit. ``STALLED``: a body stopped while
-    others waited for its memory. ``IDLE``: nothing came for the idle limit.
+    the bytes were no request, or over a limit. ``STALLED``: a request stopped
+    midway for the idle limit, or a body while others waited for its memory.
+    ``IDLE``: nothing came for the idle limit.
     ``FAILURE``: a callback raised an exception. ``STOP``: the node ends.
     """
 
--- a/tests/test_path_caller_closes.py
+++ b/tests/test_path_caller_closes.py
@@ -26,7 +26,7 @@
 from boragetrestle_sidecar.configuration import Configuration
 
 IDLE_SECONDS = CallerLimits().idle_seconds
-LENGTH = 'Content-Length: 9\r\n'
+UPLOAD = request_bytes(method='POST', extra='Content-Length: 9\r\n')
 
 
 def limits_of(**limits: Any) -> Configuration:
@@ -118,7 +118,7 @@
     """Each part starts the idle time anew."""
     bench = EntryHarness()
     connection, transport = bench.connect()
-    connection.data_received(request_bytes(method='POST', extra=LENGTH) + b'a')
+    connection.data_received(UPLOAD + b'a')
     clock.now += 2 * IDLE_SECONDS
     connection.data_received(b'b')
     connection.close_if_idle(clock.now + 1, IDLE_SECONDS)
@@ -242,3 +242,19 @@
         path.name for path in sources if wall_clock.search(path.read_text())
     }
     assert users == {'guard.py'}
+
+
+# Guards against callers that can't tell whether a request ran of which the node
+# got a part only.
+@pytest.mark.parametrize('sent', [b'GET /walks/1 HT', UPLOAD + b'abc'])
+def test_request_that_stops_midway_is_refused(
+    sent: bytes, clock: ManualClock
+) -> None:
+    """The refusal promises that it did not run."""
+    bench = EntryHarness()
+    connection, transport = bench.connect()
+    connection.data_received(sent)
+    clock.now += 2 * IDLE_SECONDS
+    connection.close_if_idle(clock.now, IDLE_SECONDS)
+    assert transport.written.startswith(b'HTTP/1.1 408 ')
+    assert transport.is_closed
