Leave a request unread that crosses a close which no answer has announced

Callers saw (in the test): a request sent on an idle kept connection while the node closes it for idleness or for a stop was read and dropped, and the connection ended in order. Such a caller can't know that nothing of its request ran.

Cause: since closes wait for what callers still send, all of them read and drop it. That is right behind an answer that says that the connection closes, after which callers send again whatever follows.

Change: only announced closes read on. A stop waits for answers that are still in buffers, not for connections that only wait for their callers' end.

--- a/packages/sidecar/src/boragetrestle_sidecar/caller_connection.py
+++ b/packages/sidecar/src/boragetrestle_sidecar/caller_connection.py
@@ -10,7 +10,7 @@
     HeadTooLargeError,
 )
 from boragetrestle_sidecar.caller_limits import CallerLimits
-from boragetrestle_sidecar.close_reason import CloseReason
+from boragetrestle_sidecar.close_reason import ANNOUNCED_CLOSES, CloseReason
 from boragetrestle_sidecar.outcome import Reason
 from boragetrestle_sidecar.pending_answer import PendingAnswer
 from boragetrestle_sidecar.refusal_answer import refusal_bytes
@@ -157,15 +157,19 @@
     def close(self, reason: CloseReason) -> None:
         """Close once everything written has been sent.
 
-        What the caller still sends is read and dropped for a while: a socket
-        that is closed with unread bytes is reset, and its answers are lost.
+        Behind an answer that has announced the close, what the caller still
+        sends is read and dropped for a while: a socket that is closed with
+        unread bytes is reset, and its answers are lost. In other cases it is
+        left unread, so that the caller knows that it can send it again.
         """
+        if self.is_closing:
+            return
         self._record_close(reason)
         self.is_closing = True
         transport = self.transport
         if transport is None:
             return
-        if not transport.can_write_eof():
+        if reason not in ANNOUNCED_CLOSES or not transport.can_write_eof():
             transport.close()
             return
         try:
--- a/packages/sidecar/src/boragetrestle_sidecar/close_reason.py
+++ b/packages/sidecar/src/boragetrestle_sidecar/close_reason.py
@@ -19,3 +19,12 @@
     IDLE = 'idle'
     FAILURE = 'failure'
     STOP = 'stop'
+
+
+# Closes that an answer has announced. Requests behind such an answer are sent
+# again by their callers, so they may be read and dropped.
+ANNOUNCED_CLOSES = frozenset((
+    CloseReason.LAST_ANSWER,
+    CloseReason.BAD_INPUT,
+    CloseReason.STALLED,
+))
--- a/packages/sidecar/src/boragetrestle_sidecar/sidecar.py
+++ b/packages/sidecar/src/boragetrestle_sidecar/sidecar.py
@@ -275,7 +275,9 @@
         for connection in list(self.entry.connections):
             connection.close(CloseReason.STOP)
         flush_until = steady_now() + FLUSH_FRACTION * self.settings.stop_seconds
-        while self.entry.connections and steady_now() < flush_until:
+        while steady_now() < flush_until and any(
+            connection.owes_answers for connection in self.entry.connections
+        ):
             await asyncio.sleep(SWEEP_INTERVAL_SECONDS)
 
     def _log_cut_requests(self, began: float) -> None:
--- a/tests/test_path_caller_closes.py
+++ b/tests/test_path_caller_closes.py
@@ -258,3 +258,28 @@
     connection.close_if_idle(clock.now, IDLE_SECONDS)
     assert transport.written.startswith(b'HTTP/1.1 408 ')
     assert transport.is_closed
+
+
+# Guards against requests that cross a close and are read and dropped, which
+# their callers may then not send again.
+@pytest.mark.loopback
+@pytest.mark.parametrize('reason', [CloseReason.IDLE, CloseReason.STOP])
+def test_request_that_crosses_an_unannounced_close_stays_unread(
+    reason: CloseReason,
+) -> None:
+    """The kernel tells its caller by a reset."""
+
+    async def test(hosts: list[Host], _store: MemoryStore) -> None:
+        loop = asyncio.get_running_loop()
+        with socket.socket() as caller:
+            caller.setblocking(False)
+            await loop.sock_connect(caller, (hosts[0].ip, 7002))
+            await wait_until(lambda: bool(hosts[0].node.entry.connections))
+            (connection,) = hosts[0].node.entry.connections
+            caller.send(request_bytes())
+            connection.close(reason)
+            with pytest.raises(ConnectionResetError):
+                await loop.sock_recv(caller, 1)
+        assert not hosts[0].target.runs
+
+    run_with_hosts(test)
