Send whole answers before a connection closes for a failure

When a request could not start, or its answer could not be built, the connection was aborted, and with it the answers before that lay whole in its buffer. Runs of the other requests on it went on until the connection was lost. The exception then left the callback, upon which the event loop drops what is not sent.

The failure is logged as caller-connection-failed with its trace. The connection closes once the answers before are sent, and the other requests on it are cancelled at once.

Before: test_failure_sends_the_answers_before_it fails, the connection aborts. After: it passes.

--- a/packages/sidecar/src/boragetrestle_sidecar/caller_connection.py
+++ b/packages/sidecar/src/boragetrestle_sidecar/caller_connection.py
@@ -11,6 +11,7 @@
 )
 from boragetrestle_sidecar.caller_limits import CallerLimits
 from boragetrestle_sidecar.close_reason import ANNOUNCED_CLOSES, CloseReason
+from boragetrestle_sidecar.failure_trace import failure_trace
 from boragetrestle_sidecar.outcome import Reason
 from boragetrestle_sidecar.pending_answer import PendingAnswer
 from boragetrestle_sidecar.refusal_answer import refusal_bytes
@@ -82,6 +83,9 @@
         self.entry.connections.discard(self)
         self.entry.bodies.forget(self)
         self.is_closing = True
+        self._abandon_pending()
+
+    def _abandon_pending(self) -> None:
         pending = list(self.pending)
         self.pending.clear()
         for answer in pending:
@@ -193,6 +197,20 @@
         else:
             transport.close()
 
+    def _close_failed(self, error: Exception) -> None:
+        """Send the answers before the one that failed, and cancel the rest.
+
+        The event loop would drop what is not sent yet if a callback raised the
+        exception.
+        """
+        self.entry.log.write_limited(
+            'caller-connection-failed',
+            error=repr(error),
+            trace=failure_trace(error),
+        )
+        self.close(CloseReason.FAILURE)
+        self._abandon_pending()
+
     def abort(self, reason: CloseReason) -> None:
         """Close at once; what has not been sent is lost."""
         self._record_close(reason)
@@ -256,10 +274,9 @@
                 request = self.entry.start_request(answer, answer.sent)
                 if answer.render is None:
                     answer.request = request
-        except Exception:
+        except Exception as error:
             # The answer would never come and hold back those behind it.
-            self.abort(CloseReason.FAILURE)
-            raise
+            self._close_failed(error)
         finally:
             self.is_starting = False
 
@@ -291,6 +308,8 @@
                 self.entry.is_stopping and is_last
             )
             self._write_answer(answer, keeps_open=keeps_open)
+            if self.is_closing:
+                return
             self._note_use()
             if not keeps_open:
                 self.close(CloseReason.LAST_ANSWER)
@@ -309,10 +328,9 @@
         assert answer.render is not None
         try:
             self._write(answer.render(keeps_open))
-        except Exception:
+        except Exception as error:
             # Later answers would be taken for the one that is missing.
-            self.abort(CloseReason.FAILURE)
-            raise
+            self._close_failed(error)
 
     def _record_close(self, reason: CloseReason) -> None:
         """Count the close; log it if a request is still unanswered."""
--- a/tests/test_path_caller_closes.py
+++ b/tests/test_path_caller_closes.py
@@ -283,3 +283,23 @@
         assert not hosts[0].target.runs
 
     run_with_hosts(test)
+
+
+# Guards against whole answers that go with a connection on which a later request
+# fails, and against runs that go on behind it.
+def test_failure_sends_the_answers_before_it(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """What is written lies in the buffer; what runs is cancelled."""
+    bench = EntryHarness()
+    connection, transport = bench.connect()
+    connection.data_received(request_bytes('a') + request_bytes('b'))
+    bench.sent_for('a')[0].answer(body=b'first')
+    monkeypatch.delattr(transport.__class__, 'abort')
+    monkeypatch.delattr(bench.entry.__class__, 'start_request')
+    connection.data_received(request_bytes('c'))
+    assert 'caller-connection-failed' in bench.log.kinds()
+    assert transport.written.endswith(b'first')
+    assert transport.is_closed
+    assert not bench.entry.requests
+    assert sum(len(hop.cancelled) for hop in bench.hops.values()) == 1
