--- a/tests/test_path_caller_closes.py
+++ b/tests/test_path_caller_closes.py
@@ -6,6 +6,7 @@
 import asyncio
 import re
 import socket
+import time
 from collections.abc import Callable
 from dataclasses import replace
 from pathlib import Path
@@ -24,6 +25,7 @@
 from boragetrestle_sidecar.caller_limits import CallerLimits
 from boragetrestle_sidecar.close_reason import CloseReason
 from boragetrestle_sidecar.configuration import Configuration
+from boragetrestle_sidecar.sidecar import MAINTENANCE_INTERVAL_SECONDS
 
 IDLE_SECONDS = CallerLimits().idle_seconds
 UPLOAD = request_bytes(method='POST', extra='Content-Length: 9\r\n')
@@ -303,3 +305,26 @@
     assert transport.is_closed
     assert not bench.entry.requests
     assert sum(len(hop.cancelled) for hop in bench.hops.values()) == 1
+
+
+# Guards against a host that was held up and closes connections as idle before it
+# reads the requests that have come meanwhile.
+@pytest.mark.loopback
+def test_request_that_came_while_the_node_was_held_up_is_answered() -> None:
+    """The event loop reads before it runs timers."""
+
+    async def test(hosts: list[Host], _store: MemoryStore) -> None:
+        node = hosts[0].node
+        loop = asyncio.get_running_loop()
+        caller = socket.create_connection((hosts[0].ip, 7002))
+        await wait_until(lambda: len(node.entry.connections) == 1)
+        (connection,) = node.entry.connections
+        caller.sendall(request_bytes())
+        connection.last_used_at -= 10 * IDLE_SECONDS
+        time.sleep(2 * MAINTENANCE_INTERVAL_SECONDS)
+        caller.setblocking(False)
+        answer = await loop.sock_recv(caller, 1000)
+        assert answer.startswith(b'HTTP/1.1 200')
+        caller.close()
+
+    run_with_hosts(test)
