Bound answers by the memory of the process, with those not taken

What callers saw: nothing, until the process was ended for its memory with the requests of all. 30 callers that take whole answers of 15 MB after 4 s made a process with two nodes grow to 475 MB (bound 300); 24 that read after 6 s to 387 and 393 MB. Every caller more adds its answer.

Cause: AnswerBuffers counted unfinished answers only, against a constant of 48 MB. Finished answers, in the buffers of callers' connections and of links to entries, were in no account. A caller that never reads kept its answer for good: closing an idle connection waits for what is unsent.

Change: one account for a node, 0.16 of memory_bytes (48 MB of 300), counts unfinished answers and all that connections have not sent. Over it the longest unfinished answer is refused; a finished one over 256 KiB from another node is refused with 502 (answers-untaken, may have run) while untaken ones leave no room. A caller that takes nothing for 10 s is closed only if untaken answers hold over half of the bound. OUTCOME frames do not change, the new reason stays at the entry.

--- a/packages/sidecar/src/boragetrestle_sidecar/caller_connection.py
+++ b/packages/sidecar/src/boragetrestle_sidecar/caller_connection.py
@@ -32,6 +32,8 @@
 # What a caller has sent before it saw the close arrives within this time.
 LINGER_SECONDS = 1.0
 IDLE_MARGIN_SECONDS = 1.0  # callers reuse connections up to their idle limit
+# A caller on a poor network takes something of an answer within this.
+MAX_STALLED_ANSWER_SECONDS = 10.0
 _ERROR_REASONS: dict[type[CallerError], Reason] = {
     BodyTooLargeError: Reason.TOO_LARGE,
     HeadTooLargeError: Reason.HEAD_TOO_LARGE,
@@ -62,6 +64,8 @@
         self.is_write_paused = False
         self.last_used_at = steady_now()
         self.idle_seconds = limits.idle_seconds
+        self.unsent_before = 0
+        self.unsent_since = self.last_used_at
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Note that the connection is open."""
@@ -75,12 +79,14 @@
 
     def resume_writing(self) -> None:
         """Start the requests that waited for the caller to read."""
+        self.entry.answers.record_writer(self)
         self.is_write_paused = False
         self._go_on()
 
     def connection_lost(self, error: Exception | None) -> None:
         """Cancel the requests of a caller that has disconnected."""
         self.entry.connections.discard(self)
+        self.entry.answers.writers.discard(self)
         self.entry.bodies.forget(self)
         self.is_closing = True
         self._abandon_pending()
@@ -137,6 +143,16 @@
                 self.rejection = Reason.BODY_STALLED
                 self._continue_or_close()
 
+    def give_up_stalled_answers(self, now: float) -> None:
+        """Close if the caller takes nothing while others need the memory."""
+        unsent = self.unsent_bytes
+        if unsent != self.unsent_before:
+            self.unsent_before = unsent
+            self.unsent_since = now
+        elif unsent and now - self.unsent_since > MAX_STALLED_ANSWER_SECONDS:
+            if self.entry.answers.is_scarce:
+                self.abort(CloseReason.UNTAKEN)
+
     def close_if_idle(self, now: float, idle_seconds: float) -> None:
         """Close a connection that has been idle for too long.
 
@@ -218,6 +234,13 @@
         if self.transport is not None:
             self.transport.abort()
 
+    @property
+    def unsent_bytes(self) -> int:
+        """How many bytes of answers the caller has not taken."""
+        if self.transport is None:
+            return 0
+        return self.transport.get_write_buffer_size()
+
     @property
     def owes_answers(self) -> bool:
         """Whether a request is read or runs, or an answer is still to be sent.
@@ -406,3 +429,4 @@
         if transport is None or transport.is_closing() or self.is_closing:
             return
         transport.write(sent)
+        self.entry.answers.record_writer(self)
--- a/packages/sidecar/src/boragetrestle_sidecar/entry.py
+++ b/packages/sidecar/src/boragetrestle_sidecar/entry.py
@@ -96,6 +96,7 @@
         self.rate_gate = parts.rate_gate
         self.suspects = parts.suspects
         self.telemetry = parts.telemetry
+        self.answers = parts.answers
         self.clock = clock
         self.probe = GuardProbe(parts.chance, clock)
         self.service_split = ServiceSplit(parts.chance)
@@ -538,6 +539,10 @@
             self._log_retry(request, guard, outcome)
             self._place(request)
             return
+        if not self.answers.has_room(len(outcome.body)):
+            request.may_have_run = True
+            self._refuse(request, Reason.ANSWER_UNTAKEN)
+            return
         self._record(
             request, partial(self._record_answer, request, guard, outcome)
         )
--- a/packages/sidecar/src/boragetrestle_sidecar/entry_parts.py
+++ b/packages/sidecar/src/boragetrestle_sidecar/entry_parts.py
@@ -8,6 +8,7 @@
     import random
 
     from boragetrestle_sidecar.admission.admission import Admission
+    from boragetrestle_sidecar.answer_buffers import AnswerBuffers
     from boragetrestle_sidecar.call_attribution import CallAttribution
     from boragetrestle_sidecar.decision_log import DecisionLog
     from boragetrestle_sidecar.fleet import Fleet
@@ -24,7 +25,7 @@
     ``own_service`` returns the name of the service on this host.
     ``attribution`` records each onward call (one that a target makes while it
     serves a call). ``rate_gate`` enforces the rate limits of organisations and
-    ``retry_budget`` limits retries. ``chance`` is a random number generator.
+    ``retry_budget`` limits retries. ``answers`` bounds the memory of answers. ``chance`` is a random number generator.
     """
 
     fleet: 'Fleet'
@@ -37,3 +38,4 @@
     chance: 'random.Random'
     own_service: Callable[[], str]
     attribution: 'CallAttribution'
+    answers: 'AnswerBuffers'
--- a/packages/sidecar/src/boragetrestle_sidecar/guard.py
+++ b/packages/sidecar/src/boragetrestle_sidecar/guard.py
@@ -9,6 +9,10 @@
 
 from boragetrestle_kernel.errors import WireError
 from boragetrestle_kernel.ids import TargetId
+from boragetrestle_sidecar.answer_buffers import (
+    ANSWER_MEMORY_SHARE,
+    AnswerBuffers,
+)
 from boragetrestle_sidecar.answer_head import answer_head
 from boragetrestle_sidecar.call_attribution import CallAttribution
 from boragetrestle_sidecar.cold_phase import UNKNOWN_RATE, ColdSource
@@ -96,7 +100,12 @@
             heartbeat=settings.heartbeat_seconds,
         )
         self.pool = TargetPool(
-            settings.target, id_header=names.request_id, clock=clock
+            settings.target,
+            id_header=names.request_id,
+            buffers=AnswerBuffers(
+                int(settings.memory_bytes * ANSWER_MEMORY_SHARE)
+            ),
+            clock=clock,
         )
         self.queue = GuardQueue()
         self.meter = RunMeter()
--- a/packages/sidecar/src/boragetrestle_sidecar/peer_server.py
+++ b/packages/sidecar/src/boragetrestle_sidecar/peer_server.py
@@ -53,7 +53,7 @@
     @property
     def owes_outcomes(self) -> bool:
         """Whether an outcome is still to be sent to an entry."""
-        return any(each.has_unsent_bytes for each in self.connections)
+        return any(each.unsent_bytes for each in self.connections)
 
     def broadcast(self, encoded: bytes) -> None:
         """Send an encoded frame to all connected entries."""
@@ -90,6 +90,7 @@
         """Cancel the entry's runs, whose outcome it can no longer get."""
         self.writer = None
         self.server.connections.discard(self)
+        self.server.guard.pool.buffers.writers.discard(self)
         jobs = list(self.jobs.values())
         self.jobs.clear()
         for job in jobs:
@@ -114,11 +115,11 @@
             writer.release()
 
     @property
-    def has_unsent_bytes(self) -> bool:
-        """Whether the entry has not taken all that was sent to it."""
+    def unsent_bytes(self) -> int:
+        """How many bytes the entry has not taken of what was sent to it."""
         if self.writer is None:
-            return False
-        return self.writer.transport.get_write_buffer_size() > 0
+            return 0
+        return self.writer.transport.get_write_buffer_size()
 
     def abort(self) -> None:
         """Close the connection without flushing what is still unsent."""
@@ -165,6 +166,7 @@
         def reply(outcome: 'Outcome') -> None:
             self.jobs.pop(number, None)
             self.send(FrameKind.OUTCOME, number, outcome)
+            self.server.guard.pool.buffers.record_writer(self)
 
         order = decode_fields(frame, RunOrder)
         job = self.server.guard.submit(
--- a/packages/sidecar/src/boragetrestle_sidecar/server_connection.py
+++ b/packages/sidecar/src/boragetrestle_sidecar/server_connection.py
@@ -7,7 +7,7 @@
 
 from boragetrestle_kernel.errors import HttpError
 from boragetrestle_sidecar.answer_buffers import AnswerBuffers
-from boragetrestle_sidecar.answer_reader import AnswerReader
+from boragetrestle_sidecar.answer_reader import MAX_ANSWER_BYTES, AnswerReader
 from boragetrestle_sidecar.header_number import read_count
 from boragetrestle_sidecar.steady_clock import steady_now
 
@@ -59,7 +59,7 @@
     ) -> None:
         self.clock = clock
         self.id_header = id_header
-        self.buffers = buffers or AnswerBuffers()
+        self.buffers = buffers or AnswerBuffers(MAX_ANSWER_BYTES)
         self.refusal = ''
         self.reader = AnswerReader(self._accept_answer)
         self.listener: ExchangeListener | None = None
@@ -123,8 +123,8 @@
         except HttpError as error:
             self.refuse(error)
             return
-        self._deliver()
         self.buffers.record(self, self.reader.held_bytes)
+        self._deliver()
 
     def refuse(self, error: HttpError) -> None:
         """Fail a running exchange for what was received.
--- a/packages/sidecar/src/boragetrestle_sidecar/sidecar.py
+++ b/packages/sidecar/src/boragetrestle_sidecar/sidecar.py
@@ -337,6 +337,7 @@
             telemetry=self.telemetry,
             own_service=self.own_service,
             attribution=self.guard.attribution,
+            answers=self.guard.pool.buffers,
             chance=self.chance,
         )
         return Entry(self.settings, self.adapter.names, parts)
@@ -469,6 +470,7 @@
                     connection.give_up_stalled_body(
                         now, configuration.limits.header_seconds
                     )
+                    connection.give_up_stalled_answers(now)
             self.guard.pool.close_stale(now)
             self.server.abort_silent_connections()
             self.rates.refill_shares()
--- a/packages/sidecar/src/boragetrestle_sidecar/target_pool.py
+++ b/packages/sidecar/src/boragetrestle_sidecar/target_pool.py
@@ -4,7 +4,6 @@
 from collections.abc import Callable
 from typing import TYPE_CHECKING
 
-from boragetrestle_sidecar.answer_buffers import AnswerBuffers
 from boragetrestle_sidecar.link_socket import set_keepalive
 from boragetrestle_sidecar.server_connection import ServerConnection
 from boragetrestle_sidecar.steady_clock import steady_now
@@ -12,6 +11,7 @@
 if TYPE_CHECKING:
     from boragetrestle_kernel.address import Address
     from boragetrestle_kernel.ids import RequestId
+    from boragetrestle_sidecar.answer_buffers import AnswerBuffers
 
 CONNECT_SECONDS = 0.5  # same host: 1 ms is usual
 # A request that must not run twice gets a connection that has been idle for at
@@ -28,6 +28,7 @@
         address: 'Address',
         *,
         id_header: bytes,
+        buffers: 'AnswerBuffers',
         clock: Callable[[], float] = steady_now,
     ) -> None:
         self.clock = clock
@@ -35,7 +36,7 @@
         self.id_header = id_header
         self.idle: list[ServerConnection] = []
         self.opened = 0
-        self.buffers = AnswerBuffers()
+        self.buffers = buffers
 
     def acquire(
         self,
--- a/tests/endless_builders.py
+++ b/tests/endless_builders.py
@@ -14,6 +14,8 @@
 UPLOAD_BYTES = 60_000_000
 CALL_SECONDS = 20.0
 _PART = b'x' * PART_BYTES
+LARGE_ANSWER_BYTES = 15_000_000
+SLOW_READER_BUFFER_BYTES = 65_536
 _HEAD = b'HTTP/1.1 200 OK\r\ncall-id: %s\r\nseal: s\r\n'
 # How an endless answer is framed: the rest of its head and each part.
 ENDLESS_FRAMINGS = {
@@ -30,7 +32,8 @@
     """A target that reads requests and answers with raw bytes.
 
     Requests whose path contains ``endless`` get an answer without end in the
-    framing that follows, all others get ``whole``.
+    framing that follows, those with ``large`` a whole one of
+    ``LARGE_ANSWER_BYTES``, and all others get ``whole``.
     """
 
     def __init__(self) -> None:
@@ -61,7 +64,14 @@
         found = re.search(rb'call-id: (\S+)', head, re.IGNORECASE)
         assert found is not None
         writer.write(_HEAD % found[1])
-        if b'endless' not in head.split(b'\r\n')[0]:
+        start_line = head.split(b'\r\n')[0]
+        if b'large' in start_line:
+            writer.write(b'content-length: %d\r\n\r\n' % LARGE_ANSWER_BYTES)
+            for _ in range(0, LARGE_ANSWER_BYTES, PART_BYTES):
+                writer.write(_PART)
+                await writer.drain()
+            return
+        if b'endless' not in start_line:
             writer.write(b'content-length: 5\r\n\r\nwhole')
             return
         start, part = ENDLESS_FRAMINGS[self.framing]
@@ -107,6 +117,32 @@
     return await _exchange(name, sent, UPLOAD_BYTES, is_chunked=is_chunked)
 
 
+async def ask_slowly(name: str, *, wait: float) -> int:
+    """Return the status of a large answer that is read after ``wait`` seconds.
+
+    Returns 0 if the answer was cut.
+    """
+    sent = request_bytes(
+        name, path='/walks/large', time_left=int(CALL_SECONDS * 1000)
+    )
+    ip = NODE_IPS[len(name) % len(NODE_IPS)]
+    reader, writer = await asyncio.open_connection(
+        ip, CALLER_PORT, limit=SLOW_READER_BUFFER_BYTES
+    )
+    writer.write(sent)
+    try:
+        head = await reader.readuntil(b'\r\n\r\n')
+        status = int(head.split()[1])
+        if status == 200:
+            await asyncio.sleep(wait)
+            await reader.readexactly(LARGE_ANSWER_BYTES)
+    except (OSError, EOFError):
+        return 0
+    finally:
+        writer.close()
+    return status
+
+
 async def _exchange(
     name: str,
     head: bytes,
--- a/tests/entry_builders.py
+++ b/tests/entry_builders.py
@@ -14,6 +14,7 @@
 )
 
 from boragetrestle_sidecar.admission.admission import Admission
+from boragetrestle_sidecar.answer_buffers import AnswerBuffers
 from boragetrestle_sidecar.call_attribution import CallAttribution
 from boragetrestle_sidecar.caller_connection import CallerConnection
 from boragetrestle_sidecar.entry import Entry
@@ -38,6 +39,7 @@
 from boragetrestle_sidecar.telemetry import Telemetry
 
 LOAD = GuardLoad(0, 0, 10, 0.01)
+ANSWER_BYTES = 20_000_000
 
 
 class SentRun(NamedTuple):
@@ -144,6 +146,7 @@
             chance=chance(),
             own_service=lambda: 'shop',
             attribution=self.attribution,
+            answers=AnswerBuffers(ANSWER_BYTES),
         )
         self.entry = Entry(settings(), NAMES, parts, clock=self.clock)
         self.use(configuration(*routes, **options))
--- a/tests/test_path_memory.py
+++ b/tests/test_path_memory.py
@@ -8,6 +8,7 @@
     ENDLESS_FRAMINGS,
     RawTarget,
     ask,
+    ask_slowly,
     raw_targets,
     together,
     upload,
@@ -17,6 +18,9 @@
 pytestmark = pytest.mark.processes
 
 CALLERS = 16
+SLOW_CALLERS = 30
+START_SECONDS = 0.1
+SLOW_SECONDS = 4.0
 
 
 def run_with_process(
@@ -59,6 +63,25 @@
     run_with_process(test)
 
 
+# Guards against finished answers that are in no account of memory.
+def test_large_answers_to_slow_callers_fit_the_process() -> None:
+    """They get whole answers or a refusal; small ones are served meanwhile."""
+
+    async def ask_late(number: int) -> int:
+        await asyncio.sleep(START_SECONDS * number)
+        return await ask_slowly('s' * (number + 1), wait=SLOW_SECONDS)
+
+    async def test(_targets: list[RawTarget], _nodes: MemoryProcess) -> None:
+        slow = asyncio.ensure_future(together(SLOW_CALLERS, ask_late))
+        await asyncio.sleep(START_SECONDS * SLOW_CALLERS)
+        assert await ask('meanwhile') == 200
+        statuses = await slow
+        assert set(statuses) <= {200, 502, 503}
+        assert 200 in statuses
+
+    run_with_process(test)
+
+
 # Guards against uploads at one pace that pass the budget of bodies together.
 @pytest.mark.parametrize('is_chunked', [False, True])
 def test_uploads_at_one_pace_fit_the_process(*, is_chunked: bool) -> None:
