Send large bodies without copies of them

What callers saw: with one body read at a time per node, 16 uploads of 60 MB still grew a process of two nodes to 473 to 507 MB, beyond the 300 MB at which the sites end a process.

Cause: a body was joined with its head at the guard, copied into the buffer of the transport, or encoded to CBOR, joined with the length of its frame, copied into the buffer of the transport, and at the other node sliced twice, decoded and joined again.

Change: bodies over 64 KB are written from the buffer that they were received in, in pieces, as fast as the other end takes them (PieceWriter). The frame of a run or outcome is encoded around its body; the bytes on the wire are the same. The reader of frames hands the buffer of a large run on and keeps a view of the body. Frames keep their order. A connection to a target with a body that is not sent to its end is not used again, as before. Smaller bodies go the same way as before, with one check more.

--- a/packages/sidecar/src/boragetrestle_sidecar/guard.py
+++ b/packages/sidecar/src/boragetrestle_sidecar/guard.py
@@ -14,6 +14,7 @@
     AnswerBuffers,
 )
 from boragetrestle_sidecar.answer_head import answer_head
+from boragetrestle_sidecar.body_budget import LARGE_BODY_BYTES
 from boragetrestle_sidecar.call_attribution import CallAttribution
 from boragetrestle_sidecar.cold_phase import UNKNOWN_RATE, ColdSource
 from boragetrestle_sidecar.configured_services import ConfiguredServices
@@ -600,19 +601,23 @@
         remaining_ms = max(1, int((job.expires_at - now) * 1000))
         target_deadline = now + remaining_ms / 1000
         job.calls = self.attribution.start_run(order.route, target_deadline)
+        joined, apart = order.body, b''
+        if len(order.body) > LARGE_BODY_BYTES:
+            joined, apart = b'', order.body
         request = b'%s%s: %d\r\n%s: %s\r\n\r\n%s' % (
             order.head,
             self.names.time_left,
             remaining_ms,
             self.names.expected_target,
             report.target.encode(),
-            order.body,
+            joined,
         )
         connection.exchange(
             request,
             RunListener(self, job),
             order.request_id,
             is_head=order.head.startswith(b'HEAD '),
+            body=apart,
         )
 
     def finish_with_answer(self, job: GuardJob, answer: 'TargetAnswer') -> None:
--- a/packages/sidecar/src/boragetrestle_sidecar/peer_frames.py
+++ b/packages/sidecar/src/boragetrestle_sidecar/peer_frames.py
@@ -3,14 +3,27 @@
 from enum import IntEnum
 from operator import index
 from struct import Struct
-from typing import Any, NamedTuple, TypeVar
+from typing import TYPE_CHECKING, Any, NamedTuple, TypeVar
 
 import cbor2
 import msgspec
 
 from boragetrestle_kernel.errors import WireError
+from boragetrestle_sidecar.body_budget import LARGE_BODY_BYTES
+
+if TYPE_CHECKING:
+    from collections.abc import Iterator
+
+    from boragetrestle_sidecar.outcome import Outcome
+    from boragetrestle_sidecar.run_order import RunOrder
 
 _LENGTH = Struct('>I')
+_BYTES_HEAD = Struct('>BI')
+# CBOR: an array of few items, a byte string with a length of four bytes, and an
+# empty byte string.
+_ARRAY = 0x80
+_LONG_BYTES = 0x5A
+_NO_BYTES = b'\x40'
 _Fields = TypeVar('_Fields')
 # A body of the largest size with its header fields.
 MAX_FRAME_BYTES = 80_000_000
@@ -37,12 +50,21 @@
     EVACUATIONS = 15
 
 
+# How the payload of a run begins.
+_RUN_START = bytes((_ARRAY + 3, FrameKind.RUN))
+
+
 class Frame(NamedTuple):
-    """One message; ``number`` pairs an answer with its request."""
+    """One message; ``number`` pairs an answer with its request.
+
+    A large body of a run is kept apart as ``body``, a view of what was received,
+    and is empty in ``fields``.
+    """
 
     kind: FrameKind
     number: int
     fields: list[Any]
+    body: bytes | memoryview = b''
 
 
 def encode_frame(kind: FrameKind, number: int, fields: object) -> bytes:
@@ -55,6 +77,29 @@
     return _LENGTH.pack(len(payload)) + payload
 
 
+def encode_parts(
+    kind: FrameKind,
+    number: int,
+    fields: 'RunOrder | Outcome',
+) -> list[bytes]:
+    """Return a frame with a large body in parts, the body not copied.
+
+    Joined they are what ``encode_frame`` returns.
+    """
+    place = fields.index(fields.body)
+    before = b''.join((
+        bytes((_ARRAY + 3,)),
+        cbor2.dumps(int(kind)),
+        cbor2.dumps(number),
+        bytes((_ARRAY + len(fields),)),
+        *map(cbor2.dumps, fields[:place]),
+        _BYTES_HEAD.pack(_LONG_BYTES, len(fields.body)),
+    ))
+    after = b''.join(map(cbor2.dumps, fields[place + 1 :]))
+    length = len(before) + len(fields.body) + len(after)
+    return [_LENGTH.pack(length) + before, fields.body, after]
+
+
 def decode_fields(frame: Frame, kind: type[_Fields]) -> _Fields:
     """Return the fields of a frame as a named tuple with checked types.
 
@@ -84,24 +129,61 @@
         self.buffer += received
         frames: list[Frame] = []
         start = 0
-        buffer = self.buffer
-        while len(buffer) - start >= _LENGTH.size:
-            (length,) = _LENGTH.unpack_from(buffer, start)
+        while len(self.buffer) - start >= _LENGTH.size:
+            (length,) = _LENGTH.unpack_from(self.buffer, start)
             if length > MAX_FRAME_BYTES:
                 raise WireError(
                     f'a frame of {length} bytes from a peer is too long',
                     remedy='check that only nodes connect to the peer address',
                 )
-            end = start + _LENGTH.size + length
-            if len(buffer) < end:
+            begin = start + _LENGTH.size
+            end = begin + length
+            if len(self.buffer) < end:
                 break
-            frames.append(_decode(bytes(buffer[start + _LENGTH.size : end])))
-            start = end
-        del buffer[:start]
+            if length > LARGE_BODY_BYTES:
+                frames.append(_decode_large(self._detach(begin, end)))
+                start = 0
+            else:
+                frames.append(_decode(bytes(self.buffer[begin:end])))
+                start = end
+        del self.buffer[:start]
         return frames
 
+    def _detach(self, begin: int, end: int) -> memoryview:
+        """Return a part of the buffer; go on with what follows it."""
+        detached = memoryview(self.buffer)
+        self.buffer = bytearray(detached[end:])
+        return detached[begin:end]
 
-def _decode(payload: bytes) -> Frame:
+
+def _decode_large(payload: memoryview) -> Frame:
+    """Decode a large payload; keep the body of a run as a view of it.
+
+    The body is the last field. Bytes that only look like the start of it leave
+    the fields before it incomplete.
+    """
+    if payload[: len(_RUN_START)] == _RUN_START:
+        start = bytes(payload[:LARGE_BODY_BYTES])
+        for place in _body_starts(start, len(payload)):
+            try:
+                frame = _decode(start[:place] + _NO_BYTES)
+            except WireError:
+                continue
+            return frame._replace(body=payload[place + _BYTES_HEAD.size :])
+    return _decode(payload)
+
+
+def _body_starts(start: bytes, length: int) -> 'Iterator[int]':
+    """Yield where a byte string may begin that ends with the payload."""
+    place = start.find(_LONG_BYTES)
+    while 0 <= place <= len(start) - _BYTES_HEAD.size:
+        _, stated = _BYTES_HEAD.unpack_from(start, place)
+        if place + _BYTES_HEAD.size + stated == length:
+            yield place
+        place = start.find(_LONG_BYTES, place + 1)
+
+
+def _decode(payload: bytes | memoryview) -> Frame:
     try:
         kind, number, fields = cbor2.loads(payload)
         return Frame(FrameKind(kind), index(number), fields)
--- a/packages/sidecar/src/boragetrestle_sidecar/peer_link.py
+++ b/packages/sidecar/src/boragetrestle_sidecar/peer_link.py
@@ -190,6 +190,16 @@
         self.writer.release()
         self.log.write_unlimited('peer-found', peer=str(self.address))
 
+    def pause_writing(self) -> None:
+        """Hold back large frames that the peer is slow to take."""
+        if self.writer is not None:
+            self.writer.pieces.pause()
+
+    def resume_writing(self) -> None:
+        """Write on."""
+        if self.writer is not None:
+            self.writer.pieces.resume()
+
     def connection_lost(self, error: Exception | None) -> None:
         """End the runs sent over the connection with an unknown outcome."""
         self.writer = None
--- a/packages/sidecar/src/boragetrestle_sidecar/peer_server.py
+++ b/packages/sidecar/src/boragetrestle_sidecar/peer_server.py
@@ -86,6 +86,16 @@
         self.writer = FrameWriter(cast('asyncio.Transport', transport))
         self.server.connections.add(self)
 
+    def pause_writing(self) -> None:
+        """Hold back large frames that the peer is slow to take."""
+        if self.writer is not None:
+            self.writer.pieces.pause()
+
+    def resume_writing(self) -> None:
+        """Write on."""
+        if self.writer is not None:
+            self.writer.pieces.resume()
+
     def connection_lost(self, error: Exception | None) -> None:
         """Cancel the entry's runs, whose outcome it can no longer get."""
         self.writer = None
@@ -119,7 +129,7 @@
         """How many bytes the entry has not taken of what was sent to it."""
         if self.writer is None:
             return 0
-        return self.writer.transport.get_write_buffer_size()
+        return self.writer.pieces.unsent_bytes
 
     def abort(self) -> None:
         """Close the connection without flushing what is still unsent."""
@@ -169,6 +179,8 @@
             self.server.guard.pool.buffers.record_writer(self)
 
         order = decode_fields(frame, RunOrder)
+        if frame.body:
+            order = order._replace(body=cast('bytes', frame.body))
         job = self.server.guard.submit(
             order,
             reply,
--- a/packages/sidecar/src/boragetrestle_sidecar/run_order.py
+++ b/packages/sidecar/src/boragetrestle_sidecar/run_order.py
@@ -13,7 +13,8 @@
     ``time_left`` and ``goal_left`` are the seconds until the caller's deadline
     and until the response-time goal. ``head`` is the request line with the
     headers, without those that the guard adds. ``is_call`` marks an onward
-    call, which a target makes while it serves another request.
+    call, which a target makes while it serves another request. A large ``body``
+    may be another bytes-like object, so that it needs no copy.
     """
 
     service: str
--- a/packages/sidecar/src/boragetrestle_sidecar/server_connection.py
+++ b/packages/sidecar/src/boragetrestle_sidecar/server_connection.py
@@ -9,6 +9,7 @@
 from boragetrestle_sidecar.answer_buffers import AnswerBuffers
 from boragetrestle_sidecar.answer_reader import MAX_ANSWER_BYTES, AnswerReader
 from boragetrestle_sidecar.header_number import read_count
+from boragetrestle_sidecar.piece_writer import PieceWriter
 from boragetrestle_sidecar.steady_clock import steady_now
 
 if TYPE_CHECKING:
@@ -67,6 +68,7 @@
         self.refused_ids: set[RequestId] = set()
         self.matching_answer: TargetAnswer | None = None
         self.transport: asyncio.Transport | None = None
+        self.pieces: PieceWriter | None = None
         self.idle_seconds = _DEFAULT_IDLE_SECONDS
         self.idle_since = self.clock()
         self.is_usable = False
@@ -75,6 +77,7 @@
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Note that the connection is open."""
         self.transport = cast('asyncio.Transport', transport)
+        self.pieces = PieceWriter(self.transport)
         self.is_usable = True
 
     def exchange(
@@ -84,14 +87,31 @@
         request_id: 'RequestId | None' = None,
         *,
         is_head: bool = False,
+        body: bytes = b'',
     ) -> None:
-        """Send a complete request; the listener is told how it ended."""
+        """Send a complete request; the listener is told how it ended.
+
+        A ``body`` that is not in ``request`` is sent behind it without a copy.
+        """
         assert self.transport is not None
         self.listener = listener
         self.request_id = request_id
         self.reader.begin_exchange()
         self.reader.expects_no_body = is_head
         self.transport.write(request)
+        if body:
+            assert self.pieces is not None
+            self.pieces.write(body)
+
+    def pause_writing(self) -> None:
+        """Hold back a body that the server is slow to take."""
+        if self.pieces is not None:
+            self.pieces.pause()
+
+    def resume_writing(self) -> None:
+        """Send on."""
+        if self.pieces is not None:
+            self.pieces.resume()
 
     def is_fresh(self, now: float, *, within: float | None = None) -> bool:
         """Return whether the server should still keep the connection open."""
@@ -110,6 +130,8 @@
         self.reader.discard()
         self.listener = None
         self.is_usable = False
+        if self.pieces is not None:
+            self.pieces.clear()
         if self.transport is not None:
             self.transport.abort()
 
@@ -176,8 +198,8 @@
         return answer.header(self.id_header) == self.request_id
 
     def _update_reuse(self, answer: 'TargetAnswer') -> None:
-        assert self.transport is not None
-        is_flushed = self.transport.get_write_buffer_size() == 0
+        assert self.pieces is not None
+        is_flushed = self.pieces.unsent_bytes == 0
         is_clean = is_flushed and not self.reader.is_amid_answer
         if not answer.keeps_open or not is_clean:
             self.is_usable = False
