Free the bodies of a connection when it begins to close

A connection that closes may take a while, since its caller still takes answers or sends what is dropped. Until then a part of a body that it had read counted in the memory of bodies, and those of others waited for it.

Before: test_closing_connection_holds_no_body fails, the other upload stays paused. After: it is read on, and one byte, its own, is held.

--- a/packages/sidecar/src/boragetrestle_sidecar/caller_connection.py
+++ b/packages/sidecar/src/boragetrestle_sidecar/caller_connection.py
@@ -187,6 +187,8 @@
             return
         self._record_close(reason)
         self.is_closing = True
+        self.reader = RequestReader(self.reader.limits)  # frees what it holds
+        self.entry.bodies.forget(self)
         transport = self.transport
         if transport is None:
             return
--- a/tests/test_path_caller_closes.py
+++ b/tests/test_path_caller_closes.py
@@ -328,3 +328,23 @@
         caller.close()
 
     run_with_hosts(test)
+
+
+# Guards against bodies that fill the memory for as long as their connection takes
+# to close.
+def test_closing_connection_holds_no_body() -> None:
+    """Others that were paused for it are read on."""
+    bench = EntryHarness()
+    bench.entry.bodies = BodyBudget(100)
+    closing, transport = bench.connect()
+    chunked = request_bytes(
+        method='POST', extra='Transfer-Encoding: chunked\r\n'
+    )
+    closing.data_received(chunked + b'64\r\n' + b'x' * 100)
+    other, other_transport = bench.connect()
+    other.data_received(UPLOAD + b'x')
+    assert not other_transport.is_reading
+    closing.data_received(b'no chunk\r\n')
+    assert transport.is_closed
+    assert other_transport.is_reading
+    assert bench.entry.bodies.held_bytes == 1
