--- a/tests/test_path_header_numbers.py
+++ b/tests/test_path_header_numbers.py
@@ -1,12 +1,13 @@
 """Numbers of any length in headers of other programs."""
 
 from contextlib import suppress
+from dataclasses import astuple
 
 import pytest
 from entry_builders import EntryHarness, request_bytes
 from hypothesis import example, given
 from hypothesis import strategies as st
-from path_builders import GuardHarness, run_order
+from path_builders import NAMES, GuardHarness, run_order
 
 from boragetrestle_kernel.errors import StoreError
 from boragetrestle_sidecar.outcome import OutcomeKind
@@ -19,6 +20,9 @@
     st.sampled_from([b'', b'inf', b'-inf', b'nan', b'1e999', b'0x1f']),
     st.sampled_from(['٣', '²', '५५']).map(str.encode),
 )
+NAMES_THAT_ARE_READ = tuple(
+    value for value in astuple(NAMES) if value != NAMES.key_scheme
+)
 ANSWER_HEADERS = (b'rate-limit', b'load', b'leaving', b'retry-after', b'age')
 
 
@@ -94,3 +98,29 @@
     with suppress(StoreError):
         epochs.check(stated)
     assert epochs.newest < 10**18
+
+
+# Guards against runs that never end for what their target sends.
+@given(
+    status=st.from_regex(rb'[0-9]{1,5}', fullmatch=True),
+    name=st.sampled_from([
+        *NAMES_THAT_ARE_READ,
+        b'content-length',
+        b'transfer-encoding',
+        b'upgrade',
+    ]),
+    stated=st.one_of(ODD_NUMBERS, st.binary(max_size=40)),
+)
+def test_any_answer_ends_its_run(
+    status: bytes, name: bytes, stated: bytes
+) -> None:
+    """At the latest when the connection ends."""
+    bench = GuardHarness()
+    job = bench.submit(run_order())
+    head = b'HTTP/1.1 %s Some\r\ncall-id: r-1\r\nseal: s\r\n' % status
+    job.connection.data_received(head + b'%s: %s\r\n\r\nx' % (name, stated))
+    job.connection.eof_received()
+    job.connection.connection_lost(None)
+    assert 'r-1' in bench.outcomes
+    assert bench.guard.running == 0
+    assert 'run-failed' not in bench.log.kinds()
