Cancel the other runs of a lost link when one cancellation fails

An exception in the cancellation of a run left it listed without an outcome, and the runs behind it in the loop over a lost link went on for callers that nobody can answer.

Before: test_cancellation_that_fails_ends_its_run fails with the exception of the broken step. After: the run ends with an unknown outcome, and the loop goes on.

--- a/packages/sidecar/src/boragetrestle_sidecar/guard.py
+++ b/packages/sidecar/src/boragetrestle_sidecar/guard.py
@@ -365,6 +365,12 @@
         A run that may not be repeated goes on to its end, so that the changes
         that it makes are not interrupted.
         """
+        try:
+            self._cancel(job)
+        except Exception as error:
+            self.fail_run(job, error)
+
+    def _cancel(self, job: GuardJob) -> None:
         if job.state is JobState.WAITING:
             self.queue.remove(job)
             self._finish(job, _not_sent(Reason.CALLER_GONE))
--- a/tests/test_path_run_failures.py
+++ b/tests/test_path_run_failures.py
@@ -107,3 +107,14 @@
     assert bench.outcomes['r-1'].kind is OutcomeKind.UNKNOWN
     assert running not in bench.guard.jobs
     assert bench.guard.running == 1
+
+
+# Guards against runs of a lost link that go on since the cancellation of one of
+# them fails.
+def test_cancellation_that_fails_ends_its_run() -> None:
+    """The link cancels the others after it."""
+    bench, running = waiting_run()
+    break_step(bench, 'attribution.end_run')
+    bench.guard.cancel(running)
+    assert bench.outcomes['r-1'].kind is OutcomeKind.UNKNOWN
+    assert running not in bench.guard.jobs
