Accept long frames from peers that have sent their greeting only

What was seen: 8 connections to the peer port that announce a frame of 79 MB and send it without end made a process with two nodes grow to 591 MB (bound 300), with no node behind them.

Cause: FrameReader keeps up to 80 MB of a frame for every connection, also one that has sent nothing valid.

Change: on a connection from an entry the first frame may have 1 MB. Every build sends its greeting first, which has an address, a version, a notice and the evacuated domains.

Open: peers that have greeted may still send 80 MB each at once, in both directions.

--- a/packages/sidecar/src/boragetrestle_sidecar/peer_frames.py
+++ b/packages/sidecar/src/boragetrestle_sidecar/peer_frames.py
@@ -27,6 +27,8 @@
 _Fields = TypeVar('_Fields')
 # A body of the largest size with its header fields.
 MAX_FRAME_BYTES = 80_000_000
+# A greeting with all evacuated domains takes some kilobytes.
+MAX_GREETING_BYTES = 1_000_000
 
 
 class FrameKind(IntEnum):
@@ -116,10 +118,15 @@
 
 
 class FrameReader:
-    """Split a stream of bytes into frames."""
+    """Split a stream of bytes into frames.
 
-    def __init__(self) -> None:
+    ``max_first_bytes`` bounds the first frame, so that a program that is no
+    peer cannot fill the memory.
+    """
+
+    def __init__(self, max_first_bytes: int = MAX_FRAME_BYTES) -> None:
         self.buffer = bytearray()
+        self.max_bytes = max_first_bytes
 
     def feed(self, received: bytes) -> list[Frame]:
         """Return the frames that are complete with the received bytes.
@@ -131,7 +138,7 @@
         start = 0
         while len(self.buffer) - start >= _LENGTH.size:
             (length,) = _LENGTH.unpack_from(self.buffer, start)
-            if length > MAX_FRAME_BYTES:
+            if length > self.max_bytes:
                 raise WireError(
                     f'a frame of {length} bytes from a peer is too long',
                     remedy='check that only nodes connect to the peer address',
@@ -140,6 +147,7 @@
             end = begin + length
             if len(self.buffer) < end:
                 break
+            self.max_bytes = MAX_FRAME_BYTES
             if length > LARGE_BODY_BYTES:
                 frames.append(_decode_large(self._detach(begin, end)))
                 start = 0
--- a/packages/sidecar/src/boragetrestle_sidecar/peer_server.py
+++ b/packages/sidecar/src/boragetrestle_sidecar/peer_server.py
@@ -13,6 +13,7 @@
 from boragetrestle_sidecar.guard_job import GuardJob, JobState
 from boragetrestle_sidecar.link_socket import set_user_timeout
 from boragetrestle_sidecar.peer_frames import (
+    MAX_GREETING_BYTES,
     Frame,
     FrameKind,
     FrameReader,
@@ -74,7 +75,7 @@
 
     def __init__(self, server: PeerServer) -> None:
         self.server = server
-        self.reader = FrameReader()
+        self.reader = FrameReader(MAX_GREETING_BYTES)
         self.writer: FrameWriter | None = None
         self.jobs: dict[int, GuardJob] = {}
         self.received_at = steady_now()
--- a/tests/test_path_peer_fuzz.py
+++ b/tests/test_path_peer_fuzz.py
@@ -22,6 +22,7 @@
 from boragetrestle_sidecar.peer_messages import Hello
 from boragetrestle_sidecar.peer_server import PeerConnection, PeerServer
 
+LONG_FRAME_BYTES = 70_000_000
 _VALUES: tuple[Any, ...] = (
     None,
     True,
@@ -120,6 +121,23 @@
     asyncio.run(test())
 
 
+# Guards against bytes of a stranger that are kept for one endless frame.
+@pytest.mark.parametrize('is_peer', [False, True])
+def test_long_frame_is_read_from_peers_only(*, is_peer: bool) -> None:
+    """A peer greets before it sends a run with a large body."""
+
+    async def test() -> None:
+        victim = Victim()
+        connection, transport = victim.connection()
+        if is_peer:
+            greeting = victim.messages.hello_fields(Address('127.0.0.1', 9))
+            connection.data_received(encode_frame(FrameKind.HELLO, 0, greeting))
+        connection.data_received(LONG_FRAME_BYTES.to_bytes(4, 'big'))
+        assert transport.is_closed is not is_peer
+
+    asyncio.run(test())
+
+
 @pytest.mark.parametrize('depth', [10, 399, 100_000])
 def test_frame_that_is_nested_deeply_is_a_typed_error(depth: int) -> None:
     """Whether its bytes or its fields cannot be decoded."""
