Bound what the answers of the store hold together

What was seen: 16 calls of HttpCaller at once to a server that answers without end took a process from 19 to 367 MB. 30 such calls in turn took 42 MB, so what is refused is freed.

Cause: each connection to the store had an account of its own, so every call in progress could hold an answer of the largest size, 16 MB. A node has a poll for each table and calls for registration and costs beside them.

Change: the connections of a caller share one account that is as large as the largest answer. It is apart from that of targets, so that targets or slow callers cannot make a call to the store fail.

--- a/packages/sidecar/src/boragetrestle_sidecar/http_caller.py
+++ b/packages/sidecar/src/boragetrestle_sidecar/http_caller.py
@@ -1,9 +1,12 @@
 """Make HTTP calls to one server over pooled connections."""
 
 import asyncio
+from functools import partial
 from typing import TYPE_CHECKING
 
 from boragetrestle_kernel.errors import OutcomeUnknownError, StoreError
+from boragetrestle_sidecar.answer_buffers import AnswerBuffers
+from boragetrestle_sidecar.answer_reader import MAX_ANSWER_BYTES
 from boragetrestle_sidecar.link_socket import set_keepalive
 from boragetrestle_sidecar.server_connection import Loss, ServerConnection
 from boragetrestle_sidecar.steady_clock import steady_now
@@ -17,11 +20,16 @@
 
 
 class HttpCaller:
-    """Call one server; a connection carries one call at a time."""
+    """Call one server; a connection carries one call at a time.
+
+    What its unfinished answers hold together is bounded by one of the largest
+    size.
+    """
 
     def __init__(self, address: 'Address') -> None:
         self.address = address
         self.idle_connections: list[ServerConnection] = []
+        self.buffers = AnswerBuffers(MAX_ANSWER_BYTES)
 
     async def call(
         self,
@@ -78,7 +86,7 @@
         try:
             async with asyncio.timeout(CONNECT_TIMEOUT_SECONDS):
                 transport, connection = await loop.create_connection(
-                    ServerConnection,
+                    partial(ServerConnection, buffers=self.buffers),
                     self.address.host,
                     self.address.port,
                 )
