Let the raw target end when its connection ends within a body

The stand-in of test_path_memory.py read the body of a request in a loop that did not notice the end of the connection: a read at the end returns nothing at once, so the loop never yielded, and the test hung with its event loop blocked. A node that gives up an upload, as it does with a request over its time limit, is enough.

A caller that closes after 3 of 100 bytes: no end within 5 s before, 0.4 s after.

--- a/tests/endless_builders.py
+++ b/tests/endless_builders.py
@@ -60,7 +60,10 @@
         length = re.search(rb'content-length: (\d+)', head)
         left = int(length[1]) if length else 0
         while left:
-            left -= len(await reader.read(min(left, PART_BYTES)))
+            part = await reader.read(min(left, PART_BYTES))
+            if not part:
+                raise EOFError  # the node has cancelled the run
+            left -= len(part)
         found = re.search(rb'call-id: (\S+)', head, re.IGNORECASE)
         assert found is not None
         writer.write(_HEAD % found[1])
@@ -74,10 +77,10 @@
         if b'endless' not in start_line:
             writer.write(b'content-length: 5\r\n\r\nwhole')
             return
-        start, part = ENDLESS_FRAMINGS[self.framing]
+        start, endless = ENDLESS_FRAMINGS[self.framing]
         writer.write(start)
         while True:
-            writer.write(part)
+            writer.write(endless)
             await writer.drain()
 
 
