--- a/tests/stop_builders.py
+++ b/tests/stop_builders.py
@@ -14,9 +14,12 @@
 
 GRACE_SECONDS = 6.0
 LARGE_PATH = '/walks/large'
-LARGE_BODY = b'x' * 8_000_000
+DOWNLOAD_BYTES = 10_000_000
+LAST_BYTE = b'.'
+LARGE_BODY = b'x' * (DOWNLOAD_BYTES - 1) + LAST_BYTE
 RECEIVE_BYTES = 65_536  # small, so that most of a large answer stays unread
 CALL_TIMEOUT_SECONDS = 10.0
+PACE_BYTES = 100_000
 
 
 class StopRequest(NamedTuple):
@@ -84,17 +87,38 @@
 
 async def read_slowly(host: Host) -> socket.socket:
     """Begin a large download and return its connection, left unread."""
+    caller = await begin_download(host, 'large')
+    await asyncio.get_running_loop().sock_recv(caller, 1000)
+    return caller
+
+
+async def begin_download(host: Host, name: str) -> socket.socket:
+    """Send a request for a large answer and return its connection."""
     loop = asyncio.get_running_loop()
     caller = socket.socket()
     caller.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BYTES)
     caller.setblocking(False)
     await loop.sock_connect(caller, (host.ip, 7002))
-    request = request_bytes('large', path=LARGE_PATH, time_left=60_000)
+    request = request_bytes(name, path=LARGE_PATH, time_left=60_000)
     await loop.sock_sendall(caller, request)
-    await loop.sock_recv(caller, 1000)
     return caller
 
 
+async def read_at_pace(host: Host, name: str, *, seconds: float) -> int:
+    """Read a download evenly; return how many bytes of its body came."""
+    caller = await begin_download(host, name)
+    loop = asyncio.get_running_loop()
+    received = bytearray()
+    while not received.endswith(LAST_BYTE):
+        part = await loop.sock_recv(caller, PACE_BYTES)
+        if not part:
+            break
+        received += part
+        await asyncio.sleep(seconds * len(part) / DOWNLOAD_BYTES)
+    caller.close()
+    return len(received.partition(b'\r\n\r\n')[2])
+
+
 async def send_during_stop(
     host: Host,
     requests: list[StopRequest],
