Bound what links hold of answers that are being received

Class of fault: an account that covers one place where answers lie and not the next. Each link to another node keeps up to 80 MB of a frame that is not complete, in no account, so long answers from many nodes at once add up at the entry.

Change: links count towards the same bound as targets' and untaken answers. Over it the longest is given up: its run ends with an unknown outcome (no-room-for-answer, which replaces answers-untaken), the rest of the frame is skipped, and all other runs of the link go on. Frames do not change.

Not measured in a process with many nodes.

--- a/packages/sidecar/src/boragetrestle_sidecar/entry.py
+++ b/packages/sidecar/src/boragetrestle_sidecar/entry.py
@@ -541,7 +541,7 @@
             return
         if not self.answers.has_room(len(outcome.body)):
             request.may_have_run = True
-            self._refuse(request, Reason.ANSWER_UNTAKEN)
+            self._refuse(request, Reason.NO_ROOM)
             return
         self._record(
             request, partial(self._record_answer, request, guard, outcome)
--- a/packages/sidecar/src/boragetrestle_sidecar/member_links.py
+++ b/packages/sidecar/src/boragetrestle_sidecar/member_links.py
@@ -19,6 +19,7 @@
 from boragetrestle_sidecar.steady_clock import steady_now
 
 if TYPE_CHECKING:
+    from boragetrestle_sidecar.answer_buffers import AnswerBuffers
     from boragetrestle_sidecar.decision_log import DecisionLog
     from boragetrestle_sidecar.fleet import Fleet
     from boragetrestle_sidecar.member import Member
@@ -43,11 +44,13 @@
         fleet: 'Fleet',
         log: 'DecisionLog',
         *,
+        answers: 'AnswerBuffers | None' = None,
         clock: Callable[[], float] = steady_now,
     ) -> None:
         self.fleet = fleet
         self.address = fleet.address
         self.log = log
+        self.answers = answers
         self.clock = clock
         self.links: dict[str, PeerLink] = {}
         self.tasks: dict[str, asyncio.Task[None]] = {}
@@ -166,7 +169,9 @@
 
     def _open(self, address: str) -> PeerLink:
         assert self.messages is not None
-        link = PeerLink(Address.parse(address), self.messages, self.log)
+        link = PeerLink(
+            Address.parse(address), self.messages, self.log, self.answers
+        )
         link.used_at = self.clock()
         self.links[address] = link
         self.fleet.add(address, link)
--- a/packages/sidecar/src/boragetrestle_sidecar/outcome.py
+++ b/packages/sidecar/src/boragetrestle_sidecar/outcome.py
@@ -37,7 +37,7 @@
     TARGET_REJECTED = 'target-rejected'
     CONNECTION_LOST = 'connection-lost'
     ANSWER_GARBLED = 'answer-garbled'
-    ANSWER_UNTAKEN = 'answers-untaken'
+    NO_ROOM = 'no-room-for-answer'
     LINK_LOST = 'link-lost'
     TIME_LIMIT = 'time-limit'
     CALLER_GONE = 'caller-gone'
--- a/packages/sidecar/src/boragetrestle_sidecar/peer_frames.py
+++ b/packages/sidecar/src/boragetrestle_sidecar/peer_frames.py
@@ -1,6 +1,7 @@
 """Messages between nodes: length-prefixed CBOR arrays of typed fields."""
 
 from enum import IntEnum
+from io import BytesIO
 from operator import index
 from struct import Struct
 from typing import TYPE_CHECKING, Any, NamedTuple, TypeVar
@@ -24,6 +25,7 @@
 _ARRAY = 0x80
 _LONG_BYTES = 0x5A
 _NO_BYTES = b'\x40'
+_MAX_HEAD_BYTES = 16  # the start of the array, kind and number
 _Fields = TypeVar('_Fields')
 # A body of the largest size with its header fields.
 MAX_FRAME_BYTES = 80_000_000
@@ -127,13 +129,16 @@
     def __init__(self, max_first_bytes: int = MAX_FRAME_BYTES) -> None:
         self.buffer = bytearray()
         self.max_bytes = max_first_bytes
+        self.skipped_bytes = 0
 
     def feed(self, received: bytes) -> list[Frame]:
         """Return the frames that are complete with the received bytes.
 
         Raises ``WireError`` for a frame that is too long or invalid.
         """
-        self.buffer += received
+        skipped = min(self.skipped_bytes, len(received))
+        self.skipped_bytes -= skipped
+        self.buffer += received[skipped:]
         frames: list[Frame] = []
         start = 0
         while len(self.buffer) - start >= _LENGTH.size:
@@ -163,6 +168,22 @@
         self.buffer = bytearray(detached[end:])
         return detached[begin:end]
 
+    def skip_partial(self) -> Frame:
+        """Free a frame that is not complete, and skip the rest of it.
+
+        Returns it without its fields. Raises ``WireError`` if it is invalid.
+        """
+        (length,) = _LENGTH.unpack_from(self.buffer)
+        end = _LENGTH.size + length
+        self.skipped_bytes = end - len(self.buffer)
+        head = bytes(self.buffer[_LENGTH.size : _LENGTH.size + _MAX_HEAD_BYTES])
+        self.buffer = bytearray()
+        decoder = cbor2.CBORDecoder(BytesIO(head[1:]))
+        try:
+            return Frame(FrameKind(decoder.decode()), decoder.decode(), [])
+        except (cbor2.CBORDecodeError, ValueError, TypeError) as error:
+            raise _undecodable() from error
+
 
 def _decode_large(payload: memoryview) -> Frame:
     """Decode a large payload; keep the body of a run as a view of it.
@@ -196,7 +217,11 @@
         kind, number, fields = cbor2.loads(payload)
         return Frame(FrameKind(kind), index(number), fields)
     except (cbor2.CBORDecodeError, ValueError, TypeError) as error:
-        raise WireError(
-            'a frame from a peer cannot be decoded',
-            remedy='run the same version on all nodes',
-        ) from error
+        raise _undecodable() from error
+
+
+def _undecodable() -> WireError:
+    return WireError(
+        'a frame from a peer cannot be decoded',
+        remedy='run the same version on all nodes',
+    )
--- a/packages/sidecar/src/boragetrestle_sidecar/peer_link.py
+++ b/packages/sidecar/src/boragetrestle_sidecar/peer_link.py
@@ -9,6 +9,8 @@
 from typing import TYPE_CHECKING, cast
 
 from boragetrestle_kernel.errors import WireError
+from boragetrestle_sidecar.answer_buffers import AnswerBuffers
+from boragetrestle_sidecar.answer_reader import MAX_ANSWER_BYTES
 from boragetrestle_sidecar.frame_writer import FrameWriter
 from boragetrestle_sidecar.link_socket import set_user_timeout
 from boragetrestle_sidecar.outcome import Outcome, OutcomeKind, Reason
@@ -23,6 +25,7 @@
 
 if TYPE_CHECKING:
     from boragetrestle_kernel.address import Address
+    from boragetrestle_kernel.errors import HttpError
     from boragetrestle_sidecar.decision_log import DecisionLog
     from boragetrestle_sidecar.peer_messages import PeerMessages
     from boragetrestle_sidecar.run_order import RunOrder
@@ -42,6 +45,7 @@
 MAX_UNSENT_FRAMES = 64  # more requests than wait for tokens of one node
 _LINK_LOST = Outcome(OutcomeKind.UNKNOWN, Reason.LINK_LOST)
 _CANCELLED = Outcome(OutcomeKind.UNKNOWN, Reason.CALLER_GONE)
+_NO_ROOM = Outcome(OutcomeKind.UNKNOWN, Reason.NO_ROOM)
 _NOT_CONNECTED = Outcome(OutcomeKind.NOT_SENT, Reason.UNREACHABLE)
 
 
@@ -51,7 +55,8 @@
     ``replies`` holds the callback of each run that has no outcome yet, and
     ``unsent`` frames for a peer to which the link is being opened.
     ``reply_due_since`` is when the peer was first sent something that it has
-    to answer, or None if nothing is unanswered.
+    to answer, or None if nothing is unanswered. ``answers`` bounds what links
+    hold of answers that are being received.
     """
 
     def __init__(
@@ -59,7 +64,9 @@
         address: 'Address',
         messages: 'PeerMessages',
         log: 'DecisionLog',
+        answers: AnswerBuffers | None = None,
     ) -> None:
+        self.answers = answers or AnswerBuffers(MAX_ANSWER_BYTES)
         self.address = address
         self.messages = messages
         self.log = log
@@ -203,6 +210,8 @@
     def connection_lost(self, error: Exception | None) -> None:
         """End the runs sent over the connection with an unknown outcome."""
         self.writer = None
+        self.answers.record(self, 0)
+        self.reader = FrameReader()
         self.down_since = steady_now()
         self.disconnected.set()
         self.log.write_unlimited(
@@ -232,9 +241,25 @@
             return
         finally:
             writer.release()
+        self.answers.record(self, len(self.reader.buffer))
         if not self.replies:
             self.reply_due_since = None
 
+    def refuse(self, error: 'HttpError') -> None:
+        """Give up the answer that is being received; others go on."""
+        try:
+            frame = self.reader.skip_partial()
+        except WireError as invalid:
+            self._refuse(invalid)
+            return
+        self.log.write_limited(
+            'peer-answer-refused',
+            peer=str(self.address),
+            error=str(error),
+        )
+        if frame.kind is FrameKind.OUTCOME and frame.number in self.replies:
+            self.replies.pop(frame.number)(_NO_ROOM)
+
     def abort(self) -> None:
         """Close the connection without flushing what is still unsent."""
         if self.writer is not None:
--- a/packages/sidecar/src/boragetrestle_sidecar/refusal_answer.py
+++ b/packages/sidecar/src/boragetrestle_sidecar/refusal_answer.py
@@ -43,7 +43,7 @@
     ),
     Reason.CONNECTION_LOST: _OUTCOME_UNKNOWN,
     Reason.ANSWER_GARBLED: _OUTCOME_UNKNOWN,
-    Reason.ANSWER_UNTAKEN: _OUTCOME_UNKNOWN,
+    Reason.NO_ROOM: _OUTCOME_UNKNOWN,
     Reason.LINK_LOST: _OUTCOME_UNKNOWN,
     Reason.INTERNAL: _OUTCOME_UNKNOWN,
     Reason.TIME_LIMIT: RefusalAnswer(HTTPStatus.GATEWAY_TIMEOUT, not_run=False),
--- a/packages/sidecar/src/boragetrestle_sidecar/sidecar.py
+++ b/packages/sidecar/src/boragetrestle_sidecar/sidecar.py
@@ -110,7 +110,9 @@
             ),
             evacuations,
         )
-        self.links = MemberLinks(self.fleet, log)
+        self.links = MemberLinks(
+            self.fleet, log, answers=self.guard.pool.buffers
+        )
         self.keeper = ConfigKeeper(adapter.decode_configuration, log)
         self.first_configuration = FirstConfiguration(
             self.keeper, self._use_configuration
--- a/tests/test_path_links.py
+++ b/tests/test_path_links.py
@@ -1,6 +1,7 @@
 """Links between nodes: when they are pinged and when they are dropped."""
 
 import asyncio
+from collections import Counter
 from collections.abc import Callable
 from typing import Any
 
@@ -8,6 +9,10 @@
 from path_builders import FakeTransport, LineLog, run_order
 
 from boragetrestle_kernel.address import Address
+from boragetrestle_sidecar.answer_buffers import (
+    SMALL_ANSWER_BYTES,
+    AnswerBuffers,
+)
 from boragetrestle_sidecar.outcome import Outcome, OutcomeKind, Reason
 from boragetrestle_sidecar.peer_frames import (
     FrameKind,
@@ -17,6 +22,11 @@
 from boragetrestle_sidecar.peer_link import PeerLink
 from boragetrestle_sidecar.steady_clock import steady_now
 
+LINKS = 16
+PART_BYTES = 100_000
+LONG_BYTES = 2_000_000
+ANSWERS_BYTES = 8_000_000
+
 
 class _Messages:
     """A message handler of a node without a fleet."""
@@ -35,10 +45,10 @@
 class _Peer:
     """A link whose peer answers only when a test says so."""
 
-    def __init__(self) -> None:
+    def __init__(self, answers: AnswerBuffers | None = None) -> None:
         messages: Any = _Messages()
         address = Address('127.0.0.1', 9)
-        self.link = PeerLink(address, messages, LineLog())
+        self.link = PeerLink(address, messages, LineLog(), answers)
         self.transport = FakeTransport()
         transport: Any = self.transport
         self.link.connection_made(transport)
@@ -167,3 +177,32 @@
         connection.connection_lost(None)
     assert not bench.hops['b'].sent
     assert not bench.fleet.views['a'].unconfirmed_runs
+
+
+# Guards against links that hold a long answer each.
+def test_answers_on_many_links_are_bounded_together() -> None:
+    """The longest is given up, and its link goes on with the next."""
+
+    async def test(_peer: _Peer) -> None:
+        answers = AnswerBuffers(ANSWERS_BYTES)
+        peers = [_Peer(answers) for _ in range(LINKS)]
+        outcome = Outcome(OutcomeKind.ANSWERED, body=bytes(LONG_BYTES))
+        for peer in peers:
+            peer.run()
+        sent = encode_frame(FrameKind.OUTCOME, 1, outcome)
+        for start in range(0, len(sent), PART_BYTES):
+            for peer in peers:
+                peer.link.data_received(sent[start : start + PART_BYTES])
+            held = sum(len(peer.link.reader.buffer) for peer in peers)
+            assert held <= ANSWERS_BYTES + LINKS * SMALL_ANSWER_BYTES
+        kinds = Counter(peer.outcomes[0].kind for peer in peers)
+        assert kinds[OutcomeKind.ANSWERED]
+        assert kinds.total() == LINKS
+        for peer in peers:
+            peer.run()
+            whole = Outcome(OutcomeKind.ANSWERED, body=b'whole')
+            encoded = encode_frame(FrameKind.OUTCOME, 2, whole)
+            peer.link.data_received(encoded)
+            assert peer.outcomes[1].body == b'whole'
+
+    run_with_peer(test)
