Refuse a body that waits for memory before its caller's time is up

What callers see: a body that waits for memory is not a request yet, so nothing counted its time. It waited for as long as others uploaded, and was then run with all of the time that its caller had stated.

Change: a body that has waited for half of the caller's time is refused as not run: 503 with Retry-After, reason memory-full. The rest of the body is discarded for up to 3 s before the connection is closed, since closing it with unread bytes resets it, and the caller loses its answer. What a body has waited is taken off the time that is left for its run.

--- a/packages/sidecar/src/boragetrestle_sidecar/body_budget.py
+++ b/packages/sidecar/src/boragetrestle_sidecar/body_budget.py
@@ -27,6 +27,9 @@
     def resume_body(self) -> None:
         """Read on."""
 
+    def refuse_waiting_body(self, now: float) -> None:
+        """Refuse the body if it has waited for too long."""
+
 
 class BodyClaim(NamedTuple):
     """The bytes of bodies that one connection holds and will hold.
--- a/packages/sidecar/src/boragetrestle_sidecar/caller_connection.py
+++ b/packages/sidecar/src/boragetrestle_sidecar/caller_connection.py
@@ -30,8 +30,10 @@
 # No further request starts while answers that wait for an earlier one hold
 # this much.
 MAX_HELD_ANSWER_BYTES = 1_000_000
-# What a caller has sent before it saw the close arrives within this time.
+# What a caller has sent before it saw the close arrives within this time. One
+# that sends a body may read its refusal only when it has sent all of it.
 LINGER_SECONDS = 1.0
+BODY_LINGER_SECONDS = 3.0
 IDLE_MARGIN_SECONDS = 1.0  # callers reuse connections up to their idle limit
 # A caller on a poor network takes something of an answer within this.
 MAX_STALLED_ANSWER_SECONDS = 10.0
@@ -39,6 +41,11 @@
     BodyTooLargeError: Reason.TOO_LARGE,
     HeadTooLargeError: Reason.HEAD_TOO_LARGE,
 }
+_REJECTION_CLOSES = {
+    Reason.BODY_STALLED: CloseReason.STALLED,
+    Reason.MEMORY_FULL: CloseReason.MEMORY_FULL,
+}
+_RETRY_AFTER_SECONDS = {Reason.MEMORY_FULL: 1.0}  # a large upload takes as long
 
 
 class CallerConnection(asyncio.Protocol):
@@ -125,14 +132,19 @@
             self.transport.pause_reading()
 
     def resume_body(self) -> None:
-        """Read on, and ask for a body that the caller holds back."""
-        if self.is_closing or self._has_read_enough:
+        """Read on after a wait for memory, which took of the caller's time."""
+        self.reader.waited_seconds += steady_now() - self.last_used_at
+        self._read_on()
+
+    def refuse_waiting_body(self, now: float) -> None:
+        """Refuse a body that has waited for memory too long to be run in time."""
+        if not self.reader.is_amid_request or self.rejection is not None:
             return
-        assert self.transport is not None
-        self.is_read_paused = False
-        self._note_use()  # the caller could not send before
-        self.transport.resume_reading()
-        self._continue_or_close()
+        longest = self.entry.body_wait_seconds(self.reader.unfinished_request)
+        waited = self.reader.waited_seconds + now - self.last_used_at
+        if waited > longest:
+            self.rejection = Reason.MEMORY_FULL
+            self._continue_or_close()
 
     def give_up_stalled_body(self, now: float, longest: float) -> None:
         """Refuse a body that stalls while others wait for its memory."""
@@ -201,10 +213,11 @@
             transport.abort()  # the caller has reset the connection
             return
         transport.resume_reading()
-        self._linger()
+        is_last = reason is CloseReason.LAST_ANSWER
+        self._linger(LINGER_SECONDS if is_last else BODY_LINGER_SECONDS)
 
-    def _linger(self) -> None:
-        asyncio.get_running_loop().call_later(LINGER_SECONDS, self._end_linger)
+    def _linger(self, seconds: float) -> None:
+        asyncio.get_running_loop().call_later(seconds, self._end_linger)
 
     def _end_linger(self) -> None:
         """Close, or wait on while the caller takes its answers."""
@@ -212,7 +225,7 @@
         if transport is None or transport.is_closing():
             return
         if transport.get_write_buffer_size():
-            self._linger()
+            self._linger(LINGER_SECONDS)
         else:
             transport.close()
 
@@ -387,10 +400,20 @@
         if self.reader.ready:
             self._start_next()
         if self.is_read_paused and self not in self.entry.bodies.paused:
-            self.resume_body()
+            self._read_on()
         self._continue_or_close()
         self._record_bodies()
 
+    def _read_on(self) -> None:
+        """Read on, and ask for a body that the caller holds back."""
+        if self.is_closing or self._has_read_enough:
+            return
+        assert self.transport is not None
+        self.is_read_paused = False
+        self._note_use()  # the caller could not send before
+        self.transport.resume_reading()
+        self._continue_or_close()
+
     def _continue_or_close(self) -> None:
         """Ask for a body that the caller holds back, or refuse bad input.
 
@@ -399,10 +422,15 @@
         if self.is_closing or self.pending or self.reader.ready:
             return
         if self.rejection is not None:
-            self._write(refusal_bytes(self.rejection, keeps_open=False))
-            is_stalled = self.rejection is Reason.BODY_STALLED
+            self._write(
+                refusal_bytes(
+                    self.rejection,
+                    retry_after=_RETRY_AFTER_SECONDS.get(self.rejection, 0.0),
+                    keeps_open=False,
+                )
+            )
             self.close(
-                CloseReason.STALLED if is_stalled else CloseReason.BAD_INPUT
+                _REJECTION_CLOSES.get(self.rejection, CloseReason.BAD_INPUT)
             )
         elif self.reader.awaits_continue:
             if self.entry.bodies.is_full:
--- a/packages/sidecar/src/boragetrestle_sidecar/caller_request.py
+++ b/packages/sidecar/src/boragetrestle_sidecar/caller_request.py
@@ -11,7 +11,8 @@
 
     ``request_target`` is the HTTP request target: the path with its query,
     unchanged. ``has_length`` tells that a header states how the body ends. A
-    large ``body`` is a bytearray that is not changed any more.
+    large ``body`` is a bytearray that is not changed any more. It has waited
+    ``waited_seconds`` of the caller's time for memory.
     """
 
     method: bytes
@@ -20,6 +21,7 @@
     body: bytes = b''
     keeps_open: bool = True
     has_length: bool = False
+    waited_seconds: float = 0.0
     _single: dict[bytes, bytes | None] | None = field(
         default=None, init=False, repr=False, compare=False
     )
--- a/packages/sidecar/src/boragetrestle_sidecar/entry.py
+++ b/packages/sidecar/src/boragetrestle_sidecar/entry.py
@@ -58,6 +58,8 @@
 ANSWER_RETURN_SECONDS = 0.04
 MAX_TIME_LEFT_MS = 86_400_000  # a day; routes allow seconds
 MIN_RETRY_RUN_SECONDS = 0.02  # less is not enough for another run
+# The rest is for the body to arrive and to be run.
+MAX_BODY_WAIT_FRACTION = 0.5
 NO_TARGET_RETRY_AFTER_SECONDS = 0.4  # crashed targets restart within seconds
 # Names in a Connection header that don't remove a header of that name.
 _IGNORED_CONNECTION_OPTIONS = frozenset((b'host', b'close', b'keep-alive'))
@@ -149,6 +151,16 @@
         route = self.configuration.find_route(request.host, request.path)
         return route is None or route.may_repeat
 
+    def body_wait_seconds(self, request: 'CallerRequest') -> float:
+        """Return how long the body of a request may wait for memory."""
+        route = None
+        if self.configuration is not None:
+            route = self.configuration.find_route(request.host, request.path)
+        if route is None:
+            return math.inf  # it is refused once it has been read
+        longest = self._caller_time(request, route)
+        return longest * MAX_BODY_WAIT_FRACTION
+
     def abandon(self, request: EntryRequest) -> None:
         """Cancel a request whose caller has closed its connection."""
         if not request.is_over:
@@ -297,7 +309,7 @@
     ) -> EntryRequest:
         route = found.route
         now = self.clock()
-        left = self._caller_time_left(request, route)
+        left = self._caller_time(request, route) - request.waited_seconds
         started = EntryRequest(
             answer,
             request,
@@ -714,7 +726,7 @@
             return ''
         return key.strip().decode('latin-1')
 
-    def _caller_time_left(
+    def _caller_time(
         self,
         request: 'CallerRequest',
         route: 'RoutePolicy',
--- a/packages/sidecar/src/boragetrestle_sidecar/outcome.py
+++ b/packages/sidecar/src/boragetrestle_sidecar/outcome.py
@@ -52,6 +52,7 @@
     TOO_LARGE = 'request-too-large'
     HEAD_TOO_LARGE = 'head-too-large'
     BODY_STALLED = 'body-stalled'
+    MEMORY_FULL = 'memory-full'
     INTERNAL = 'internal-failure'  # of entries only: earlier builds lack it
 
 
--- a/packages/sidecar/src/boragetrestle_sidecar/refusal_answer.py
+++ b/packages/sidecar/src/boragetrestle_sidecar/refusal_answer.py
@@ -38,6 +38,7 @@
     Reason.NO_CONFIGURATION: _TRY_LATER,
     Reason.SHORTAGE: _TRY_LATER,
     Reason.SUSPECT: _TRY_LATER,
+    Reason.MEMORY_FULL: _TRY_LATER,
     Reason.RATE_EXCEEDED: RefusalAnswer(
         HTTPStatus.TOO_MANY_REQUESTS, not_run=True
     ),
--- a/packages/sidecar/src/boragetrestle_sidecar/request_reader.py
+++ b/packages/sidecar/src/boragetrestle_sidecar/request_reader.py
@@ -25,7 +25,8 @@
     """Parse bytes into complete requests, one after the other.
 
     ``awaits_continue`` tells that the caller waits for ``100 Continue`` before
-    it sends the body.
+    it sends the body. ``waited_seconds`` is how long the body that is not
+    complete yet has waited for memory.
     """
 
     def __init__(self, limits: 'CallerLimits') -> None:
@@ -56,6 +57,13 @@
             return self.stated_bytes
         return self.limits.body_bytes
 
+    @property
+    def unfinished_request(self) -> CallerRequest:
+        """The request whose body is being read, without its body."""
+        return CallerRequest(
+            self.parser.get_method(), self.request_target, self.headers
+        )
+
     def use_limits(self, limits: 'CallerLimits') -> None:
         """Bound what is received from now on."""
         self.limits = limits
@@ -143,6 +151,7 @@
                 body=cast('bytes', self.body),
                 keeps_open=self.parser.should_keep_alive(),
                 has_length=_has_length(self.headers),
+                waited_seconds=self.waited_seconds,
             )
         )
         self.body = b''
@@ -154,6 +163,7 @@
         self.parsed_head_bytes = 0
         self.body_bytes = 0
         self.stated_bytes = 0
+        self.waited_seconds = 0.0
         self.has_begun = False
         self.has_head = False
         self.received_head_bytes = 0
--- a/packages/sidecar/src/boragetrestle_sidecar/sidecar.py
+++ b/packages/sidecar/src/boragetrestle_sidecar/sidecar.py
@@ -458,7 +458,10 @@
     async def _check_links(self) -> None:
         while True:
             await asyncio.sleep(LINK_CHECK_INTERVAL_SECONDS)
-            self.links.check_liveness(steady_now())
+            now = steady_now()
+            self.links.check_liveness(now)
+            for connection in list(self.entry.bodies.paused):
+                connection.refuse_waiting_body(now)
 
     async def _run_maintenance(self) -> None:
         while True:
--- a/tests/test_path_uploads.py
+++ b/tests/test_path_uploads.py
@@ -1,11 +1,14 @@
 """Large request bodies, many at the same time or from stalled callers."""
 
+import asyncio
 from dataclasses import replace
 from typing import Any
 
 import pytest
 from entry_builders import EntryHarness, request_bytes
 from path_builders import configuration, route
+from path_standins import Host, MemoryStore
+from test_path_nodes import run_with_hosts, wait_until
 
 from boragetrestle_sidecar.body_budget import BodyBudget
 from boragetrestle_sidecar.caller_limits import CallerLimits
@@ -14,6 +17,7 @@
 LIMIT = 1000
 _LOST = (OutcomeKind.UNKNOWN, Reason.CONNECTION_LOST)
 PART = b'x' * 400
+LARGE = 3_000_000
 
 
 def upload(name: str, size: int, **options: Any) -> bytes:
@@ -138,3 +142,64 @@
     run.end(*_LOST)
     assert len(bench.sent()) == 1
     assert transport.written.startswith(b'HTTP/1.1 502')
+
+
+def begin_waiting(time_left: int) -> tuple[EntryHarness, Any, Any]:
+    """Return a caller whose body waits for that of another one."""
+    bench = bench_with_limit()
+    for name in ('r-1', 'r-2'):
+        connection, transport = bench.connect()
+        connection.data_received(upload(name, 800, time_left=time_left) + PART)
+    return bench, connection, transport
+
+
+# Guards against callers that wait for memory until their time is up.
+def test_body_that_waits_too_long_for_memory_is_refused_as_not_run() -> None:
+    """Its caller still has the time to go elsewhere."""
+    bench, waiting, transport = begin_waiting(time_left=900)
+    waiting.refuse_waiting_body(waiting.last_used_at + 0.4)
+    assert not transport.written
+    waiting.refuse_waiting_body(waiting.last_used_at + 0.5)
+    assert transport.written.startswith(b'HTTP/1.1 503')
+    assert b'"run": "not-run"' in transport.written
+    assert b'retry-after' in transport.written
+    assert transport.is_closed
+    assert not bench.sent()
+
+
+# Guards against a reset that takes the refusal from a caller that sends.
+@pytest.mark.loopback
+def test_refused_body_is_discarded_before_its_connection_is_closed() -> None:
+    """None of it is kept or run."""
+
+    async def test(hosts: list[Host], _store: MemoryStore) -> None:
+        bodies = BodyBudget(LIMIT)
+        hosts[0].node.entry.bodies = bodies
+        first = await asyncio.open_connection(hosts[0].ip, 7002)
+        first[1].write(upload('r-1', 800) + PART)
+        await wait_until(lambda: bodies.held_bytes == len(PART))
+        reader, writer = await asyncio.open_connection(hosts[0].ip, 7002)
+        writer.write(upload('r-2', LARGE, time_left=900) + b'x' * LARGE)
+        await writer.drain()
+        answer = await reader.read()
+        assert answer.startswith(b'HTTP/1.1 503')
+        assert answer.endswith(b'}')
+        assert bodies.held_bytes == len(PART)
+        assert not hosts[0].target.runs
+        writer.close()
+        first[1].close()
+
+    run_with_hosts(test)
+
+
+# Guards against targets that get more time than the caller has left.
+def test_wait_for_memory_is_taken_off_the_time_that_is_left() -> None:
+    """The caller counts from when it began to send."""
+    bench, waiting, transport = begin_waiting(time_left=900)
+    first = next(iter(bench.entry.connections - {waiting}))
+    waiting.last_used_at -= 0.4
+    first.connection_lost(None)
+    assert transport.is_reading
+    waiting.data_received(PART)
+    (run,) = bench.sent()
+    assert run.order.time_left < 0.5
