Bound what the large runs of other nodes hold at a guard

Cause, found by reading: each node reads one large body at a time, but nothing bounded how many nodes send theirs to one guard. Sixteen nodes with a body of 60 MB each would fill its memory with frames that it has to receive whole.

Change: large runs of other nodes hold at most a quarter of the memory, as much as the bodies of the node's own callers. One that does not fit is refused as not sent when its first bytes arrive, with a reason that other builds know, and its bytes are discarded; the entry may send it to another guard. The first one always fits. A run is counted while it is received, waits and runs.

Before: there is no bound, so test_path_large_bodies.py can't be loaded. A run with sixteen real nodes was not made.

--- a/packages/sidecar/src/boragetrestle_sidecar/peer_frames.py
+++ b/packages/sidecar/src/boragetrestle_sidecar/peer_frames.py
@@ -16,6 +16,7 @@
     from collections.abc import Iterator
 
     from boragetrestle_sidecar.outcome import Outcome
+    from boragetrestle_sidecar.run_buffers import RunBuffers
     from boragetrestle_sidecar.run_order import RunOrder
 
 _LENGTH = Struct('>I')
@@ -56,19 +57,24 @@
 
 # How the payload of a run begins.
 _RUN_START = bytes((_ARRAY + 3, FrameKind.RUN))
+# The longest number that follows, and where it ends.
+_MAX_NUMBER = 9
+_MAX_NUMBER_END = len(_RUN_START) + _MAX_NUMBER
 
 
 class Frame(NamedTuple):
     """One message; ``number`` pairs an answer with its request.
 
     A large body of a run is kept apart as ``body``, a view of what was received,
-    and is empty in ``fields``.
+    and is empty in ``fields``. One that does not fit into the memory
+    ``is_refused``: it is not received, and has no fields.
     """
 
     kind: FrameKind
     number: int
     fields: list[Any]
     body: bytes | memoryview = b''
+    is_refused: bool = False
 
 
 def encode_frame(kind: FrameKind, number: int, fields: object) -> bytes:
@@ -123,47 +129,94 @@
     """Split a stream of bytes into frames.
 
     ``max_first_bytes`` bounds the first frame, so that a program that is no
-    peer cannot fill the memory.
+    peer cannot fill the memory. ``buffers`` bounds what large runs hold,
+    ``counted`` is the size of the one that is being received, and ``skipped``
+    how much of a frame that was given up is to come.
     """
 
-    def __init__(self, max_first_bytes: int = MAX_FRAME_BYTES) -> None:
-        self.buffer = bytearray()
+    def __init__(
+        self,
+        max_first_bytes: int = MAX_FRAME_BYTES,
+        buffers: 'RunBuffers | None' = None,
+    ) -> None:
         self.max_bytes = max_first_bytes
-        self.skipped_bytes = 0
+        self.buffers = buffers
+        self.buffer = bytearray()
+        self.counted = 0
+        self.skipped = 0
 
     def feed(self, received: bytes) -> list[Frame]:
         """Return the frames that are complete with the received bytes.
 
         Raises ``WireError`` for a frame that is too long or invalid.
         """
-        skipped = min(self.skipped_bytes, len(received))
-        self.skipped_bytes -= skipped
-        self.buffer += received[skipped:]
+        if self.skipped:
+            received = self._skip(received)
+        self.buffer += received
         frames: list[Frame] = []
         start = 0
         while len(self.buffer) - start >= _LENGTH.size:
-            (length,) = _LENGTH.unpack_from(self.buffer, start)
-            if length > self.max_bytes:
-                raise WireError(
-                    f'a frame of {length} bytes from a peer is too long',
-                    remedy='check that only nodes connect to the peer address',
-                )
+            length = self._length_at(start)
             begin = start + _LENGTH.size
             end = begin + length
-            if len(self.buffer) < end:
+            if length > LARGE_BODY_BYTES and self._refuses(begin, length):
+                frames.append(self._refuse(begin, end))
+                start = 0
+            elif len(self.buffer) < end:
                 break
-            self.max_bytes = MAX_FRAME_BYTES
-            if length > LARGE_BODY_BYTES:
+            elif length > LARGE_BODY_BYTES:
                 frames.append(_decode_large(self._detach(begin, end)))
                 start = 0
             else:
                 frames.append(_decode(bytes(self.buffer[begin:end])))
                 start = end
+            self.max_bytes = MAX_FRAME_BYTES
         del self.buffer[:start]
         return frames
 
+    def close(self) -> None:
+        """Count a frame that is not complete no longer."""
+        if self.buffers is not None:
+            self.buffers.release(self.counted)
+        self.counted = 0
+
+    def _length_at(self, start: int) -> int:
+        (length,) = _LENGTH.unpack_from(self.buffer, start)
+        if length > self.max_bytes:
+            raise WireError(
+                f'a frame of {length} bytes from a peer is too long',
+                remedy='check that only nodes connect to the peer address',
+            )
+        return int(length)
+
+    def _refuses(self, begin: int, length: int) -> bool:
+        """Return whether a large run does not fit; count one that does."""
+        if self.buffers is None or self.counted:
+            return False
+        start = self.buffer[begin : begin + _MAX_NUMBER_END]
+        if len(start) < _MAX_NUMBER_END or not start.startswith(_RUN_START):
+            return False
+        if self.buffers.try_hold(length):
+            self.counted = length
+            return False
+        return True
+
+    def _refuse(self, begin: int, end: int) -> Frame:
+        """Return a run without its fields; skip its bytes."""
+        start = begin + len(_RUN_START)
+        number = _decode_number(bytes(self.buffer[start : start + _MAX_NUMBER]))
+        self.skipped = max(0, end - len(self.buffer))
+        self.buffer = self.buffer[end:]
+        return Frame(FrameKind.RUN, number, [], is_refused=True)
+
+    def _skip(self, received: bytes) -> bytes:
+        rest = received[self.skipped :]
+        self.skipped -= len(received) - len(rest)
+        return rest
+
     def _detach(self, begin: int, end: int) -> memoryview:
         """Return a part of the buffer; go on with what follows it."""
+        self.close()
         detached = memoryview(self.buffer)
         self.buffer = bytearray(detached[end:])
         return detached[begin:end]
@@ -175,7 +228,7 @@
         """
         (length,) = _LENGTH.unpack_from(self.buffer)
         end = _LENGTH.size + length
-        self.skipped_bytes = end - len(self.buffer)
+        self.skipped = end - len(self.buffer)
         head = bytes(self.buffer[_LENGTH.size : _LENGTH.size + _MAX_HEAD_BYTES])
         self.buffer = bytearray()
         decoder = cbor2.CBORDecoder(BytesIO(head[1:]))
@@ -214,8 +267,22 @@
 
 def _decode(payload: bytes | memoryview) -> Frame:
     try:
-        kind, number, fields = cbor2.loads(payload)
+        kind, number, fields = _load(payload)
         return Frame(FrameKind(kind), index(number), fields)
+    except (ValueError, TypeError) as error:
+        raise _undecodable() from error
+
+
+def _decode_number(start: bytes) -> int:
+    number = _load(start)
+    if isinstance(number, int):
+        return number
+    raise _undecodable()
+
+
+def _load(payload: bytes | memoryview) -> Any:
+    try:
+        return cbor2.loads(payload)
     except (cbor2.CBORDecodeError, ValueError, TypeError) as error:
         raise _undecodable() from error
 
--- a/packages/sidecar/src/boragetrestle_sidecar/peer_server.py
+++ b/packages/sidecar/src/boragetrestle_sidecar/peer_server.py
@@ -12,6 +12,7 @@
 from boragetrestle_sidecar.frame_writer import FrameWriter
 from boragetrestle_sidecar.guard_job import GuardJob, JobState
 from boragetrestle_sidecar.link_socket import set_user_timeout
+from boragetrestle_sidecar.outcome import Outcome, OutcomeKind, Reason
 from boragetrestle_sidecar.peer_frames import (
     MAX_GREETING_BYTES,
     Frame,
@@ -19,13 +20,13 @@
     FrameReader,
     decode_fields,
 )
+from boragetrestle_sidecar.run_buffers import RUN_MEMORY_SHARE, RunBuffers
 from boragetrestle_sidecar.run_order import RunOrder
 from boragetrestle_sidecar.steady_clock import steady_now
 
 if TYPE_CHECKING:
     from boragetrestle_sidecar.decision_log import DecisionLog
     from boragetrestle_sidecar.guard import Guard
-    from boragetrestle_sidecar.outcome import Outcome
     from boragetrestle_sidecar.peer_messages import PeerMessages
 
 ENTRY_SILENCE_SECONDS = 8.0  # entries ping idle links every 3 s
@@ -50,6 +51,8 @@
         self.messages = messages
         self.log = log
         self.connections: set[PeerConnection] = set()
+        memory = guard.settings.memory_bytes
+        self.buffers = RunBuffers(int(memory * RUN_MEMORY_SHARE))
 
     @property
     def owes_outcomes(self) -> bool:
@@ -75,7 +78,7 @@
 
     def __init__(self, server: PeerServer) -> None:
         self.server = server
-        self.reader = FrameReader(MAX_GREETING_BYTES)
+        self.reader = FrameReader(MAX_GREETING_BYTES, server.buffers)
         self.writer: FrameWriter | None = None
         self.jobs: dict[int, GuardJob] = {}
         self.received_at = steady_now()
@@ -102,6 +105,7 @@
         self.writer = None
         self.server.connections.discard(self)
         self.server.guard.pool.buffers.writers.discard(self)
+        self.reader.close()
         jobs = list(self.jobs.values())
         self.jobs.clear()
         for job in jobs:
@@ -174,14 +178,21 @@
     def _start_run(self, frame: Frame) -> None:
         number = frame.number
 
-        def reply(outcome: 'Outcome') -> None:
+        held = len(frame.body)
+
+        def reply(outcome: Outcome) -> None:
+            self.server.buffers.release(held)
             self.jobs.pop(number, None)
             self.send(FrameKind.OUTCOME, number, outcome)
             self.server.guard.pool.buffers.record_writer(self)
 
+        if frame.is_refused:
+            reply(self._memory_full())
+            return
         order = decode_fields(frame, RunOrder)
         if frame.body:
             order = order._replace(body=cast('bytes', frame.body))
+        self.server.buffers.hold(held)
         job = self.server.guard.submit(
             order,
             reply,
@@ -189,3 +200,13 @@
         )
         if job.state is not JobState.ENDED:
             self.jobs[number] = job
+
+    def _memory_full(self) -> Outcome:
+        """Return the outcome of a run that does not fit into the memory."""
+        guard = self.server.guard
+        return Outcome(
+            OutcomeKind.NOT_SENT,
+            Reason.QUEUE_FULL,
+            retry_after=guard.run_seconds,
+            load=guard.load,
+        )
--- a/tests/test_path_large_bodies.py
+++ b/tests/test_path_large_bodies.py
@@ -6,6 +6,7 @@
 import pytest
 from path_builders import (
     FakeTransport,
+    GuardHarness,
     LineLog,
     answer_bytes,
     open_connection,
@@ -25,6 +26,8 @@
     encode_parts,
 )
 from boragetrestle_sidecar.peer_link import PeerLink
+from boragetrestle_sidecar.peer_server import PeerConnection, PeerServer
+from boragetrestle_sidecar.run_buffers import RunBuffers
 from boragetrestle_sidecar.run_order import RunOrder
 
 SIZE = 1_000_000
@@ -149,3 +152,58 @@
     assert not connection.is_usable
     connection.resume_writing()
     assert len(transport.written) < SIZE / 2
+
+
+# Guards against many nodes that each send one guard a large body.
+def test_large_runs_of_many_nodes_are_refused_beyond_the_memory() -> None:
+    """Those that do not fit are not run, and frames behind them are read."""
+    buffers = RunBuffers(2 * SIZE)
+    readers = [FrameReader(buffers=buffers) for _ in range(3)]
+    sent = encode_frame(FrameKind.RUN, 7, large_order())
+    sent += encode_frame(FrameKind.RUN, 8, run_order())
+    frames: list[Frame] = []
+    for start in range(0, len(sent), 100_000):
+        for reader in readers:
+            frames.extend(reader.feed(sent[start : start + 100_000]))
+        assert sum(len(each.buffer) for each in readers) < 2 * SIZE
+    refused = [frame for frame in frames if frame.is_refused]
+    assert [frame.number for frame in refused] == [7, 7]
+    assert [frame.number for frame in frames].count(8) == len(readers)
+    assert buffers.held_bytes == 0
+
+
+def test_memory_of_a_run_is_free_when_it_ends_or_its_connection_does() -> None:
+    """Otherwise all large runs would be refused from then on."""
+    buffers = RunBuffers(SIZE)
+    first, second = FrameReader(buffers=buffers), FrameReader(buffers=buffers)
+    sent = encode_frame(FrameKind.RUN, 7, large_order())
+    first.feed(sent[:100])
+    first.close()
+    (frame,) = second.feed(sent)
+    assert not frame.is_refused
+    assert buffers.held_bytes == 0
+
+
+# Guards against work that is called not run, and memory that is never free.
+def test_guard_refuses_a_large_run_as_not_sent_until_another_ends() -> None:
+    """An entry may send it to another guard at once."""
+    messages: Any = LineLog()
+    harness = GuardHarness()
+    server = PeerServer(harness.guard, messages, LineLog())
+    connection = PeerConnection(server)
+    transport: Any = FakeTransport()
+    connection.connection_made(transport)
+    # A peer sends something short first.
+    connection.data_received(encode_frame(FrameKind.CANCEL, 1, ()))
+    server.buffers.hold(server.buffers.limit)
+    connection.data_received(encode_frame(FrameKind.RUN, 7, large_order()))
+    (frame,) = FrameReader().feed(transport.written)
+    outcome = decode_fields(frame, Outcome)
+    assert (frame.number, outcome.kind) == (7, OutcomeKind.NOT_SENT)
+    assert not harness.guard.jobs
+    server.buffers.release(server.buffers.limit)
+    connection.data_received(encode_frame(FrameKind.RUN, 8, large_order()))
+    assert server.buffers.held_bytes == SIZE
+    harness.guard.stop()
+    connection.connection_lost(None)
+    assert server.buffers.held_bytes == 0
