--- a/tests/stop_builders.py
+++ b/tests/stop_builders.py
@@ -45,6 +45,26 @@
         )
 
 
+def spread_requests(
+    count: int,
+    *,
+    start: float = 0.0,
+    every: float = 0.3,
+    time_left: int = 2000,
+) -> list[StopRequest]:
+    """Return requests on kept and new connections, half of them unrepeatable."""
+    return [
+        StopRequest(
+            f'r-{number}',
+            moment=start + number * every,
+            is_kept=number % 2 == 0,
+            may_repeat=number % 4 < 2,
+            time_left=time_left,
+        )
+        for number in range(count)
+    ]
+
+
 @dataclass
 class StopWitness:
     """What callers got, by the name of the request; None without an answer."""
