Answer all requests at the end of a stop although one refusal fails

Class of fault: a step of one request that is not contained. finish_stop refused the requests that are left one after the other without _run_step, so an exception in one refusal ended the stop: the requests behind it got no answer and were not cancelled at their guards, and the process ended with the exception.

Change: each is refused in a step of its own.

test_end_of_a_stop_answers_all_although_a_refusal_fails fails before with RuntimeError from finish_stop (both steps), and passes with it. Found by reading; no run of a whole node showed it.

--- a/packages/sidecar/src/boragetrestle_sidecar/entry.py
+++ b/packages/sidecar/src/boragetrestle_sidecar/entry.py
@@ -265,11 +265,14 @@
         """
         self.stop_window = CLOSED
         for request in list(self.requests):
-            hop = request.hop
-            request.may_have_run |= hop is not None
-            self._refuse_for_stop(request)
-            if hop is not None:
-                hop.cancel(request.run_token)
+            self._run_step(request, partial(self._end_for_stop, request))
+
+    def _end_for_stop(self, request: EntryRequest) -> None:
+        hop = request.hop
+        request.may_have_run |= hop is not None
+        self._refuse_for_stop(request)
+        if hop is not None:
+            hop.cancel(request.run_token)
 
     def _ends_before_stop(self, request: EntryRequest) -> bool:
         """Return whether the node sees a request through if it sends it on."""
--- a/tests/test_path_request_failures.py
+++ b/tests/test_path_request_failures.py
@@ -103,3 +103,19 @@
     bench.entry.expire_overdue_requests()
     assert statuses(transport) == [UNKNOWN, UNKNOWN]
     assert sum(len(hop.cancelled) for hop in bench.hops.values()) == 2
+
+
+# Guards against a stop that fails with one refusal and cuts all other requests.
+@pytest.mark.parametrize(
+    'step', ['telemetry.count', 'admission.seconds_until_capacity']
+)
+def test_end_of_a_stop_answers_all_although_a_refusal_fails(step: str) -> None:
+    """Those at a guard are cancelled there."""
+    bench = EntryHarness()
+    connection, transport = bench.connect()
+    connection.data_received(request_bytes('a') + request_bytes('b'))
+    Fault(bench, step)
+    bench.entry.is_stopping = True
+    bench.entry.finish_stop()
+    assert statuses(transport) == [UNKNOWN, UNKNOWN]
+    assert sum(len(hop.cancelled) for hop in bench.hops.values()) == 2
