Cancel no other request's run when a run cannot be sent

A request that is placed again keeps the number of its run at the first guard until the second has taken it. If sending raises, _end_failed cancels that number at the second guard, where it may be the run of another request: each link counts from one. That request would end with an unknown outcome.

Change: the number is reset before a run is sent.

test_run_that_cannot_be_sent_cancels_no_other_run fails before: the second guard is asked to cancel run 1. It passes with it. Found by reading.

--- a/packages/sidecar/src/boragetrestle_sidecar/entry.py
+++ b/packages/sidecar/src/boragetrestle_sidecar/entry.py
@@ -57,6 +57,7 @@
 # Reserved from a caller's time for sending the last answer back.
 ANSWER_RETURN_SECONDS = 0.04
 MAX_TIME_LEFT_MS = 86_400_000  # a day; routes allow seconds
+NO_RUN = 0  # links number their runs from one
 MIN_RETRY_RUN_SECONDS = 0.02  # less is not enough for another run
 # The rest is for the body to arrive and to be run.
 MAX_BODY_WAIT_FRACTION = 0.5
@@ -472,6 +473,7 @@
             body=request.request.body,
         )
         request.hop = guard.hop
+        request.run_token = NO_RUN
         request.guard_address = guard.address
         self._log_placement(request, guard, now)
         guard.unconfirmed_runs += 1
--- a/tests/test_path_request_failures.py
+++ b/tests/test_path_request_failures.py
@@ -119,3 +119,19 @@
     bench.entry.finish_stop()
     assert statuses(transport) == [UNKNOWN, UNKNOWN]
     assert sum(len(hop.cancelled) for hop in bench.hops.values()) == 2
+
+
+# Guards against a cancellation that meets another request's run.
+def test_run_that_cannot_be_sent_cancels_no_other_run() -> None:
+    """Each link counts its runs from one."""
+    bench = EntryHarness()
+    connection, _transport = bench.connect()
+    connection.data_received(request_bytes('a'))
+    (first,) = (hop for hop in bench.hops.values() if hop.sent)
+    (other,) = (hop for hop in bench.hops.values() if not hop.sent)
+    other.sent.append(first.sent[0])  # the run of another request, number 1
+    broken: Any = other
+    broken.run = None
+    first.sent[0].end(OutcomeKind.NOT_SENT, Reason.QUEUE_FULL)
+    assert not bench.entry.requests
+    assert 1 not in other.cancelled
