Check the number of a frame that is skipped

A frame that is given up for its memory is decoded up to its number, which was not checked. A number that is no whole one raised TypeError, in the link whose bytes passed the bound and not in the one that sent the frame; that link was closed, with an unknown outcome for its runs. Or the frame was skipped in silence.

test_skipped_frame_with_an_odd_number_ends_its_link_alone fails before with "unhashable type: 'list'" and 'dict', and for 1.5 with a link that stays open.

--- a/packages/sidecar/src/boragetrestle_sidecar/peer_frames.py
+++ b/packages/sidecar/src/boragetrestle_sidecar/peer_frames.py
@@ -233,7 +233,8 @@
         self.buffer = bytearray()
         decoder = cbor2.CBORDecoder(BytesIO(head[1:]))
         try:
-            return Frame(FrameKind(decoder.decode()), decoder.decode(), [])
+            kind, number = decoder.decode(), decoder.decode()
+            return Frame(FrameKind(kind), index(number), [])
         except (cbor2.CBORDecodeError, ValueError, TypeError) as error:
             raise _undecodable() from error
 
--- a/tests/test_path_links.py
+++ b/tests/test_path_links.py
@@ -5,6 +5,8 @@
 from collections.abc import Callable
 from typing import Any
 
+import cbor2
+import pytest
 from entry_builders import EntryHarness, node_load, request_bytes
 from path_builders import FakeTransport, LineLog, run_order
 
@@ -206,3 +208,27 @@
             assert peer.outcomes[1].body == b'whole'
 
     run_with_peer(test)
+
+
+# Guards against a frame that ends the link on which another one arrives.
+@pytest.mark.parametrize('number', [[], {}, 1.5])
+def test_skipped_frame_with_an_odd_number_ends_its_link_alone(
+    number: Any,
+) -> None:
+    """The longest frame is skipped, whichever link receives."""
+
+    async def test(_peer: _Peer) -> None:
+        answers = AnswerBuffers(ANSWERS_BYTES)
+        odd, whole = _Peer(answers), _Peer(answers)
+        payload = cbor2.dumps((FrameKind.OUTCOME, number, [bytes(LONG_BYTES)]))
+        sent = len(payload).to_bytes(4, 'big') + payload
+        odd.link.data_received(sent[:-1])
+        answers.limit = 0
+        whole.run()
+        outcome = Outcome(OutcomeKind.ANSWERED, body=bytes(LONG_BYTES))
+        encoded = encode_frame(FrameKind.OUTCOME, 1, outcome)
+        whole.link.data_received(encoded[: LONG_BYTES // 2])
+        assert odd.transport.is_closed
+        assert not whole.transport.is_closed
+
+    run_with_peer(test)
