Forget a run that its link cannot send

PeerLink.run noted who waits before it encoded the run. If encoding raised, the callback, and with it the request and its body, was held until the link ended.

test_run_that_cannot_be_encoded_is_forgotten fails before: the reply stays in `replies`.

--- a/packages/sidecar/src/boragetrestle_sidecar/peer_link.py
+++ b/packages/sidecar/src/boragetrestle_sidecar/peer_link.py
@@ -107,9 +107,9 @@
         if self.writer is None:
             asyncio.get_running_loop().call_soon(reply, _NOT_CONNECTED)
         else:
+            self.writer.send(FrameKind.RUN, self.last_number, order)
             self.replies[self.last_number] = reply
             self._expect_reply(self.used_at)
-            self.writer.send(FrameKind.RUN, self.last_number, order)
         return self.last_number
 
     def unanswered_seconds(self, now: float) -> float:
--- a/tests/test_path_links.py
+++ b/tests/test_path_links.py
@@ -232,3 +232,16 @@
         assert not whole.transport.is_closed
 
     run_with_peer(test)
+
+
+# Guards against runs that are kept although they were never sent.
+def test_run_that_cannot_be_encoded_is_forgotten() -> None:
+    """Its body would be held until the link ends."""
+
+    async def test(peer: _Peer) -> None:
+        odd: Any = object()
+        with pytest.raises(cbor2.CBOREncodeError):
+            peer.link.run(run_order()._replace(route=odd), peer.outcomes.append)
+        assert not peer.link.replies
+
+    run_with_peer(test)
