Skip only answers when those of links fill the memory

Links count all frames that are being received towards the bound of answers, and the longest is skipped over it.

Change: only outcomes are counted and skipped.

test_large_configuration_is_read_while_answers_fill_the_memory fails before: no frame is handled.

--- a/packages/sidecar/src/boragetrestle_sidecar/peer_frames.py
+++ b/packages/sidecar/src/boragetrestle_sidecar/peer_frames.py
@@ -174,6 +174,12 @@
         del self.buffer[:start]
         return frames
 
+    def partial_bytes(self, kind: FrameKind) -> int:
+        """Return how much is held of a frame of a kind that is not complete."""
+        kind_place = _LENGTH.size + 1
+        is_kind = self.buffer[kind_place : kind_place + 1] == bytes((kind,))
+        return len(self.buffer) if is_kind else 0
+
     def close(self) -> None:
         """Count a frame that is not complete no longer."""
         if self.buffers is not None:
--- a/packages/sidecar/src/boragetrestle_sidecar/peer_link.py
+++ b/packages/sidecar/src/boragetrestle_sidecar/peer_link.py
@@ -241,7 +241,8 @@
             return
         finally:
             writer.release()
-        self.answers.record(self, len(self.reader.buffer))
+        held = self.reader.partial_bytes(FrameKind.OUTCOME)
+        self.answers.record(self, held)
         if not self.replies:
             self.reply_due_since = None
 
--- a/tests/test_path_links.py
+++ b/tests/test_path_links.py
@@ -245,3 +245,20 @@
         assert not peer.link.replies
 
     run_with_peer(test)
+
+
+# Guards against configurations that are skipped as if they were answers.
+def test_large_configuration_is_read_while_answers_fill_the_memory() -> None:
+    """It is not sent again for some time."""
+
+    async def test(_peer: _Peer) -> None:
+        peer = _Peer(AnswerBuffers(0))
+        handled: list[Any] = []
+        messages: Any = peer.link.messages
+        messages.handle = lambda frame, *_others: handled.append(frame.kind)
+        sent = encode_frame(FrameKind.CONFIGURATION, 0, [bytes(LONG_BYTES)])
+        for start in range(0, len(sent), PART_BYTES):
+            peer.link.data_received(sent[start : start + PART_BYTES])
+        assert handled == [FrameKind.CONFIGURATION]
+
+    run_with_peer(test)
