Read small bodies while slow uploads claim the memory

The budget counts a body as its whole length from its first bytes on. Two slow uploads that claim all of it, or some more of middle size, held back every body that does not arrive with its head, also one of a few bytes, until its caller had half of its time left and was refused with 503, while next to nothing was held.

Change: bodies that need up to 2% of the limit may take a tenth of it more.

test_small_body_is_read_while_slow_uploads_claim_the_memory fails before: with 7 of 1000 bytes held, a body of 10 is paused. The memory of a process was not measured again.

--- a/packages/sidecar/src/boragetrestle_sidecar/body_budget.py
+++ b/packages/sidecar/src/boragetrestle_sidecar/body_budget.py
@@ -16,6 +16,8 @@
 _SINGLE_SHARE = 0.75
 # A body that needs less than this share of the limit overtakes those that wait.
 _SMALL_SHARE = 0.02
+# Kept for such bodies, so that slow uploads don't hold them back.
+_SMALL_RESERVE = 0.1
 
 
 class BodyReader(Protocol):
@@ -125,7 +127,10 @@
         is_paused = reader in self.paused
         needed = max(1, self._claimed(claim, is_paused=False))
         others = self.claimed_bytes - self._claimed(claim, is_paused=is_paused)
-        if others + needed <= self.limit:
+        limit: float = self.limit
+        if claim.held and needed <= limit * _SMALL_SHARE:
+            limit *= 1 + _SMALL_RESERVE
+        if others + needed <= limit:
             return True
         # The beginnings of bodies that are paused must not hold back all.
         active = self.active_bytes - self._active(claim, is_paused=is_paused)
--- a/tests/test_path_uploads.py
+++ b/tests/test_path_uploads.py
@@ -203,3 +203,15 @@
     waiting.data_received(PART)
     (run,) = bench.sent()
     assert run.order.time_left < 0.5
+
+
+# Guards against slow uploads whose claims hold back all small bodies.
+def test_small_body_is_read_while_slow_uploads_claim_the_memory() -> None:
+    """What they claim has not been sent yet."""
+    bench = bench_with_limit()
+    for name, size in (('r-1', 750), ('r-2', 250)):
+        slow, _transport = bench.connect()
+        slow.data_received(upload(name, size) + b'x')
+    small, transport = bench.connect()
+    small.data_received(upload('r-3', 10) + b'x' * 5)
+    assert transport.is_reading
