Give up an upload that outlasts its caller while others wait for its memory

A body that stalls is refused while others wait for memory, but a few bytes now and then reset that time. One caller that sends a large body byte by byte kept its claim for good, and large uploads of others were refused with 503 all the while.

Change: while others wait, a body is also refused with 408 when its request began longer ago than its caller stated to wait, or than 60 s.

Uploads at one pace in a process (test_path_memory.py) pass as before.

--- a/packages/sidecar/src/boragetrestle_sidecar/caller_connection.py
+++ b/packages/sidecar/src/boragetrestle_sidecar/caller_connection.py
@@ -147,15 +147,24 @@
             self._continue_or_close()
 
     def give_up_stalled_body(self, now: float, longest: float) -> None:
-        """Refuse a body that stalls while others wait for its memory."""
+        """Refuse a body that stalls while others wait for its memory.
+
+        One whose caller has no time left is refused, too: some bytes now and
+        then would keep its claim.
+        """
         if not self.reader.unfinished_bytes or self.rejection is not None:
             return
         bodies = self.entry.bodies
         if bodies.paused and self not in bodies.paused:
-            if now - self.last_used_at > longest:
+            is_silent = now - self.last_used_at > longest
+            if is_silent or self._is_body_late(now):
                 self.rejection = Reason.BODY_STALLED
                 self._continue_or_close()
 
+    def _is_body_late(self, now: float) -> bool:
+        longest = self.entry.body_read_seconds(self.reader.unfinished_request)
+        return now - self.reader.began_at > longest
+
     def give_up_stalled_answers(self, now: float) -> None:
         """Close if the caller takes nothing while others need the memory."""
         unsent = self.unsent_bytes
--- a/packages/sidecar/src/boragetrestle_sidecar/entry.py
+++ b/packages/sidecar/src/boragetrestle_sidecar/entry.py
@@ -61,6 +61,7 @@
 MIN_RETRY_RUN_SECONDS = 0.02  # less is not enough for another run
 # The rest is for the body to arrive and to be run.
 MAX_BODY_WAIT_FRACTION = 0.5
+MAX_CONTESTED_BODY_SECONDS = 60.0  # 60 MB at 1 MB/s
 NO_TARGET_RETRY_AFTER_SECONDS = 0.4  # crashed targets restart within seconds
 # Names in a Connection header that don't remove a header of that name.
 _IGNORED_CONNECTION_OPTIONS = frozenset((b'host', b'close', b'keep-alive'))
@@ -162,6 +163,13 @@
         longest = self._caller_time(request, route)
         return longest * MAX_BODY_WAIT_FRACTION
 
+    def body_read_seconds(self, request: 'CallerRequest') -> float:
+        """Return how long a body may be read while others wait for memory."""
+        stated = self._stated_time_left(request)
+        if stated is None:
+            return MAX_CONTESTED_BODY_SECONDS
+        return min(stated, MAX_CONTESTED_BODY_SECONDS)
+
     def abandon(self, request: EntryRequest) -> None:
         """Cancel a request whose caller has closed its connection."""
         if not request.is_over:
--- a/packages/sidecar/src/boragetrestle_sidecar/request_reader.py
+++ b/packages/sidecar/src/boragetrestle_sidecar/request_reader.py
@@ -13,6 +13,7 @@
 from boragetrestle_sidecar.body_budget import LARGE_BODY_BYTES
 from boragetrestle_sidecar.caller_request import CallerRequest
 from boragetrestle_sidecar.header_number import read_count
+from boragetrestle_sidecar.steady_clock import steady_now
 
 if TYPE_CHECKING:
     from boragetrestle_sidecar.caller_limits import CallerLimits
@@ -26,7 +27,8 @@
 
     ``awaits_continue`` tells that the caller waits for ``100 Continue`` before
     it sends the body. ``waited_seconds`` is how long the body that is not
-    complete yet has waited for memory.
+    complete yet has waited for memory, and ``began_at`` is when its request
+    began.
     """
 
     def __init__(self, limits: 'CallerLimits') -> None:
@@ -98,6 +100,7 @@
         """Reset the state for the next request."""
         self._reset()
         self.has_begun = True
+        self.began_at = steady_now()
 
     def on_url(self, url: bytes) -> None:
         """Append a part of the request target."""
@@ -164,6 +167,7 @@
         self.body_bytes = 0
         self.stated_bytes = 0
         self.waited_seconds = 0.0
+        self.began_at = 0.0
         self.has_begun = False
         self.has_head = False
         self.received_head_bytes = 0
--- a/tests/test_path_uploads.py
+++ b/tests/test_path_uploads.py
@@ -215,3 +215,23 @@
     small, transport = bench.connect()
     small.data_received(upload('r-3', 10) + b'x' * 5)
     assert transport.is_reading
+
+
+# Guards against an upload of single bytes that keeps others waiting for good.
+@pytest.mark.parametrize(('time_left', 'late'), [(900, 1), (86_400_000, 61)])
+def test_upload_that_never_ends_is_given_up_if_others_wait(
+    time_left: int,
+    late: float,
+) -> None:
+    """Its claim is far more than what it has sent."""
+    bench = bench_with_limit()
+    slow, transport = bench.connect()
+    slow.data_received(upload('r-1', 1000, time_left=time_left) + b'x')
+    other, waiting = bench.connect()
+    other.data_received(upload('r-2', 800) + b'x')
+    assert not waiting.is_reading
+    slow.give_up_stalled_body(slow.last_used_at + late / 2, 60.0)
+    assert not transport.written
+    slow.give_up_stalled_body(slow.last_used_at + late, 120.0)
+    assert transport.written.startswith(b'HTTP/1.1 408')
+    assert waiting.is_reading
