--- a/tests/test_path_peer_bodies.py
+++ b/tests/test_path_peer_bodies.py
@@ -91,6 +91,6 @@
         connection, _transport = found[0]
         assert len(connection.jobs) == 1
         connection.connection_lost(None)
-        assert victim.server.bodies.held_bytes == 0
+        assert victim.server.buffers.held_bytes == 0
 
     asyncio.run(test())
