--- a/packages/sidecar/src/boragetrestle_sidecar/entry_parts.py
+++ b/packages/sidecar/src/boragetrestle_sidecar/entry_parts.py
@@ -25,7 +25,8 @@
     ``own_service`` returns the name of the service on this host.
     ``attribution`` records each onward call (one that a target makes while it
     serves a call). ``rate_gate`` enforces the rate limits of organisations and
-    ``retry_budget`` limits retries. ``answers`` bounds the memory of answers. ``chance`` is a random number generator.
+    ``retry_budget`` limits retries. ``answers`` bounds the memory of answers.
+    ``chance`` is a random number generator.
     """
 
     fleet: 'Fleet'
