Let no reply that fails keep other runs from their outcomes

If one raised, the runs behind it were forgotten: their entries waited until the time limit.

Change: the end of a run logs a reply that fails as run-failed and goes on.

After: not-sent in both.

--- a/packages/sidecar/src/boragetrestle_sidecar/guard.py
+++ b/packages/sidecar/src/boragetrestle_sidecar/guard.py
@@ -830,9 +830,13 @@
             self.attribution.end_run(job.calls, is_whole=is_whole)
 
     def _finish(self, job: GuardJob, outcome: Outcome) -> None:
+        """End a run; a reply that fails keeps no other run from its end."""
         job.state = JobState.ENDED
         self.jobs.discard(job)
-        job.reply(outcome._replace(load=self.load))
+        try:
+            job.reply(outcome._replace(load=self.load))
+        except Exception as error:
+            self._log_failure(job, error)
 
 
 class RunListener:
--- a/tests/test_path_run_failures.py
+++ b/tests/test_path_run_failures.py
@@ -118,3 +118,19 @@
     bench.guard.cancel(running)
     assert bench.outcomes['r-1'].kind is OutcomeKind.UNKNOWN
     assert running not in bench.guard.jobs
+
+
+# Guards against runs that get no outcome since the reply to another one failed.
+@pytest.mark.parametrize('step', ['stop', 'sweep'])
+def test_reply_that_fails_leaves_the_other_runs_their_outcomes(
+    step: str,
+) -> None:
+    """Several runs end in one step of the guard."""
+    bench, _running = waiting_run()
+    bench.guard.queue.pop_all()
+    bench.guard.submit(run_order('r-3', time_left=0.5), fail)
+    bench.submit(run_order('r-4', time_left=0.5))
+    bench.clock.now += 0.5
+    getattr(bench.guard, step)()
+    assert bench.outcomes['r-4'].kind is OutcomeKind.NOT_SENT
+    assert 'run-failed' in bench.log.kinds()
