Answer at the end of a stop what has been read and not started

Cause: at the end of its grace period a node refused the requests that waited or ran, and closed. Requests that it had read behind answers which their caller had not taken, and requests of which it had read a part, ended with the connection and without an answer.

Change: each connection is told that the stop is over. It starts what it has read, which the entry refuses, and refuses the request that is still read, with Retry-After and as not run.

--- a/packages/sidecar/src/boragetrestle_sidecar/caller_connection.py
+++ b/packages/sidecar/src/boragetrestle_sidecar/caller_connection.py
@@ -44,8 +44,12 @@
 _REJECTION_CLOSES = {
     Reason.BODY_STALLED: CloseReason.STALLED,
     Reason.MEMORY_FULL: CloseReason.MEMORY_FULL,
+    Reason.STOPPING: CloseReason.LAST_ANSWER,
+}
+_RETRY_AFTER_SECONDS = {
+    Reason.MEMORY_FULL: 1.0,  # a large upload takes as long
+    Reason.STOPPING: 0.4,  # callers move to another node at once
 }
-_RETRY_AFTER_SECONDS = {Reason.MEMORY_FULL: 1.0}  # a large upload takes as long
 
 
 class CallerConnection(asyncio.Protocol):
@@ -196,6 +200,17 @@
         else:
             self.close(CloseReason.IDLE)
 
+    def finish_stop(self) -> None:
+        """Refuse what has been read of further requests, then close.
+
+        The entry has refused those that waited or ran.
+        """
+        self._start_next()
+        if self.reader.is_amid_request and self.rejection is None:
+            self.rejection = Reason.STOPPING
+        self._continue_or_close()
+        self.close(CloseReason.STOP)
+
     def close(self, reason: CloseReason) -> None:
         """Close once everything written has been sent.
 
@@ -333,7 +348,9 @@
 
         The first to read is always started, unless the connection closes.
         """
-        if self.is_closing or self.is_write_paused:
+        if self.is_closing:
+            return False
+        if self.is_write_paused and not self.entry.has_stopped:
             return False
         if not self.pending:
             return True
--- a/packages/sidecar/src/boragetrestle_sidecar/entry.py
+++ b/packages/sidecar/src/boragetrestle_sidecar/entry.py
@@ -267,6 +267,11 @@
             return None
         return self._create_request(answer, request, found)
 
+    @property
+    def has_stopped(self) -> bool:
+        """Whether all requests that come are refused at once."""
+        return self.stop_window == CLOSED
+
     def finish_stop(self) -> None:
         """Refuse the requests that are left, and all that come later.
 
--- a/packages/sidecar/src/boragetrestle_sidecar/sidecar.py
+++ b/packages/sidecar/src/boragetrestle_sidecar/sidecar.py
@@ -12,7 +12,6 @@
 from boragetrestle_kernel.errors import SettingsError
 from boragetrestle_sidecar.admission.admission import Admission
 from boragetrestle_sidecar.caller_connection import CallerConnection
-from boragetrestle_sidecar.close_reason import CloseReason
 from boragetrestle_sidecar.config_keeper import ConfigKeeper
 from boragetrestle_sidecar.endpoint_server import EndpointConnection
 from boragetrestle_sidecar.entry import Entry
@@ -278,7 +277,7 @@
         """
         self.entry.finish_stop()
         for connection in list(self.entry.connections):
-            connection.close(CloseReason.STOP)
+            connection.finish_stop()
         flush_until = steady_now() + FLUSH_FRACTION * self.settings.stop_seconds
         while steady_now() < flush_until and any(
             connection.owes_answers for connection in self.entry.connections
--- a/tests/test_path_stop_requests.py
+++ b/tests/test_path_stop_requests.py
@@ -196,3 +196,37 @@
     late.data_received(request_bytes('r-2'))
     assert transport.written.startswith(b'HTTP/1.1 503')
     assert len(bench.sent()) == is_placed
+
+
+# Guards against requests that end with the node, read and without an answer,
+# since their caller has not taken the answers before.
+def test_requests_behind_untaken_answers_are_refused_at_the_end_of_a_stop() -> (
+    None
+):
+    """They were not sent to a target."""
+    bench = EntryHarness()
+    connection, transport = bench.connect()
+    connection.pause_writing()
+    connection.data_received(request_bytes('r-1') + request_bytes('r-2'))
+    bench.entry.is_stopping = True
+    bench.entry.finish_stop()
+    connection.finish_stop()
+    assert not bench.sent()
+    assert transport.written.count(b'HTTP/1.1 503') == 2
+    assert transport.is_closed
+
+
+# Guards against uploads that end in a reset at the end of a stop.
+def test_request_still_read_at_the_end_of_a_stop_is_refused() -> None:
+    """Its caller may send it to another node at once."""
+    bench = EntryHarness()
+    connection, transport = bench.connect()
+    whole = request_bytes(method='POST', extra='Content-Length: 9\r\n')
+    connection.data_received(whole + b'part')
+    bench.entry.is_stopping = True
+    bench.entry.finish_stop()
+    connection.finish_stop()
+    assert transport.written.startswith(b'HTTP/1.1 503')
+    assert b'"run": "not-run"' in transport.written
+    assert b'retry-after: ' in transport.written
+    assert transport.is_closed
