Pass on a whole answer whose target sends noise behind it

What callers saw: 502, outcome unknown, for a request that the target had answered. One that may not be repeated was lost; a target's refusal was no longer known as not run.

Cause: bytes that are no answer failed the whole segment in which they came, also if the answer in it was complete. In a segment of their own they did no harm, so it was left to chance. The parser takes any byte behind an answer with Connection: close for an error.

Change: the answer that was complete before the error is passed on, the connection is closed, and bytes-after-answer logs the error.

--- a/packages/sidecar/src/boragetrestle_sidecar/guard.py
+++ b/packages/sidecar/src/boragetrestle_sidecar/guard.py
@@ -666,6 +666,7 @@
         self.telemetry.observe('run_seconds', job.order.route, seconds)
         connection = job.connection
         assert connection is not None
+        self._log_refused_bytes('bytes-after-answer', job)
         is_rejection = self._is_rejection(answer)
         if is_rejection:
             connection.note_refusal(job.order.request_id)
@@ -689,15 +690,7 @@
         """Finish a run whose connection broke."""
         self._release_slot(job)
         self.meter.record_result(is_failure=True, now=self.clock())
-        connection = job.connection
-        if connection is not None and connection.refusal:
-            self.log.write_limited(
-                'answer-refused',
-                request=job.order.request_id.decode('latin-1'),
-                route=job.order.route,
-                after=self.clock() - job.started_at,
-                error=connection.refusal,
-            )
+        self._log_refused_bytes('answer-refused', job)
         if loss is Loss.SILENT:
             self.pool.close()  # the others have usually gone silent as well
             self.silence_detector.restart(
@@ -712,6 +705,17 @@
         self._finish(job, Outcome(OutcomeKind.UNKNOWN, _LOSS_REASON[loss]))
         self._dispatch()
 
+    def _log_refused_bytes(self, kind: str, job: GuardJob) -> None:
+        connection = job.connection
+        if connection is not None and connection.refusal:
+            self.log.write_limited(
+                kind,
+                request=job.order.request_id.decode('latin-1'),
+                route=job.order.route,
+                after=self.clock() - job.started_at,
+                error=connection.refusal,
+            )
+
     def _record_terms(
         self,
         job: GuardJob,
--- a/packages/sidecar/src/boragetrestle_sidecar/server_connection.py
+++ b/packages/sidecar/src/boragetrestle_sidecar/server_connection.py
@@ -143,8 +143,12 @@
         try:
             self.reader.feed(received)
         except HttpError as error:
-            self.refuse(error)
-            return
+            if self.matching_answer is None:
+                self.refuse(error)
+                return
+            # The answer was whole before the bytes that are none.
+            self.refusal = str(error)
+            self.is_usable = False
         self.buffers.record(self, self.reader.held_bytes)
         self._deliver()
 
