Take nothing that trailers of an answer state for its head

What callers saw: a whole answer in chunks with the field for "not run" in its trailers was lost; the run was reported as rejected, so its entry could send it to another target or tell the caller that it had not run. A rate, a leave or a Keep-Alive in trailers took effect as well.

Cause: the parser reports trailers by the same callback as headers.

Change: what comes behind the head is dropped (RFC 9110, 6.5.1).

--- a/packages/sidecar/src/boragetrestle_sidecar/answer_reader.py
+++ b/packages/sidecar/src/boragetrestle_sidecar/answer_reader.py
@@ -86,7 +86,9 @@
         self.is_amid_answer = True
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        """Store one header."""
+        """Store one header; trailers state nothing about an answer."""
+        if self.is_past_head:
+            return
         name = name.lower()
         if name in {b'content-length', b'transfer-encoding'}:
             self.is_framed = True
@@ -96,6 +98,7 @@
         """Store the status; finish an answer to a HEAD request."""
         self.status = self.parser.get_status_code()
         self.has_head = True
+        self.is_past_head = True
         if self.status in _BODILESS:
             self.is_framed = True
         if self.expects_no_body and self.status >= HTTPStatus.OK:
@@ -124,6 +127,7 @@
         self.headers: list[tuple[bytes, bytes]] = []
         self.body = b''
         self.has_head = False
+        self.is_past_head = False
         self.is_framed = False
         self.is_amid_answer = False
 
--- a/tests/test_path_server_connection.py
+++ b/tests/test_path_server_connection.py
@@ -14,12 +14,17 @@
     """Record how an exchange ended."""
 
     def __init__(self) -> None:
-        self.bodies: list[bytes] = []
+        self.answers: list[TargetAnswer] = []
         self.losses: list[Loss] = []
 
+    @property
+    def bodies(self) -> list[bytes]:
+        """The bodies of all answers."""
+        return [answer.body for answer in self.answers]
+
     def answered(self, answer: TargetAnswer) -> None:
-        """Record the body."""
-        self.bodies.append(answer.body)
+        """Record the answer."""
+        self.answers.append(answer)
 
     def lost(self, loss: Loss) -> None:
         """Record the loss."""
@@ -86,6 +91,20 @@
     assert transport.is_closed
 
 
+# Guards against a whole answer that its trailers turn into "not run".
+def test_trailers_are_no_headers() -> None:
+    """What they state belongs to no head."""
+    connection, _transport, listener = exchange()
+    connection.data_received(
+        b'HTTP/1.1 200 OK\r\ncall-id: r-1\r\ntransfer-encoding: chunked\r\n'
+        b'\r\n5\r\nwhole\r\n0\r\nnot-run: 1\r\nkeep-alive: timeout=1\r\n\r\n'
+    )
+    (answer,) = listener.answers
+    assert answer.body == b'whole'
+    assert answer.header(b'not-run') is None
+    assert connection.is_usable
+
+
 def test_bytes_on_an_idle_connection_close_it() -> None:
     """The next request must not get them."""
     connection, transport, _listener = exchange()
