Take no header of a request from its trailers

What callers saw: a request in chunks whose trailers repeated Host got 400; a key or an id that stood only in the trailers counted, and other trailers went on to the target as headers.

Cause: the parser reports trailers by the same callback as headers.

Change: what comes behind the head is counted towards its bound, and dropped. The target gets the body with a length, so trailers have no place there.

Evidence: with Call-Id, Host and another field in the trailers the request was refused with 400 before, and is run with its own head after; the test failed before.

--- a/packages/sidecar/src/boragetrestle_sidecar/request_reader.py
+++ b/packages/sidecar/src/boragetrestle_sidecar/request_reader.py
@@ -110,8 +110,9 @@
             raise _head_too_large(self.header_bytes)
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        """Store one header."""
-        self.headers.append((name.lower(), value))
+        """Store one header; trailers are only counted."""
+        if not self.has_head:
+            self.headers.append((name.lower(), value))
         self.parsed_head_bytes += len(name) + len(value) + 4
         if self.parsed_head_bytes > self.header_bytes:
             raise _head_too_large(self.header_bytes)
--- a/tests/test_path_entry.py
+++ b/tests/test_path_entry.py
@@ -59,6 +59,25 @@
     assert b'transfer-encoding' not in order.head
 
 
+# Guards against a key, a host or an id that stands in trailers.
+def test_trailers_of_a_request_are_no_headers() -> None:
+    """They are dropped with the framing that they come in."""
+    bench = EntryHarness()
+    connection, _transport = bench.connect()
+    trailers = 'Call-Id: r-9\r\nHost: other\r\nx-a: b\r\n'
+    connection.data_received(
+        request_bytes(
+            method='POST',
+            extra='Transfer-Encoding: chunked\r\n',
+            body=f'3\r\nabc\r\n0\r\n{trailers}\r\n',
+        )
+    )
+    order = bench.sent()[0].order
+    assert order.body == b'abc'
+    assert order.head.count(b'call-id') == 1
+    assert b'x-a' not in order.head
+
+
 @pytest.mark.parametrize(
     'framing',
     [
