Bound the framing of a request body in chunks

Cause: the bound of a head held until its end, that of a body for its content only. A trailer is buffered by the parser until it is complete, so one without end was in no account of memory, and each part of it was copied with all before it. Chunk sizes and extensions without end kept their connection for good.

Change: what is received of a body may be longer than its content by the bound of a head and eight times the content, as in answers of targets. More is refused with 431.

All 5 forms of the test failed before.

--- a/packages/sidecar/src/boragetrestle_sidecar/request_reader.py
+++ b/packages/sidecar/src/boragetrestle_sidecar/request_reader.py
@@ -18,6 +18,8 @@
 if TYPE_CHECKING:
     from boragetrestle_sidecar.caller_limits import CallerLimits
 
+# Chunk sizes and trailers may take this much of the body, beside a head.
+_MAX_FRAMING_RATIO = 8  # a chunk of one byte takes six
 _PARSED_BITS = 64  # the parser refuses greater lengths
 _MAX_PARSED_LENGTH = 2**_PARSED_BITS - 1
 
@@ -77,8 +79,15 @@
         Raises ``MalformedRequestError`` for bytes that are no HTTP request, and
         ``HeadTooLargeError`` or ``BodyTooLargeError`` beyond the limits.
         """
-        if not self.has_head:
+        if self.has_head:
+            self.received_body_bytes += len(received)
+        else:
             self._count_received_head(len(received))
+        self._parse(received)
+        if self.has_begun:
+            self._check_framing_size()
+
+    def _parse(self, received: bytes) -> None:
         try:
             self.parser.feed_data(received)
         except httptools.HttpParserUpgrade as error:
@@ -172,6 +181,7 @@
         self.has_begun = False
         self.has_head = False
         self.received_head_bytes = 0
+        self.received_body_bytes = 0
 
     def _check_body_size(self, size: int) -> None:
         if size > self.limits.body_bytes:
@@ -186,6 +196,19 @@
             raise _head_too_large(self.header_bytes)
         self.received_head_bytes += count
 
+    def _check_framing_size(self) -> None:
+        """Bound what a body in chunks takes beside its content.
+
+        The parser buffers a trailer until it is complete.
+        """
+        framing_bytes = self.received_body_bytes - self.body_bytes
+        longest = self.header_bytes + _MAX_FRAMING_RATIO * self.body_bytes
+        if framing_bytes > longest:
+            raise HeadTooLargeError(
+                f'the framing of the request body is over {longest} bytes',
+                remedy='send larger chunks, and fewer or shorter trailers',
+            )
+
 
 def _head_too_large(limit: int) -> HeadTooLargeError:
     return HeadTooLargeError(
--- a/tests/test_path_fuzz.py
+++ b/tests/test_path_fuzz.py
@@ -6,7 +6,7 @@
 import pytest
 from entry_builders import request_bytes
 
-from boragetrestle_kernel.errors import CallerError
+from boragetrestle_kernel.errors import CallerError, HeadTooLargeError
 from boragetrestle_sidecar.caller_limits import CallerLimits
 from boragetrestle_sidecar.request_reader import RequestReader
 
@@ -131,3 +131,37 @@
     with pytest.raises(CallerError):
         for _ in range(50):
             reader.feed(b'x' * 100)
+
+
+# Guards against trailers that fill the memory, since no body counts them.
+@pytest.mark.parametrize(
+    ('start', 'endless'),
+    [
+        (b'0\r\na: ', b'x'),
+        (b'0\r\n', b'x'),
+        (b'3;a=', b'x'),
+        (b'', b'0'),
+        (b'3\r\nabc\r\n', b'1;a=%s\r\nx\r\n' % (b'b' * 20)),
+    ],
+)
+def test_framing_that_never_ends_is_refused(
+    start: bytes,
+    endless: bytes,
+) -> None:
+    """It is bounded by the length of a head beside that of the body."""
+    reader = RequestReader(CallerLimits(header_bytes=1000))
+    reader.feed(b'POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n')
+    reader.feed(start)
+    with pytest.raises(HeadTooLargeError):
+        for _ in range(50):
+            reader.feed(endless * 100)
+
+
+def test_small_chunks_and_requests_behind_them_are_no_endless_framing() -> None:
+    """Only the framing of the request that is read counts."""
+    reader = RequestReader(CallerLimits(header_bytes=1000))
+    reader.feed(b'POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n')
+    for _ in range(50):
+        reader.feed(b'1\r\nx\r\n' * 100)
+    reader.feed(b'0\r\n\r\n' + request_bytes() * 50)
+    assert len(reader.ready) == 51
