Refuse answers of a target whose status is below 100

What callers saw: for a status such as 007 in an answer that ends with its connection, "HTTP/1.1 7 Unknown", which is no answer. With a length the caller waited until its time limit.

Cause: the parser takes any three digits, and what is below 200 was taken for an interim answer, or completed by the end of the connection.

Change: such a head is refused as bytes that are no answer.

Statuses from 600 on are passed on as they are. The 6 forms of the test failed before.

--- a/packages/sidecar/src/boragetrestle_sidecar/answer_reader.py
+++ b/packages/sidecar/src/boragetrestle_sidecar/answer_reader.py
@@ -61,6 +61,8 @@
             httptools.HttpParserError,
             httptools.HttpParserUpgrade,
         ) as error:
+            if isinstance(error.__context__, HttpError):
+                raise error.__context__ from error
             raise HttpError(
                 f'the received bytes are no valid HTTP/1.1 response: {error}',
                 remedy='check what the server sends on this connection',
@@ -97,6 +99,11 @@
     def on_headers_complete(self) -> None:
         """Store the status; finish an answer to a HEAD request."""
         self.status = self.parser.get_status_code()
+        if self.status < HTTPStatus.CONTINUE:
+            raise HttpError(
+                f'{self.status} is no HTTP status',
+                remedy='check what the server sends on this connection',
+            )
         self.has_head = True
         self.is_past_head = True
         if self.status in _BODILESS:
--- a/tests/test_path_server_connection.py
+++ b/tests/test_path_server_connection.py
@@ -147,6 +147,23 @@
     assert listener.losses == [Loss.GARBLED]
 
 
+# Guards against "HTTP/1.1 7 Unknown" for a caller.
+@pytest.mark.parametrize('status', [b'000', b'007', b'099'])
+@pytest.mark.parametrize('framing', [b'', b'content-length: 0\r\n'])
+def test_number_that_is_no_status_is_no_answer(
+    status: bytes,
+    framing: bytes,
+) -> None:
+    """The parser takes any three digits."""
+    connection, _transport, listener = exchange()
+    connection.data_received(
+        b'HTTP/1.1 %s OK\r\ncall-id: r-1\r\n%s\r\n' % (status, framing)
+    )
+    connection.eof_received()
+    assert listener.losses == [Loss.GARBLED]
+    assert not listener.answers
+
+
 def test_answer_before_the_request_was_taken_closes_the_connection() -> None:
     """The rest of that request is still on its way."""
     connection, transport, listener = exchange()
