--- a/packages/sidecar/src/boragetrestle_sidecar/answer_reader.py
+++ b/packages/sidecar/src/boragetrestle_sidecar/answer_reader.py
@@ -61,6 +61,8 @@
             httptools.HttpParserError,
             httptools.HttpParserUpgrade,
         ) as error:
+            if isinstance(error.__context__, HttpError):
+                raise error.__context__ from error
             raise HttpError(
                 f'the received bytes are no valid HTTP/1.1 response: {error}',
                 remedy='check what the server sends on this connection',
@@ -86,7 +88,9 @@
         self.is_amid_answer = True
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        """Store one header."""
+        """Store one header; trailers state nothing about an answer."""
+        if self.is_past_head:
+            return
         name = name.lower()
         if name in {b'content-length', b'transfer-encoding'}:
             self.is_framed = True
@@ -95,7 +99,13 @@
     def on_headers_complete(self) -> None:
         """Store the status; finish an answer to a HEAD request."""
         self.status = self.parser.get_status_code()
+        if self.status < HTTPStatus.CONTINUE:
+            raise HttpError(
+                f'{self.status} is no HTTP status',
+                remedy='check what the server sends on this connection',
+            )
         self.has_head = True
+        self.is_past_head = True
         if self.status in _BODILESS:
             self.is_framed = True
         if self.expects_no_body and self.status >= HTTPStatus.OK:
@@ -124,6 +134,7 @@
         self.headers: list[tuple[bytes, bytes]] = []
         self.body = b''
         self.has_head = False
+        self.is_past_head = False
         self.is_framed = False
         self.is_amid_answer = False
 
--- a/tests/test_path_server_connection.py
+++ b/tests/test_path_server_connection.py
@@ -14,12 +14,17 @@
     """Record how an exchange ended."""
 
     def __init__(self) -> None:
-        self.bodies: list[bytes] = []
+        self.answers: list[TargetAnswer] = []
         self.losses: list[Loss] = []
 
+    @property
+    def bodies(self) -> list[bytes]:
+        """The bodies of all answers."""
+        return [answer.body for answer in self.answers]
+
     def answered(self, answer: TargetAnswer) -> None:
-        """Record the body."""
-        self.bodies.append(answer.body)
+        """Record the answer."""
+        self.answers.append(answer)
 
     def lost(self, loss: Loss) -> None:
         """Record the loss."""
@@ -70,13 +75,34 @@
     assert transport.is_closed
 
 
-@pytest.mark.parametrize('extra', [b'HTTP/1.1 200', b'garbage'])
-def test_bytes_after_an_answer_spoil_the_connection(extra: bytes) -> None:
-    """Such bytes belong to no request."""
-    connection, _transport, listener = exchange()
-    connection.data_received(answer_bytes('r-1') + extra)
+# Guards against whole answers that are lost for bytes in the same segment.
+@pytest.mark.parametrize('header', [b'', b'connection: close\r\n'])
+@pytest.mark.parametrize('extra', [b'HTTP/1.1 200', b'garbage', b'\x00'])
+def test_bytes_after_an_answer_spoil_the_connection(
+    extra: bytes,
+    header: bytes,
+) -> None:
+    """Such bytes belong to no request; the answer before them is whole."""
+    connection, transport, listener = exchange()
+    connection.data_received(answer_bytes('r-1', extra=header) + extra)
+    assert listener.bodies == [b'whole']
+    assert not listener.losses
     assert not connection.is_usable
-    assert b'HTTP' not in b''.join(listener.bodies)
+    assert transport.is_closed
+
+
+# Guards against a whole answer that its trailers turn into "not run".
+def test_trailers_are_no_headers() -> None:
+    """What they state belongs to no head."""
+    connection, _transport, listener = exchange()
+    connection.data_received(
+        b'HTTP/1.1 200 OK\r\ncall-id: r-1\r\ntransfer-encoding: chunked\r\n'
+        b'\r\n5\r\nwhole\r\n0\r\nnot-run: 1\r\nkeep-alive: timeout=1\r\n\r\n'
+    )
+    (answer,) = listener.answers
+    assert answer.body == b'whole'
+    assert answer.header(b'not-run') is None
+    assert connection.is_usable
 
 
 def test_bytes_on_an_idle_connection_close_it() -> None:
@@ -121,6 +147,23 @@
     assert listener.losses == [Loss.GARBLED]
 
 
+# Guards against "HTTP/1.1 7 Unknown" for a caller.
+@pytest.mark.parametrize('status', [b'000', b'007', b'099'])
+@pytest.mark.parametrize('framing', [b'', b'content-length: 0\r\n'])
+def test_number_that_is_no_status_is_no_answer(
+    status: bytes,
+    framing: bytes,
+) -> None:
+    """The parser takes any three digits."""
+    connection, _transport, listener = exchange()
+    connection.data_received(
+        b'HTTP/1.1 %s OK\r\ncall-id: r-1\r\n%s\r\n' % (status, framing)
+    )
+    connection.eof_received()
+    assert listener.losses == [Loss.GARBLED]
+    assert not listener.answers
+
+
 def test_answer_before_the_request_was_taken_closes_the_connection() -> None:
     """The rest of that request is still on its way."""
     connection, transport, listener = exchange()
