Log requests that cross the close of a connection

Nothing told a request that crosses the close from one that is lost.

Change: caller-connection-closed is also written for a close that no answer has announced if bytes of the caller are unread, with unread_bytes. The line stopped has the connections that are still open then, since they were accepted after the others had been closed, and how many of them have unread bytes.

The test of a request that crosses the close expects the line; without the change there was none.

--- a/packages/sidecar/src/boragetrestle_sidecar/caller_connection.py
+++ b/packages/sidecar/src/boragetrestle_sidecar/caller_connection.py
@@ -13,6 +13,7 @@
 from boragetrestle_sidecar.caller_limits import CallerLimits
 from boragetrestle_sidecar.close_reason import ANNOUNCED_CLOSES, CloseReason
 from boragetrestle_sidecar.failure_trace import failure_trace
+from boragetrestle_sidecar.link_socket import unread_bytes
 from boragetrestle_sidecar.outcome import Reason
 from boragetrestle_sidecar.pending_answer import PendingAnswer
 from boragetrestle_sidecar.refusal_answer import refusal_bytes
@@ -281,6 +282,13 @@
             return 0
         return self.transport.get_write_buffer_size()
 
+    @property
+    def unread_bytes(self) -> int:
+        """How many bytes the caller has sent that were not read yet."""
+        if self.transport is None:
+            return 0
+        return unread_bytes(self.transport)
+
     @property
     def owes_answers(self) -> bool:
         """Whether a request is read or runs, or an answer is still to be sent.
@@ -398,11 +406,13 @@
             self._close_failed(error)
 
     def _record_close(self, reason: CloseReason) -> None:
-        """Count the close; log it if a request is still unanswered."""
+        """Count the close; log it if a request is unanswered or unread."""
         self.entry.telemetry.count('', 'connection-closed', reason)
         reader = self.reader
+        # What comes behind an announced close is read and dropped.
+        unread = 0 if reason in ANNOUNCED_CLOSES else self.unread_bytes
         if self.transport is not None and (
-            self.pending or reader.ready or reader.is_amid_request
+            self.pending or reader.ready or reader.is_amid_request or unread
         ):
             self.entry.log.write_limited(
                 'caller-connection-closed',
@@ -418,6 +428,7 @@
                 waiting=len(reader.ready),
                 is_reading=reader.is_amid_request,
                 unsent_bytes=self.transport.get_write_buffer_size(),
+                unread_bytes=unread,
                 silent_seconds=steady_now() - self.last_used_at,
             )
 
--- a/packages/sidecar/src/boragetrestle_sidecar/link_socket.py
+++ b/packages/sidecar/src/boragetrestle_sidecar/link_socket.py
@@ -5,7 +5,10 @@
 """
 
 import asyncio
+import fcntl
 import socket
+import sys
+import termios
 
 # The kernel closes a connection between nodes once sent bytes stay
 # unacknowledged for this long. Statuses are sent several times within it.
@@ -14,6 +17,7 @@
 CALL_USER_TIMEOUT_MS = 1200
 KEEPALIVE_SECONDS = 1  # the kernel counts whole seconds
 KEEPALIVE_PROBES = 1
+_NO_BYTES = bytes(4)  # the size of a C int
 
 
 def set_user_timeout(
@@ -37,6 +41,15 @@
     opened.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
 
 
+def unread_bytes(transport: asyncio.BaseTransport) -> int:
+    """Return how many bytes have come that the event loop has not read yet."""
+    opened: socket.socket = transport.get_extra_info('socket')
+    if opened.fileno() < 0:
+        return 0  # closed
+    found = fcntl.ioctl(opened.fileno(), termios.FIONREAD, _NO_BYTES)
+    return int.from_bytes(found, sys.byteorder)
+
+
 def _set(transport: asyncio.BaseTransport, option: int, number: int) -> None:
     opened: socket.socket = transport.get_extra_info('socket')
     opened.setsockopt(socket.IPPROTO_TCP, option, number)
--- a/packages/sidecar/src/boragetrestle_sidecar/sidecar.py
+++ b/packages/sidecar/src/boragetrestle_sidecar/sidecar.py
@@ -262,10 +262,18 @@
         )
         await self._close_callers()
         self.close()
+        # Those that were accepted after the others had been closed.
+        opened = [
+            connection
+            for connection in self.entry.connections
+            if not connection.is_closing
+        ]
         self.log.write_unlimited(
             'stopped',
             requests=requests,
             callers=callers,
+            opened=len(opened),
+            unread=sum(connection.unread_bytes > 0 for connection in opened),
             after=steady_now() - began,
         )
 
--- a/tests/test_path_caller_closes.py
+++ b/tests/test_path_caller_closes.py
@@ -14,7 +14,7 @@
 
 import pytest
 from entry_builders import EntryHarness, request_bytes
-from path_builders import ManualClock, configuration
+from path_builders import LineLog, ManualClock, configuration
 from path_standins import Host, MemoryStore
 from test_path_nodes import run_with_hosts, wait_until
 from test_path_stop import BODY, begin_download, expect_downloads, read_rest
@@ -278,11 +278,15 @@
             await loop.sock_connect(caller, (hosts[0].ip, 7002))
             await wait_until(lambda: bool(hosts[0].node.entry.connections))
             (connection,) = hosts[0].node.entry.connections
+            log = LineLog()
+            hosts[0].node.entry.log = log
             caller.send(request_bytes())
             connection.close(reason)
             with pytest.raises(ConnectionResetError):
                 await loop.sock_recv(caller, 1)
         assert not hosts[0].target.runs
+        closes = dict(log.lines)['caller-connection-closed']
+        assert closes['unread_bytes'] == len(request_bytes())
 
     run_with_hosts(test)
 
