Pass over further fields of frames and rows that a newer build sends

Seen: none yet. While nodes are replaced, a frame of a newer build with one more field would have been refused (peer-frame-refused) and its link dropped, with the runs on it lost.

The row of a node is an object and passed over unknown fields already.

Change: a value that does not fit is converted once more without the fields behind those known, at every level. Missing fields have the default of their type or are required, as before. What this build sends is unchanged.

--- a/packages/sidecar/src/boragetrestle_sidecar/cost_archive.py
+++ b/packages/sidecar/src/boragetrestle_sidecar/cost_archive.py
@@ -7,13 +7,14 @@
 
 import asyncio
 from collections.abc import Callable
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Any
 
 import msgspec
 
 from boragetrestle_kernel.errors import StoreError
 from boragetrestle_kernel.json_decoding import decode_json
 from boragetrestle_platform.table import Put, Transaction
+from boragetrestle_sidecar.known_fields import convert_known
 from boragetrestle_sidecar.node_status import RouteCost
 
 if TYPE_CHECKING:
@@ -32,6 +33,14 @@
 MAX_ROLE_WAIT_SECONDS = 5.0
 
 
+def decode_costs(content: bytes) -> list[RouteCost]:
+    """Decode the row of costs, also one of a newer build.
+
+    Raises ``msgspec.DecodeError`` for another content.
+    """
+    return convert_known(decode_json(content, list[Any]), list[RouteCost])
+
+
 class CostArchive:
     """Load the costs at the start and save them at intervals.
 
@@ -80,7 +89,7 @@
 
     def _apply_stored_costs(self, content: bytes) -> None:
         try:
-            costs = decode_json(content, list[RouteCost])
+            costs = decode_costs(content)
         except msgspec.DecodeError as error:
             self.log.write_unlimited('costs-refused', error=str(error))
             return
--- a/packages/sidecar/src/boragetrestle_sidecar/peer_frames.py
+++ b/packages/sidecar/src/boragetrestle_sidecar/peer_frames.py
@@ -11,6 +11,7 @@
 
 from boragetrestle_kernel.errors import WireError
 from boragetrestle_sidecar.body_budget import LARGE_BODY_BYTES
+from boragetrestle_sidecar.known_fields import convert_known
 
 if TYPE_CHECKING:
     from collections.abc import Iterator
@@ -113,10 +114,10 @@
 def decode_fields(frame: Frame, kind: type[_Fields]) -> _Fields:
     """Return the fields of a frame as a named tuple with checked types.
 
-    Raises ``WireError`` for fields that do not match the type.
+    Further fields of a newer build are passed over, at every level. Raises ``WireError`` for fields that do not match the type.
     """
     try:
-        return msgspec.convert(frame.fields, kind)
+        return convert_known(frame.fields, kind)
     except msgspec.ValidationError as error:
         raise WireError(
             f'a {frame.kind.name} frame from a peer has invalid fields: '
