Count large runs that a newer build sends with further fields

Cause: the body of a large run is kept apart as a view only if it is the last field.

Ruled out: to look for a body that ends before the frame does. A caller chooses its headers and its body, and could make a header look like the start of a body and its body like the fields behind it.

Change: a run counts by the length of its body, wherever that was found. Such a body is copied once; others are not.

--- a/packages/sidecar/src/boragetrestle_sidecar/peer_server.py
+++ b/packages/sidecar/src/boragetrestle_sidecar/peer_server.py
@@ -9,6 +9,7 @@
 from typing import TYPE_CHECKING, NamedTuple, cast
 
 from boragetrestle_kernel.errors import WireError
+from boragetrestle_sidecar.body_budget import LARGE_BODY_BYTES
 from boragetrestle_sidecar.frame_writer import FrameWriter
 from boragetrestle_sidecar.guard_job import GuardJob, JobState
 from boragetrestle_sidecar.link_socket import set_user_timeout
@@ -177,8 +178,7 @@
 
     def _start_run(self, frame: Frame) -> None:
         number = frame.number
-
-        held = len(frame.body)
+        held = 0
 
         def reply(outcome: Outcome) -> None:
             self.server.buffers.release(held)
@@ -192,7 +192,10 @@
         order = decode_fields(frame, RunOrder)
         if frame.body:
             order = order._replace(body=cast('bytes', frame.body))
-        self.server.buffers.hold(held)
+        # A large body is in the fields if a newer build sends others behind it.
+        if len(order.body) > LARGE_BODY_BYTES:
+            held = len(order.body)
+            self.server.buffers.hold(held)
         job = self.server.guard.submit(
             order,
             reply,
--- a/tests/test_path_large_bodies.py
+++ b/tests/test_path_large_bodies.py
@@ -185,8 +185,12 @@
 
 
 # Guards against work that is called not run, and memory that is never free.
-def test_guard_refuses_a_large_run_as_not_sent_until_another_ends() -> None:
+@pytest.mark.parametrize('further', [(), ('field of a newer build',)])
+def test_guard_refuses_a_large_run_as_not_sent_until_another_ends(
+    further: tuple[str, ...],
+) -> None:
     """An entry may send it to another guard at once."""
+    sent = (*large_order(), *further)
     messages: Any = LineLog()
     harness = GuardHarness()
     server = PeerServer(harness.guard, messages, LineLog())
@@ -196,13 +200,13 @@
     # A peer sends something short first.
     connection.data_received(encode_frame(FrameKind.CANCEL, 1, ()))
     server.buffers.hold(server.buffers.limit)
-    connection.data_received(encode_frame(FrameKind.RUN, 7, large_order()))
+    connection.data_received(encode_frame(FrameKind.RUN, 7, sent))
     (frame,) = FrameReader().feed(transport.written)
     outcome = decode_fields(frame, Outcome)
     assert (frame.number, outcome.kind) == (7, OutcomeKind.NOT_SENT)
     assert not harness.guard.jobs
     server.buffers.release(server.buffers.limit)
-    connection.data_received(encode_frame(FrameKind.RUN, 8, large_order()))
+    connection.data_received(encode_frame(FrameKind.RUN, 8, sent))
     assert server.buffers.held_bytes == SIZE
     harness.guard.stop()
     connection.connection_lost(None)
