Hold the bytes of each frame, row and document in golden files

Nothing showed so far that a change of a message's type changes what nodes of another build read: two fields of one type that change places decode without an error.

Change: a golden file for each of the 16 kinds of frame, for the two rows that nodes write and for a configuration. Each is read into the same values, and this build writes the same bytes. A file that is there is never written again.

--- a/packages/sidecar/src/boragetrestle_sidecar/cost_archive.py
+++ b/packages/sidecar/src/boragetrestle_sidecar/cost_archive.py
@@ -41,6 +41,11 @@
     return convert_known(decode_json(content, list[Any]), list[RouteCost])
 
 
+def encode_costs(costs: list[RouteCost]) -> bytes:
+    """Return the content of the row of costs."""
+    return msgspec.json.encode(costs)
+
+
 class CostArchive:
     """Load the costs at the start and save them at intervals.
 
@@ -98,7 +103,7 @@
 
     async def _save(self) -> None:
         costs = list(self.admission.call_graph.costs.values())
-        write = Put(COSTS_KEY, msgspec.json.encode(costs))
+        write = Put(COSTS_KEY, encode_costs(costs))
         transaction = Transaction(checks=(), writes=(write,))
         try:
             await self.store.commit(COSTS_TABLE, transaction)
--- a/tests/test_path_upgrades.py
+++ b/tests/test_path_upgrades.py
@@ -1,15 +1,22 @@
 """Nodes of two builds that run side by side."""
 
 import json
+from operator import attrgetter
+from pathlib import Path
 
 import pytest
+from boragetrestle_deploy.configuration import decode_configuration
 from wire_values import (
+    CONFIGURATION,
+    EARLIER_FRAMES,
     FRAME_NUMBER,
     FRAME_VALUES,
+    GOLDEN,
     KINDS_WITH_FIELDS,
     MEMBER,
     ROUTE_COSTS,
     extended,
+    written_files,
 )
 
 from boragetrestle_sidecar.cost_archive import decode_costs
@@ -21,6 +28,16 @@
     encode_frame,
 )
 
+POLICIES = attrgetter(
+    'version',
+    'document',
+    'routes',
+    'organisations',
+    'limits',
+    'cold_rates',
+    'services',
+)
+
 
 # Guards against links that break while nodes are replaced by a newer build.
 @pytest.mark.parametrize('kind', KINDS_WITH_FIELDS, ids=lambda kind: kind.name)
@@ -40,3 +57,39 @@
     assert decode_member(MEMBER.address, row) == MEMBER
     costs = json.dumps(extended(ROUTE_COSTS)).encode()
     assert decode_costs(costs) == ROUTE_COSTS
+
+
+# Guards against bytes that builds beside this one read otherwise.
+@pytest.mark.parametrize('name', written_files())
+def test_this_build_writes_what_earlier_ones_read(name: str) -> None:
+    """Golden files are never written again."""
+    assert (GOLDEN / name).read_text() == f'{written_files()[name]}\n'
+
+
+def test_each_kind_of_frame_has_its_golden_file() -> None:
+    """Also one that a later build adds."""
+    assert set(FRAME_VALUES) == set(FrameKind)
+
+
+# Guards against fields that are removed, reordered or required from now on.
+@pytest.mark.parametrize(
+    'path', sorted(GOLDEN.glob('*.hex')), ids=lambda path: path.stem
+)
+def test_frames_of_earlier_builds_are_read(path: Path) -> None:
+    """Also those that this build no longer writes."""
+    (frame,) = FrameReader().feed(bytes.fromhex(path.read_text()))
+    value = EARLIER_FRAMES.get(path.name, FRAME_VALUES[frame.kind])
+    assert decode_fields(frame, type(value)) == value
+    assert frame.number == FRAME_NUMBER
+
+
+def test_rows_and_documents_of_earlier_builds_are_read() -> None:
+    """A node may read what a build wrote that is no longer there."""
+    node, costs, document = (
+        (GOLDEN / f'{name}.json').read_bytes()
+        for name in ('row-node', 'row-costs', 'document-configuration')
+    )
+    assert decode_member(MEMBER.address, node) == MEMBER
+    assert decode_costs(costs) == ROUTE_COSTS
+    found = decode_configuration(document)
+    assert POLICIES(found) == POLICIES(CONFIGURATION)
