Refuse loads of other nodes whose numbers no node can have

Cause: numbers in the loads that nodes send each other were checked for their type only. One that was NaN, infinite, negative or huge was taken over, and spread.

Seen in a model of one entry with two guards, and of its admission: - a guard whose count of runs has 400 digits: 196 of 200 choices between it and another guard raised OverflowError; each of those requests is answered with 502. - NaN or a negative number as run time or share of failures: 198 of 200 choices fell on that guard. - NaN, or a negative number, as slots of a service in a report to the root: all of 40 requests were refused with 503, at each node that got the total. - Infinity as the time in which slots return: 37 of 40 were refused, without Retry-After. It was written into Retry-After as it came with an outcome.

Change: the fields state their bounds, and a frame that breaks one is refused like one with a wrong type.

--- a/packages/sidecar/src/boragetrestle_sidecar/fleet_load.py
+++ b/packages/sidecar/src/boragetrestle_sidecar/fleet_load.py
@@ -8,6 +8,7 @@
 
 from boragetrestle_sidecar.call_attribution import MIN_COMPLETED_RUNS
 from boragetrestle_sidecar.node_status import NodeStatus, RouteCost
+from boragetrestle_sidecar.peer_numbers import Amount, Count
 from boragetrestle_sidecar.returning_slots import (
     ReturningSlots,
     combine_returning,
@@ -24,8 +25,8 @@
     (2.0, 22.0)
     """
 
-    slots: float = 0.0
-    waiting_seconds: float = 0.0
+    slots: Amount = 0.0
+    waiting_seconds: Amount = 0.0
     returning: ReturningSlots = ReturningSlots()
 
     @property
@@ -51,11 +52,11 @@
     each times the ``runs`` behind them.
     """
 
-    reports: int = 0
-    seconds: float = 0.0
-    runs: float = 0.0
-    weighted_seconds: float = 0.0
-    calls: dict[str, float] = {}
+    reports: Count = 0
+    seconds: Amount = 0.0
+    runs: Amount = 0.0
+    weighted_seconds: Amount = 0.0
+    calls: dict[str, Amount] = {}
 
 
 class FleetLoad(NamedTuple):
@@ -64,8 +65,8 @@
     ``arrivals`` is callers' requests a second by route.
     """
 
-    nodes: int = 0
-    arrivals: dict[str, float] = {}
+    nodes: Count = 0
+    arrivals: dict[str, Amount] = {}
     services: dict[str, ServiceLoad] = {}
     costs: dict[str, CostSum] = {}
 
--- a/packages/sidecar/src/boragetrestle_sidecar/outcome.py
+++ b/packages/sidecar/src/boragetrestle_sidecar/outcome.py
@@ -6,6 +6,7 @@
 from enum import IntEnum, StrEnum
 from typing import NamedTuple
 
+from boragetrestle_sidecar.peer_numbers import Amount, Count
 from boragetrestle_sidecar.target_notice import TargetNotice
 
 
@@ -67,14 +68,14 @@
     known to stay cold.
     """
 
-    running: int = 0
-    waiting: int = 0
-    limit: float = 0
-    run_seconds: float = 0.0
-    failing_share: float = 0.0
+    running: Count = 0
+    waiting: Count = 0
+    limit: Amount = 0
+    run_seconds: Amount = 0.0
+    failing_share: Amount = 0.0
     is_open: bool = True
     notice: TargetNotice | None = None
-    cold_seconds: float = 0.0
+    cold_seconds: Amount = 0.0
 
 
 class Outcome(NamedTuple):
@@ -89,5 +90,5 @@
     status: int = 0
     head: bytes = b''
     body: bytes = b''
-    retry_after: float = 0.0
+    retry_after: Amount = 0.0
     load: GuardLoad = GuardLoad()
--- a/packages/sidecar/src/boragetrestle_sidecar/returning_slots.py
+++ b/packages/sidecar/src/boragetrestle_sidecar/returning_slots.py
@@ -3,6 +3,8 @@
 from collections.abc import Iterable
 from typing import NamedTuple
 
+from boragetrestle_sidecar.peer_numbers import Amount
+
 
 class ReturningSlots(NamedTuple):
     """Slots that become usable in some seconds, as cold targets warm up.
@@ -13,8 +15,8 @@
     ReturningSlots(slots=20.0, seconds=0.0)
     """
 
-    slots: float = 0.0
-    seconds: float = 0.0
+    slots: Amount = 0.0
+    seconds: Amount = 0.0
 
     def after(self, elapsed: float) -> 'ReturningSlots':
         """Return what is still expected after ``elapsed`` seconds."""
--- a/packages/sidecar/src/boragetrestle_sidecar/tree_messages.py
+++ b/packages/sidecar/src/boragetrestle_sidecar/tree_messages.py
@@ -4,6 +4,7 @@
 
 from boragetrestle_sidecar.evacuations import EvacuationState
 from boragetrestle_sidecar.fleet_load import FleetLoad
+from boragetrestle_sidecar.peer_numbers import Amount
 
 
 class TreeReport(NamedTuple):
@@ -21,5 +22,5 @@
     version: int
     digest: int
     epoch: int
-    store_age: float
+    store_age: Amount
     evacuations: EvacuationState = EvacuationState()
--- a/tests/test_path_peer_fuzz.py
+++ b/tests/test_path_peer_fuzz.py
@@ -12,6 +12,9 @@
 
 from boragetrestle_kernel.address import Address
 from boragetrestle_kernel.errors import WireError
+from boragetrestle_sidecar.fleet_load import FleetLoad, ServiceLoad
+from boragetrestle_sidecar.node_load import NodeLoad
+from boragetrestle_sidecar.outcome import GuardLoad, Outcome, OutcomeKind
 from boragetrestle_sidecar.peer_frames import (
     FrameKind,
     FrameReader,
@@ -21,6 +24,8 @@
 from boragetrestle_sidecar.peer_link import PeerLink
 from boragetrestle_sidecar.peer_messages import Hello
 from boragetrestle_sidecar.peer_server import PeerConnection, PeerServer
+from boragetrestle_sidecar.returning_slots import ReturningSlots
+from boragetrestle_sidecar.tree_messages import TreeReport
 
 LONG_FRAME_BYTES = 70_000_000
 _VALUES: tuple[Any, ...] = (
@@ -195,3 +200,64 @@
         assert refused == closed.count(True)
 
     asyncio.run(test())
+
+
+ODD_NUMBERS = tuple(
+    pytest.param(odd, id=name)
+    for name, odd in (
+        ('nan', float('nan')),
+        ('inf', float('inf')),
+        ('negative', -1.0),
+        ('huge', 10**400),
+    )
+)
+
+
+# Guards against a node that draws all requests, or fails each that is compared
+# with it, by a number that no load has.
+@pytest.mark.parametrize('odd', ODD_NUMBERS)
+@pytest.mark.parametrize(
+    'field',
+    ['running', 'waiting', 'limit', 'run_seconds', 'failing_share'],
+)
+def test_load_with_an_odd_number_is_refused(field: str, odd: float) -> None:
+    """Whether it comes alone or with an outcome."""
+    changed: dict[str, Any] = {field: odd}
+    load = GuardLoad()._replace(**changed)
+    outcome = Outcome(OutcomeKind.UNKNOWN, load=load)
+    for kind, fields in (
+        (FrameKind.LOAD, ['10.0.0.1:7000', 'a', 'walks', 1, load]),
+        (FrameKind.OUTCOME, outcome),
+    ):
+        (frame,) = FrameReader().feed(encode_frame(kind, 1, fields))
+        with pytest.raises(WireError):
+            decode_fields(
+                frame, NodeLoad if kind is FrameKind.LOAD else Outcome
+            )
+
+
+# Guards against a total that refuses the callers of a whole fleet.
+@pytest.mark.parametrize('odd', ODD_NUMBERS)
+@pytest.mark.parametrize('place', range(4))
+def test_report_with_an_odd_number_is_refused(place: int, odd: float) -> None:
+    """Sums over the fleet would keep it."""
+    numbers = [1.0, 1.0, 1.0, 1.0]
+    numbers[place] = odd
+    rate, slots, seconds, age = numbers
+    returning = ReturningSlots(1.0, seconds)
+    services = {'walks': ServiceLoad(slots, returning=returning)}
+    load = FleetLoad(1, {'browse': rate}, services)
+    report = TreeReport('10.0.0.1:7000', load, 1, 0, 1, age)
+    (frame,) = FrameReader().feed(encode_frame(FrameKind.TREE_LOAD, 0, report))
+    with pytest.raises(WireError):
+        decode_fields(frame, TreeReport)
+
+
+# Guards against a caller that is told to come back in an endless time.
+@pytest.mark.parametrize('odd', ODD_NUMBERS)
+def test_outcome_with_an_odd_retry_time_is_refused(odd: float) -> None:
+    """The time goes into a header of its answer."""
+    outcome = Outcome(OutcomeKind.NOT_SENT, retry_after=odd)
+    (frame,) = FrameReader().feed(encode_frame(FrameKind.OUTCOME, 1, outcome))
+    with pytest.raises(WireError):
+        decode_fields(frame, Outcome)
