Keep a fault in a background task from ending the node

Cause: an exception in a periodic task, or in one that follows the store, ended the task, and its end stopped the node. A fault in the check of one connection, or a change of the store that could not be taken over, ended the requests of all callers; a row that all nodes read, those of all nodes. At a stop, a fault at one connection kept the others from their answers.

A change of the store that failed is read again, and a row that could not be written is written again.

--- a/packages/sidecar/src/boragetrestle_sidecar/caller_connection.py
+++ b/packages/sidecar/src/boragetrestle_sidecar/caller_connection.py
@@ -150,6 +150,12 @@
             self.rejection = Reason.MEMORY_FULL
             self._continue_or_close()
 
+    def check_progress(self, now: float, limits: CallerLimits) -> None:
+        """Close the connection if it is idle, or its caller stalls."""
+        self.close_if_idle(now, limits.idle_seconds)
+        self.give_up_stalled_body(now, limits.header_seconds)
+        self.give_up_stalled_answers(now)
+
     def give_up_stalled_body(self, now: float, longest: float) -> None:
         """Refuse a body that stalls while others wait for its memory.
 
--- a/packages/sidecar/src/boragetrestle_sidecar/registration.py
+++ b/packages/sidecar/src/boragetrestle_sidecar/registration.py
@@ -71,8 +71,13 @@
         while True:
             await self.write_needed.wait()
             self.write_needed.clear()
-            if not self.is_registered:
+            if self.is_registered:
+                continue
+            try:
                 await self._write_row()
+            except Exception:
+                self.write_needed.set()
+                raise
 
     async def remove(self) -> None:
         """Remove the row; if the store fails, the row stays."""
--- a/packages/sidecar/src/boragetrestle_sidecar/sidecar.py
+++ b/packages/sidecar/src/boragetrestle_sidecar/sidecar.py
@@ -11,6 +11,7 @@
 
 from boragetrestle_kernel.errors import SettingsError
 from boragetrestle_sidecar.admission.admission import Admission
+from boragetrestle_sidecar.background_tasks import BackgroundTasks
 from boragetrestle_sidecar.caller_connection import CallerConnection
 from boragetrestle_sidecar.config_keeper import ConfigKeeper
 from boragetrestle_sidecar.endpoint_server import EndpointConnection
@@ -90,6 +91,7 @@
     ) -> None:
         self.adapter = adapter
         self.log = log
+        self.tasks = BackgroundTasks(log)
         self.settings = adapter.load_settings()
         self.chance = random.Random()
         self.address = str(self.settings.peers)
@@ -174,7 +176,6 @@
             keeper=self.keeper,
             server=self.server,
         )
-        self.tasks: set[asyncio.Task[None]] = set()
         self.listeners: list[asyncio.Server] = []
         self.started_at = steady_now()
         self.stop_requested = asyncio.Event()
@@ -242,9 +243,9 @@
             closes_at=began + longest,
         )
         self.log.write_unlimited('stopping', requests=len(self.entry.requests))
-        self.guard.stop()
-        self.rates.shares.release_shares()
-        self.reporter.send()
+        self.tasks.run_step(self.guard.stop)
+        self.tasks.run_step(self.rates.shares.release_shares)
+        self.tasks.run_step(self.reporter.send)
         loop = asyncio.get_running_loop()
         removal = loop.create_task(self.sync.registration.remove())
         while steady_now() - began < longest:
@@ -277,7 +278,7 @@
         """
         self.entry.finish_stop()
         for connection in list(self.entry.connections):
-            connection.finish_stop()
+            self.tasks.run_step(connection.finish_stop)
         flush_until = steady_now() + FLUSH_FRACTION * self.settings.stop_seconds
         while steady_now() < flush_until and any(
             connection.owes_answers for connection in self.entry.connections
@@ -314,7 +315,8 @@
         """Stop listening and cancel all tasks."""
         for listener in self.listeners:
             listener.close()
-        for task in (*self.tasks, *self.links.tasks.values()):
+        self.tasks.cancel()
+        for task in self.links.tasks.values():
             task.cancel()
 
     def check_settings(self) -> None:
@@ -412,20 +414,12 @@
     def _start_tasks(self) -> None:
         for job in (
             *self.sync.jobs(),
-            self._sweep_deadlines(),
-            self._check_links(),
-            self._run_maintenance(),
-            self._exchange_loads(),
+            self._sweep_deadlines,
+            self._check_links,
+            self._run_maintenance,
+            self._exchange_loads,
         ):
-            task = asyncio.get_running_loop().create_task(job)
-            task.add_done_callback(self._stop_on_task_failure)
-            self.tasks.add(task)
-
-    def _stop_on_task_failure(self, task: asyncio.Task[None]) -> None:
-        if task.cancelled():
-            return
-        self.log.write_unlimited('task-failed', error=repr(task.exception()))
-        self.stop_requested.set()
+            self.tasks.start(job)
 
     def _log_callback_error(
         self,
@@ -444,10 +438,13 @@
     async def _sweep_deadlines(self) -> None:
         while True:
             await asyncio.sleep(self._seconds_to_sweep())
-            self.guard.sweep()
-            self.entry.expire_overdue_requests()
-            self.admission.refresh()
-            self.reporter.send_if_guard_changed()
+            for step in (
+                self.guard.sweep,
+                self.entry.expire_overdue_requests,
+                self.admission.refresh,
+                self.reporter.send_if_guard_changed,
+            ):
+                self.tasks.run_step(step)
 
     def _seconds_to_sweep(self) -> float:
         """Return the seconds until the next sweep is due."""
@@ -461,9 +458,9 @@
         while True:
             await asyncio.sleep(LINK_CHECK_INTERVAL_SECONDS)
             now = steady_now()
-            self.links.check_liveness(now)
+            self.tasks.run_step(self.links.check_liveness, now)
             for connection in list(self.entry.bodies.paused):
-                connection.refuse_waiting_body(now)
+                self.tasks.run_step(connection.refuse_waiting_body, now)
 
     async def _run_maintenance(self) -> None:
         while True:
@@ -471,16 +468,12 @@
             now = steady_now()
             configuration = self.keeper.configuration
             if configuration is not None:
-                longest = configuration.limits.idle_seconds
+                limits = configuration.limits
                 for connection in list(self.entry.connections):
-                    connection.close_if_idle(now, longest)
-                    connection.give_up_stalled_body(
-                        now, configuration.limits.header_seconds
-                    )
-                    connection.give_up_stalled_answers(now)
-            self.guard.pool.close_stale(now)
-            self.server.abort_silent_connections()
-            self.rates.refill_shares()
+                    self.tasks.run_step(connection.check_progress, now, limits)
+            self.tasks.run_step(self.guard.pool.close_stale, now)
+            self.tasks.run_step(self.server.abort_silent_connections)
+            self.tasks.run_step(self.rates.refill_shares)
 
     async def _exchange_loads(self) -> None:
         last = steady_now()
--- a/packages/sidecar/src/boragetrestle_sidecar/store_sync.py
+++ b/packages/sidecar/src/boragetrestle_sidecar/store_sync.py
@@ -1,9 +1,9 @@
 """Keep this node in step with the store, directly or through other nodes."""
 
 import random
-from collections.abc import Callable, Coroutine
+from collections.abc import Awaitable, Callable
 from functools import partial
-from typing import TYPE_CHECKING, Any
+from typing import TYPE_CHECKING
 
 from boragetrestle_sidecar.cost_archive import CostArchive
 from boragetrestle_sidecar.counted_store import CountedStore
@@ -86,7 +86,7 @@
         self.following.tree = tree
         tree.on_rows = self.check_registration
 
-    def jobs(self) -> 'list[Coroutine[Any, Any, None]]':
+    def jobs(self) -> 'list[Callable[[], Awaitable[None]]]':
         """Return what has to run in the background."""
         watch: Callable[..., TableWatch] = partial(
             TableWatch,
@@ -110,10 +110,10 @@
         if self.settings.is_first_start:
             self.registration.check()
         return [
-            operators.run(),
-            nodes.run(),
-            self.registration.run(),
-            self.costs.run(),
+            operators.run,
+            nodes.run,
+            self.registration.run,
+            self.costs.run,
         ]
 
     def check_registration(self) -> None:
--- a/packages/sidecar/src/boragetrestle_sidecar/table_watch.py
+++ b/packages/sidecar/src/boragetrestle_sidecar/table_watch.py
@@ -126,7 +126,7 @@
         self.position = changes.position
         if changes.written or changes.removed:
             self._apply_changes(changes)
-            self.on_change(self)
+            self._pass_on()
 
     def _poll_seconds(self) -> float:
         """Return how long the store may hold the next poll.
@@ -153,7 +153,15 @@
         self.epoch = view.epoch
         self.position = view.position
         self.rows = {row.key: row for row in view.rows}
-        self.on_change(self)
+        self._pass_on()
+
+    def _pass_on(self) -> None:
+        """Tell of a change; read all again if it could not be taken over."""
+        try:
+            self.on_change(self)
+        except Exception:
+            self.position = None
+            raise
 
     def _apply_changes(self, changes: 'TableChanges') -> None:
         for key in changes.removed:
