Play drills of the store and uploads in the soak

The store is away for a moment and comes back from an older copy with its next epoch; operators write again what was lost. Callers upload 2 MB to one node beside whatever else happens; a target that got another body answers with the wrong one.

--- a/tests/soak_host.py
+++ b/tests/soak_host.py
@@ -35,6 +35,7 @@
 COLD_START_SHARE = 0.5  # of the starts
 COLD_SECONDS = (0.5, 3.0)
 SLOTS = 16
+UPLOAD_PARTS = 30_000  # of 64 bytes
 
 
 def body_of(request_id: str) -> bytes:
@@ -42,6 +43,11 @@
     return sha256(request_id.encode()).hexdigest().encode()
 
 
+def upload_of(request_id: str) -> bytes:
+    """Return the body of a large request."""
+    return body_of(request_id) * UPLOAD_PARTS
+
+
 class SoakHost:
     """One node process with proxies to its target and to the store."""
 
@@ -250,6 +256,8 @@
         _route, kind, *rest = request.first[1].strip('/').split('/')
         work = LONG_WORK_SECONDS if kind == 'long' else WORK_SECONDS
         await asyncio.sleep(self.chance.uniform(*work))
+        if kind == 'upload' and request.body != upload_of(request_id):
+            return answer_of(200, x_request_id=request_id, x_server_seal='s')
         if kind == 'endless':
             return _endless_answer(request_id, rest[0])
         if self.loses_answers:
--- a/tests/soak_run.py
+++ b/tests/soak_run.py
@@ -21,7 +21,7 @@
 from typing import Any
 
 from endless_builders import ENDLESS_FRAMINGS
-from soak_host import GRACE_SECONDS, ROOT, SoakHost, body_of
+from soak_host import GRACE_SECONDS, ROOT, SoakHost, body_of, upload_of
 from soak_http import Message, read_message, serve
 from soak_proxy import Harm
 from soak_store import SoakStore
@@ -47,6 +47,7 @@
 LONG_CALLERS = 4
 LONG_REST_SECONDS = (0.0, 0.4)
 NO_ERROR = '"error":"None"'  # as logs have it
+UPLOADERS = 4
 ENDLESS_CALLERS = 32
 ENDLESS_ENTRIES = 2
 UNMARKED_END = 'end-of-the-connection'
@@ -224,7 +225,7 @@
         keeps = True
         try:
             async with asyncio.timeout(TIME_LIMIT_SECONDS):
-                writer.write(b''.join(map(_head, prefixes, waiting)))
+                writer.write(b''.join(map(_encode, prefixes, waiting)))
                 while waiting and keeps:
                     answer = await read_message(reader)
                     self._record_answer(host.number, waiting.pop(0), answer)
@@ -304,12 +305,17 @@
     return [chance.choice(_ROUTES[:3])[0]]
 
 
-def _head(prefix: str, sent: Sent) -> bytes:
-    return (
-        f'GET {prefix}1 HTTP/1.1\r\nhost: example\r\n'
+def _encode(prefix: str, sent: Sent) -> bytes:
+    method, length, body = 'GET', '', b''
+    if 'upload' in prefix:
+        body = upload_of(sent.request_id)
+        method, length = 'POST', f'content-length: {len(body)}\r\n'
+    head = (
+        f'{method} {prefix}1 HTTP/1.1\r\nhost: example\r\n{length}'
         f'x-request-id: {sent.request_id}\r\nx-deadline-ms: 2500\r\n'
         f'authorization: Bearer {sent.key}\r\n\r\n'
-    ).encode()
+    )
+    return head.encode() + body
 
 
 async def _harm_store(soak: Soak, hosts: list[SoakHost]) -> None:
@@ -352,6 +358,19 @@
     soak.store.forget_history()
 
 
+@fault
+async def store_restored(soak: Soak) -> None:
+    """Take the store away and bring it back from an older copy."""
+    copy = soak.store.copy()
+    await asyncio.sleep(soak.chance.uniform(*HARM_SECONDS))
+    soak.store.is_refusing = True
+    soak.witness.store_disturbed.append(time.monotonic())
+    await asyncio.sleep(soak.chance.uniform(*FAULT_REST_SECONDS))
+    await soak.store.restore(copy)
+    soak.store.is_refusing = False
+    soak.witness.store_disturbed.append(time.monotonic())
+
+
 @fault
 async def target_link(soak: Soak) -> None:
     """Harm the way to a target."""
@@ -553,6 +572,16 @@
         link[1].transport.abort()
 
 
+@fault
+async def uploads_at_a_node(soak: Soak) -> None:
+    """Upload large bodies to a node, whatever becomes of it meanwhile."""
+    host = soak.some_host()
+    until = time.monotonic() + HARM_SECONDS[1]
+    async with asyncio.TaskGroup() as callers:
+        for prefix in ('/walks/upload/', '/buy/upload/') * UPLOADERS:
+            callers.create_task(_repeat(soak, host, prefix, until))
+
+
 @fault
 async def target_bodies_without_end(soak: Soak) -> None:
     """Let many answers at once have bodies without end, in one framing."""
@@ -562,16 +591,17 @@
     async with asyncio.TaskGroup() as callers:
         for number in range(ENDLESS_CALLERS):
             host = entries[number % ENDLESS_ENTRIES]
-            callers.create_task(_ask_endless(soak, host, framing, until))
+            prefix = f'/walks/endless/{framing}/'
+            callers.create_task(_repeat(soak, host, prefix, until))
 
 
-async def _ask_endless(
+async def _repeat(
     soak: Soak,
     host: SoakHost,
-    framing: str,
+    prefix: str,
     until: float,
 ) -> None:
-    prefix = f'/walks/endless/{framing}/'
+    """Send requests for some time, each on a connection of its own."""
     while time.monotonic() < until:
         await asyncio.sleep(soak.chance.uniform(*CALLER_REST_SECONDS))
         try:
--- a/tests/soak_store.py
+++ b/tests/soak_store.py
@@ -3,13 +3,21 @@
 import asyncio
 import json
 import time
-from typing import Any
+from typing import Any, NamedTuple
 from urllib.parse import parse_qsl, urlsplit
 
 from soak_http import Message, answer_of
 
 _MAX_WAIT_SECONDS = 30.0
 _ABSENT = {'Ver': 0}
+OPERATORS = 'op'
+
+
+class StoreCopy(NamedTuple):
+    """What the store held at a version."""
+
+    version: int
+    rows: dict[tuple[str, str], dict[str, Any]]
 
 
 class SoakStore:
@@ -20,6 +28,7 @@
         self.history: list[dict[str, Any]] = []
         self.version = 0
         self.first_kept = 0
+        self.epoch = 1
         self.is_refusing = False
         self.loses_answers = False
         self.changed = asyncio.Condition()
@@ -37,10 +46,32 @@
         self.first_kept = self.version
         self.history.clear()
 
+    def copy(self) -> StoreCopy:
+        """Return what the store holds now."""
+        return StoreCopy(self.version, dict(self.rows))
+
+    async def restore(self, copy: StoreCopy) -> None:
+        """Go back to a copy; what operators wrote since is written again."""
+        lost = [
+            row
+            for place, row in self.rows.items()
+            if row['Table'] == OPERATORS and copy.rows.get(place) != row
+        ]
+        removed = [
+            {'Table': table, 'Key': key}
+            for table, key in copy.rows.keys() - self.rows.keys()
+            if table == OPERATORS
+        ]
+        self.version = copy.version
+        self.rows = dict(copy.rows)
+        self.forget_history()
+        self.epoch += 1
+        await self._apply(lost, removed)
+
     async def handle(self, request: Message) -> bytes | None:
         """Answer a call."""
         if self.is_refusing:
-            return answer_of(503)
+            return self._answer([], 503)
         url = urlsplit(request.first[1])
         query = dict(parse_qsl(url.query))
         if url.path == '/rows-tx':
@@ -65,14 +96,17 @@
         try:
             async with asyncio.timeout(seconds), self.changed:
                 await self.changed.wait_for(
-                    lambda: after < self.first_kept or self._since(table, after)
+                    lambda: not self._knows(after) or self._since(table, after)
                 )
         except TimeoutError:
             return self._answer([])
-        if after < self.first_kept:
-            return answer_of(410)
+        if not self._knows(after):
+            return self._answer([], 410)
         return self._answer(self._since(table, after))
 
+    def _knows(self, version: int) -> bool:
+        return self.first_kept <= version <= self.version
+
     def _since(self, table: str, after: int) -> list[dict[str, Any]]:
         return [
             row
@@ -112,4 +146,5 @@
             'NowMs': time.monotonic() * 1000,
             'HasMore': False,
         }
-        return answer_of(status, json.dumps(body).encode())
+        encoded = json.dumps(body).encode()
+        return answer_of(status, encoded, store_era=str(self.epoch))
