Refuse an answer that runs into an earlier one that was cut

What callers saw: nobody has reported it. A request that ran could be answered with the status of an earlier answer on the same connection, 503 among them, or be reported as not run.

Cause: a target sends a part of an earlier answer while the next request is at work. If it ends in the reason phrase or in the value of a header, the status line of the next answer continues it, and one well-formed head comes out.

Change: a head with a status line in its reason phrase or in a header is refused as no answer.

The 6 forms of the test failed before.

--- a/packages/sidecar/src/boragetrestle_sidecar/answer_reader.py
+++ b/packages/sidecar/src/boragetrestle_sidecar/answer_reader.py
@@ -1,5 +1,6 @@
 """Parse the HTTP responses on one connection to a server."""
 
+import re
 from collections.abc import Callable
 from http import HTTPStatus
 
@@ -16,6 +17,7 @@
 MAX_FRAMING_RATIO = 8  # a chunk of one byte takes six
 # With answers to earlier requests, which are discarded.
 MAX_EXCHANGE_BYTES = MAX_ANSWER_BYTES + MAX_ANSWER_BYTES // 2
+_STATUS_LINE = re.compile(rb'HTTP/\d\.\d \d{3}')
 _BODILESS = frozenset((HTTPStatus.NO_CONTENT, HTTPStatus.NOT_MODIFIED))
 
 
@@ -87,6 +89,10 @@
         self._reset()
         self.is_amid_answer = True
 
+    def on_status(self, phrase: bytes) -> None:
+        """Append a part of the reason phrase."""
+        self.reason_phrase += phrase
+
     def on_header(self, name: bytes, value: bytes) -> None:
         """Store one header; trailers state nothing about an answer."""
         if self.is_past_head:
@@ -99,11 +105,7 @@
     def on_headers_complete(self) -> None:
         """Store the status; finish an answer to a HEAD request."""
         self.status = self.parser.get_status_code()
-        if self.status < HTTPStatus.CONTINUE:
-            raise HttpError(
-                f'{self.status} is no HTTP status',
-                remedy='check what the server sends on this connection',
-            )
+        self._check_head()
         self.has_head = True
         self.is_past_head = True
         if self.status in _BODILESS:
@@ -131,6 +133,7 @@
 
     def _reset(self) -> None:
         self.status = 0
+        self.reason_phrase = b''
         self.headers: list[tuple[bytes, bytes]] = []
         self.body = b''
         self.has_head = False
@@ -138,6 +141,23 @@
         self.is_framed = False
         self.is_amid_answer = False
 
+    def _check_head(self) -> None:
+        """Refuse a head without an HTTP status, or with that of another.
+
+        A server may send a part of an earlier answer where the next is due.
+        """
+        if self.status < HTTPStatus.CONTINUE:
+            raise HttpError(
+                f'{self.status} is no HTTP status',
+                remedy='check what the server sends on this connection',
+            )
+        values = [self.reason_phrase, *(value for _, value in self.headers)]
+        if _STATUS_LINE.search(b'\n'.join(values)):
+            raise HttpError(
+                'the head of a response runs into that of another',
+                remedy='check the server for responses that it cuts short',
+            )
+
     def _deliver(self, *, keeps_open: bool) -> None:
         self.has_head = False
         body = bytes(self.body)
--- a/tests/test_path_cut_answers.py
+++ b/tests/test_path_cut_answers.py
@@ -111,3 +111,33 @@
     kind = outcome_of(name, ANSWERS[name], by_reset=True, step=10_000)
     expected = OutcomeKind.REJECTED if name == 'not run' else ANSWERED
     assert kind is expected
+
+
+# Guards against the status of an earlier answer with the body of the next.
+@pytest.mark.parametrize('late', [b'200 OK', b'500 No', b'503 Not Now'])
+@pytest.mark.parametrize('own', [b'200 OK', b'500 Other'])
+def test_cut_late_answer_does_not_run_into_the_next(
+    late: bytes,
+    own: bytes,
+) -> None:
+    """It comes while the next request on its connection is at work."""
+    copy = (
+        b'HTTP/1.1 %s\r\nnot-run: 1\r\nretry-after: 1\r\n'
+        b'call-id: r-1\r\ncontent-length: 4\r\n\r\nlate' % late
+    )
+    answer = (
+        b'HTTP/1.1 %s\r\ncall-id: r-2\r\nseal: s\r\n'
+        b'content-length: 3\r\n\r\nown' % own
+    )
+    for length in range(1, len(copy) + 1):
+        bench = GuardHarness(connections=1)
+        bench.answer(bench.submit(run_order('r-1')))
+        connection = bench.submit(run_order('r-2')).connection
+        connection.data_received(copy[:length])
+        connection.data_received(answer)
+        outcome = bench.outcomes['r-2']
+        if outcome.kind is not OutcomeKind.UNKNOWN:
+            assert length == len(copy)
+            assert outcome.kind is ANSWERED
+            assert outcome.status == int(own[:3])
+            assert outcome.body == b'own'
