Write greetings, rows, evacuations and crashes from the types they are read as

Cause: the golden files hold the types of messages, and these messages of several fields were written from lists beside them, which could have changed alone.

Change: the writers build the types.

--- a/packages/sidecar/src/boragetrestle_sidecar/peer_messages.py
+++ b/packages/sidecar/src/boragetrestle_sidecar/peer_messages.py
@@ -2,7 +2,7 @@
 
 import math
 from collections.abc import Callable
-from typing import TYPE_CHECKING, Any, NamedTuple, Protocol
+from typing import TYPE_CHECKING, NamedTuple, Protocol
 
 from boragetrestle_kernel.errors import WireError
 from boragetrestle_sidecar.evacuations import EvacuationState
@@ -132,11 +132,13 @@
         self.on_peer_heard = on_peer_heard
         self.on_notice = on_notice
 
-    def hello_fields(self, peer: 'Address') -> list[Any]:
+    def hello_fields(self, peer: 'Address') -> Hello:
         """Return the fields of the first message on a connection to a peer."""
         notice = self.fleet.notices.get(str(peer))
         evacuations = self.fleet.evacuations.state
-        return [self.fleet.address, self.keeper.version, notice, evacuations]
+        return Hello(
+            self.fleet.address, self.keeper.version, notice, evacuations
+        )
 
     def handle(
         self,
@@ -282,7 +284,7 @@
 ) -> None:
     asked = _decode_tokens(frame)
     granted = messages.rates.grant_tokens(asked.organisation, asked.tokens)
-    fields = [asked.organisation, granted]
+    fields = TokenMessage(asked.organisation, granted)
     answer(FrameKind.GRANT_TOKENS, frame.number, fields)
 
 
--- a/packages/sidecar/src/boragetrestle_sidecar/tree_exchange.py
+++ b/packages/sidecar/src/boragetrestle_sidecar/tree_exchange.py
@@ -8,6 +8,7 @@
 from boragetrestle_sidecar.evacuations import EvacuationState
 from boragetrestle_sidecar.fleet_load import add_known_costs
 from boragetrestle_sidecar.peer_frames import FrameKind
+from boragetrestle_sidecar.peer_messages import Crash, EvacuationMessage, Rows
 from boragetrestle_sidecar.steady_clock import steady_now
 from boragetrestle_sidecar.tree_messages import TreeReport
 
@@ -180,7 +181,9 @@
         """Send rows that were new to this node to its neighbours."""
         if not rows:
             return
-        self._send_to_neighbours(FrameKind.ROWS, [self.address, rows], source)
+        self._send_to_neighbours(
+            FrameKind.ROWS, Rows(self.address, rows), source
+        )
         if self.on_rows is not None:
             self.on_rows()
 
@@ -198,7 +201,7 @@
         if evacuations.apply_if_newer(state, source=source):
             self._send_to_neighbours(
                 FrameKind.EVACUATIONS,
-                [self.address, evacuations.state],
+                EvacuationMessage(self.address, evacuations.state),
                 source,
             )
 
@@ -229,7 +232,7 @@
         if len(self.known_crashes) >= MAX_REMEMBERED_CRASHES:
             self.known_crashes.pop(next(iter(self.known_crashes)))
         self.known_crashes[crash] = None
-        fields = [self.address, crash, found, has_crashed]
+        fields = Crash(self.address, crash, found, has_crashed)
         self._send_to_neighbours(FrameKind.SUSPECT, fields, source)
         return True
 
@@ -282,7 +285,7 @@
         if self.clock() - neighbour.rows_sent_at > RESEND_SECONDS:
             neighbour.rows_sent_at = self.clock()
             rows = list(self.fleet.table.rows.values())
-            neighbour.send(FrameKind.ROWS, 0, [self.address, rows])
+            neighbour.send(FrameKind.ROWS, 0, Rows(self.address, rows))
 
     def _send_missing_configuration(self, neighbour: Neighbour) -> None:
         configuration = self.keeper.configuration
@@ -303,7 +306,7 @@
     def _send_to_neighbours(
         self,
         kind: FrameKind,
-        fields: list[object],
+        fields: object,
         source: str,
     ) -> None:
         for neighbour in self._neighbours():
