State the build and the version of frames at start and in the metrics

Seen: neither the log nor the metrics told which build a node runs, so a fleet of two builds looked like one.

Change: `started` has `build` and `frames`, and `boragetrestle_build_info` has both as labels.

--- a/packages/sidecar/src/boragetrestle_sidecar/sidecar.py
+++ b/packages/sidecar/src/boragetrestle_sidecar/sidecar.py
@@ -11,6 +11,7 @@
 
 from boragetrestle_kernel.errors import SettingsError
 from boragetrestle_sidecar.admission.admission import Admission
+from boragetrestle_sidecar.build_version import build_version
 from boragetrestle_sidecar.caller_connection import CallerConnection
 from boragetrestle_sidecar.config_keeper import ConfigKeeper
 from boragetrestle_sidecar.endpoint_server import EndpointConnection
@@ -28,6 +29,7 @@
 from boragetrestle_sidecar.member_links import MemberLinks
 from boragetrestle_sidecar.node_endpoints import NodeEndpoints
 from boragetrestle_sidecar.peak_memory import peak_memory_bytes
+from boragetrestle_sidecar.peer_frames import FRAMES_VERSION
 from boragetrestle_sidecar.peer_messages import PeerMessages
 from boragetrestle_sidecar.peer_server import PeerConnection, PeerServer
 from boragetrestle_sidecar.rate_gate import RateGate
@@ -222,6 +224,8 @@
             service=self.settings.service,
             incarnation=self.reporter.incarnation,
             process=os.getpid(),
+            build=build_version(),
+            frames=FRAMES_VERSION,
         )
 
     async def stop(self) -> None:
@@ -358,6 +362,10 @@
         self.suspects.notify_nodes = self.tree.report_crash
         self.tree.on_total = self._plan_admission
         self.guard.crash_watch.on_crash = self._record_crash
+        self.telemetry.infos['build'] = {
+            'version': build_version(),
+            'frames': FRAMES_VERSION,
+        }
         self.telemetry.gauges.update({
             'guard_running': lambda: self.guard.running,
             'guard_waiting': lambda: len(self.guard.queue),
--- a/packages/sidecar/src/boragetrestle_sidecar/telemetry.py
+++ b/packages/sidecar/src/boragetrestle_sidecar/telemetry.py
@@ -3,7 +3,7 @@
 import math
 from bisect import bisect_left
 from collections import Counter
-from collections.abc import Callable, Iterator
+from collections.abc import Callable, Iterator, Mapping
 
 # From the quickest run to the longest time limit in use.
 BUCKET_BOUNDS_SECONDS = (
@@ -38,7 +38,8 @@
     """Metrics of a node, rendered when they are read.
 
     The output is OpenTelemetry's text format, and names follow its rules:
-    ``_total`` for counters, seconds for durations.
+    ``_total`` for counters, seconds for durations. ``infos`` are gauges that are
+    always 1 and whose labels say something that does not change.
     """
 
     def __init__(self) -> None:
@@ -46,6 +47,7 @@
         self.store_calls: Counter[tuple[str, str]] = Counter()
         self.histograms: dict[tuple[str, str], Histogram] = {}
         self.gauges: dict[str, Callable[[], float]] = {}
+        self.infos: dict[str, Mapping[str, object]] = {}
 
     def count(self, route: str, event: str, reason: str) -> None:
         """Count an event of a route, with its reason."""
@@ -78,10 +80,17 @@
             yield f'boragetrestle_store_calls_total{{{labels}}} {count}'
         for name, read in sorted(self.gauges.items()):
             yield f'boragetrestle_{name} {read():g}'
+        yield from _info_lines(self.infos)
         for (name, label), histogram in sorted(self.histograms.items()):
             yield from _histogram_lines(name, label, histogram)
 
 
+def _info_lines(infos: Mapping[str, Mapping[str, object]]) -> Iterator[str]:
+    for name, fields in sorted(infos.items()):
+        labels = ','.join(f'{key}="{text}"' for key, text in fields.items())
+        yield f'boragetrestle_{name}_info{{{labels}}} 1'
+
+
 def _histogram_lines(
     name: str,
     label: str,
--- a/tests/test_path_upgrades.py
+++ b/tests/test_path_upgrades.py
@@ -1,11 +1,14 @@
 """Nodes of two builds that run side by side."""
 
+import asyncio
 import json
 from operator import attrgetter
 from pathlib import Path
 
 import pytest
 from boragetrestle_deploy.configuration import decode_configuration
+from path_builders import LineLog
+from path_standins import Host, MemoryStore
 from wire_values import (
     CONFIGURATION,
     EARLIER_FRAMES,
@@ -19,9 +22,11 @@
     written_files,
 )
 
+from boragetrestle_sidecar.build_version import build_version
 from boragetrestle_sidecar.cost_archive import decode_costs
 from boragetrestle_sidecar.member import decode_member
 from boragetrestle_sidecar.peer_frames import (
+    FRAMES_VERSION,
     FrameKind,
     FrameReader,
     decode_fields,
@@ -39,6 +44,25 @@
 )
 
 
+@pytest.mark.loopback
+def test_node_says_which_build_it_runs() -> None:
+    """In the line of its start and on its metrics address."""
+    log = LineLog()
+    host = Host(1, MemoryStore(), log, domain='a')
+
+    async def start() -> None:
+        await host.start()
+        host.close()
+
+    asyncio.run(start())
+    version = build_version()
+    fields = dict(log.lines)['started']
+    assert (fields['build'], fields['frames']) == (version, FRAMES_VERSION)
+    labels = f'version="{version}",frames="{FRAMES_VERSION}"'
+    line = f'boragetrestle_build_info{{{labels}}} 1\n'
+    assert line in host.node.telemetry.render()
+
+
 # Guards against links that break while nodes are replaced by a newer build.
 @pytest.mark.parametrize('kind', KINDS_WITH_FIELDS, ids=lambda kind: kind.name)
 def test_further_fields_are_passed_over(kind: FrameKind) -> None:
