Keep a link open when a message on it cannot be handled

Cause: an exception of a handler left the callback of the connection. The event loop logged it as callback-failed and reset the connection, so all runs of that link had an unknown outcome: 502 for those that may not be repeated. The process went on.

Change: the fault is logged as peer-message-failed, and the link goes on. Frames that are invalid end it as before.

Evidence: test_message_that_cannot_be_handled_leaves_the_link_open. Before, the exception left data_received and the run behind the message was lost; after, it is run, on both ends.

--- a/packages/sidecar/src/boragetrestle_sidecar/peer_messages.py
+++ b/packages/sidecar/src/boragetrestle_sidecar/peer_messages.py
@@ -6,6 +6,7 @@
 
 from boragetrestle_kernel.errors import WireError
 from boragetrestle_sidecar.evacuations import EvacuationState
+from boragetrestle_sidecar.failure_trace import failure_trace
 from boragetrestle_sidecar.member_table import MemberRow
 from boragetrestle_sidecar.node_load import NodeLoad
 from boragetrestle_sidecar.peer_frames import Frame, FrameKind, decode_fields
@@ -15,6 +16,7 @@
 if TYPE_CHECKING:
     from boragetrestle_kernel.address import Address
     from boragetrestle_sidecar.config_keeper import ConfigKeeper
+    from boragetrestle_sidecar.decision_log import DecisionLog
     from boragetrestle_sidecar.fleet import Fleet
     from boragetrestle_sidecar.rate_gate import RateGate
     from boragetrestle_sidecar.suspects import Suspects
@@ -122,7 +124,9 @@
         own_load: Callable[[], NodeLoad],
         on_peer_heard: Callable[[int], None],
         on_notice: Callable[[TargetNotice], None],
+        log: 'DecisionLog',
     ) -> None:
+        self.log = log
         self.fleet = fleet
         self.keeper = keeper
         self.rates = rates
@@ -147,11 +151,23 @@
         """Pass a message to the handler of its kind.
 
         ``answer`` sends a message back. Kinds without a handler are ignored.
-        Raises ``WireError`` for a message with invalid fields.
+        Raises ``WireError`` for a message with invalid fields. A fault in a
+        handler is logged, since the runs on the connection need not end.
         """
         handler = _HANDLERS.get(frame.kind)
-        if handler is not None:
+        if handler is None:
+            return
+        try:
             handler(self, frame, answer, peer)
+        except WireError:
+            raise
+        except Exception as error:
+            self.log.write_limited(
+                'peer-message-failed',
+                message=frame.kind.name,
+                error=repr(error),
+                trace=failure_trace(error),
+            )
 
     def mark_unreachable(self, peer: 'Address') -> None:
         """Mark a peer as unreachable after its link was lost."""
--- a/packages/sidecar/src/boragetrestle_sidecar/sidecar.py
+++ b/packages/sidecar/src/boragetrestle_sidecar/sidecar.py
@@ -165,6 +165,7 @@
             own_load=lambda: self.reporter.own_load(),
             on_peer_heard=self.first_configuration.compare,
             on_notice=self.guard.handle_notice,
+            log=log,
         )
         self.links.messages = messages
         self.server = PeerServer(self.guard, messages, log)
--- a/tests/test_path_peer_fuzz.py
+++ b/tests/test_path_peer_fuzz.py
@@ -7,7 +7,12 @@
 import cbor2
 import pytest
 from entry_builders import EntryHarness
-from path_builders import FakeTransport, GuardHarness, LineLog, run_order
+from path_builders import (
+    FakeTransport,
+    GuardHarness,
+    LineLog,
+    run_order,
+)
 from tree_builders import ModelFleet
 
 from boragetrestle_kernel.address import Address
@@ -27,6 +32,12 @@
 from boragetrestle_sidecar.returning_slots import ReturningSlots
 from boragetrestle_sidecar.tree_messages import TreeReport
 
+
+def fail(*_arguments: Any) -> Any:
+    """Fail as a step with a fault."""
+    raise ValueError('a fault')
+
+
 LONG_FRAME_BYTES = 70_000_000
 _VALUES: tuple[Any, ...] = (
     None,
@@ -261,3 +272,18 @@
     (frame,) = FrameReader().feed(encode_frame(FrameKind.OUTCOME, 1, outcome))
     with pytest.raises(WireError):
         decode_fields(frame, Outcome)
+
+
+# Guards against a fault in one message that ends all runs of its link.
+def test_message_that_cannot_be_handled_leaves_the_link_open() -> None:
+    """Runs that are sent behind it are run."""
+    victim = Victim()
+    fleet: Any = victim.messages.fleet
+    fleet.update_load = fail
+    load = ['10.0.0.1:7000', 'a', 'walks', 1, GuardLoad()]
+    sent = encode_frame(FrameKind.LOAD, 0, load)
+    run = encode_frame(FrameKind.RUN, 1, run_order())
+    for receiver, transport in (victim.connection(), victim.link()):
+        receiver.data_received(sent + run)
+        assert not transport.is_closed
+    assert victim.server.guard.running == 1
--- a/tests/tree_builders.py
+++ b/tests/tree_builders.py
@@ -162,6 +162,7 @@
             own_load=lambda: None,  # type: ignore[arg-type,return-value]
             on_peer_heard=self.heard_versions.append,
             on_notice=self.notices.append,
+            log=model.log,
         )
 
     def record_crash(self, found: str, *, is_own: bool) -> None:
