Tell who waits for an outcome before what may fail

Cause: four places forgot who waits, or never told it, if a step failed: - a guard that could not measure its load sent no outcome: the entry waited until the time limit; - nor was one sent that could not be encoded; - a link whose loss could not be noted left its runs without an outcome; - a question for tokens that could not be asked stayed in place: all later requests of that organisation waited behind it until their time limits.

Change: the outcome leaves without the load, which entries then keep as they know it; one that cannot be encoded is sent as unknown; the runs of a link end in any case; the question ends and its requests are decided.

Evidence: four tests, with a step that fails. Before, all four failed (no outcome, none, none of one, none of two decisions). Whether one of these steps can fail in a run is not known.

--- a/packages/sidecar/src/boragetrestle_sidecar/guard.py
+++ b/packages/sidecar/src/boragetrestle_sidecar/guard.py
@@ -834,7 +834,11 @@
         job.state = JobState.ENDED
         self.jobs.discard(job)
         try:
-            job.reply(outcome._replace(load=self.load))
+            outcome = outcome._replace(load=self.load)
+        except Exception as error:
+            self._log_failure(job, error)  # entries keep the load they know
+        try:
+            job.reply(outcome)
         except Exception as error:
             self._log_failure(job, error)
 
--- a/packages/sidecar/src/boragetrestle_sidecar/peer_link.py
+++ b/packages/sidecar/src/boragetrestle_sidecar/peer_link.py
@@ -220,11 +220,13 @@
             error=repr(error),
             runs=len(self.replies),
         )
-        self.messages.mark_unreachable(self.address)
-        replies = list(self.replies.values())
-        self.replies.clear()
-        for reply in replies:
-            reply(_LINK_LOST)
+        try:
+            self.messages.mark_unreachable(self.address)
+        finally:
+            replies = list(self.replies.values())
+            self.replies.clear()
+            for reply in replies:
+                reply(_LINK_LOST)
 
     def data_received(self, received: bytes) -> None:
         """Handle the frames that the peer sent; drop the link on a bad one."""
--- a/packages/sidecar/src/boragetrestle_sidecar/peer_server.py
+++ b/packages/sidecar/src/boragetrestle_sidecar/peer_server.py
@@ -9,6 +9,7 @@
 from typing import TYPE_CHECKING, NamedTuple, cast
 
 from boragetrestle_kernel.errors import WireError
+from boragetrestle_sidecar.failure_trace import failure_trace
 from boragetrestle_sidecar.frame_writer import FrameWriter
 from boragetrestle_sidecar.guard_job import GuardJob, JobState
 from boragetrestle_sidecar.link_socket import set_user_timeout
@@ -30,6 +31,8 @@
     from boragetrestle_sidecar.peer_messages import PeerMessages
 
 ENTRY_SILENCE_SECONDS = 8.0  # entries ping idle links every 3 s
+# The reason is one that nodes of earlier builds know.
+_NOT_ENCODED = Outcome(OutcomeKind.UNKNOWN, Reason.ANSWER_GARBLED)
 
 
 class Ping(NamedTuple):
@@ -183,7 +186,7 @@
         def reply(outcome: Outcome) -> None:
             self.server.buffers.release(held)
             self.jobs.pop(number, None)
-            self.send(FrameKind.OUTCOME, number, outcome)
+            self._send_outcome(number, outcome)
             self.server.guard.pool.buffers.record_writer(self)
 
         if frame.is_refused:
@@ -201,6 +204,18 @@
         if job.state is not JobState.ENDED:
             self.jobs[number] = job
 
+    def _send_outcome(self, number: int, outcome: Outcome) -> None:
+        """Send an outcome, or that it is unknown if it can't be encoded."""
+        try:
+            self.send(FrameKind.OUTCOME, number, outcome)
+        except Exception as error:
+            self.server.log.write_limited(
+                'outcome-failed',
+                error=repr(error),
+                trace=failure_trace(error),
+            )
+            self.send(FrameKind.OUTCOME, number, _NOT_ENCODED)
+
     def _memory_full(self) -> Outcome:
         """Return the outcome of a run that does not fit into the memory."""
         guard = self.server.guard
--- a/packages/sidecar/src/boragetrestle_sidecar/rate_gate.py
+++ b/packages/sidecar/src/boragetrestle_sidecar/rate_gate.py
@@ -135,6 +135,13 @@
             self._ask_next_node(pending)
 
     def _ask_next_node(self, pending: _PendingTokens) -> None:
+        try:
+            self._ask_or_finish(pending)
+        except Exception:
+            self._finish(pending)  # later requests would wait behind these
+            raise
+
+    def _ask_or_finish(self, pending: _PendingTokens) -> None:
         if pending.timer is not None:
             pending.timer.cancel()
         name = pending.policy.terms.name
--- a/tests/test_path_peer_fuzz.py
+++ b/tests/test_path_peer_fuzz.py
@@ -2,6 +2,8 @@
 
 import asyncio
 import random
+from contextlib import suppress
+from functools import partial
 from typing import Any
 
 import cbor2
@@ -11,6 +13,7 @@
     FakeTransport,
     GuardHarness,
     LineLog,
+    organisation,
     run_order,
 )
 from tree_builders import ModelFleet
@@ -287,3 +290,43 @@
         receiver.data_received(sent + run)
         assert not transport.is_closed
     assert victim.server.guard.running == 1
+
+
+# Guards against an entry that waits for an outcome until the time limit.
+def test_outcome_that_cannot_be_encoded_is_reported_as_unknown() -> None:
+    """Its run has ended."""
+    victim = Victim()
+    connection, transport = victim.connection()
+    sent = encode_frame(FrameKind.RUN, 1, run_order())
+    connection.data_received(sent)
+    (job,) = victim.server.guard.jobs
+    job.reply(Outcome(OutcomeKind.ANSWERED, head=object()))  # type: ignore[arg-type]
+    (frame,) = FrameReader().feed(transport.written)
+    assert decode_fields(frame, Outcome).kind is OutcomeKind.UNKNOWN
+
+
+# Guards against runs that are forgotten when their link is lost.
+def test_runs_of_a_lost_link_end_although_its_loss_cannot_be_noted() -> None:
+    """Their callers get an answer at once."""
+    victim = Victim()
+    link, _transport = victim.link()
+    ended: list[Outcome] = []
+    link.run(run_order(), ended.append)
+    fleet: Any = victim.messages.fleet
+    fleet.mark_unreachable = fail
+    with pytest.raises(ValueError, match='fault'):
+        link.connection_lost(None)
+    assert [outcome.kind for outcome in ended] == [OutcomeKind.UNKNOWN]
+
+
+# Guards against requests that wait for tokens behind a question never asked.
+def test_question_for_tokens_that_fails_decides_the_requests() -> None:
+    """The next requests of the organisation are decided as well."""
+    gate = EntryHarness().rates
+    gate.shares.set_nodes(['a', 'b'])
+    gate.link_of = fail
+    decided: list[str] = []
+    for name in ('r-1', 'r-2'):
+        with suppress(ValueError):
+            gate.request_tokens(organisation(), partial(decided.append, name))
+    assert decided == ['r-1', 'r-2']
--- a/tests/test_path_run_failures.py
+++ b/tests/test_path_run_failures.py
@@ -54,6 +54,16 @@
     assert 'run-failed' in bench.log.kinds()
 
 
+# Guards against entries that wait until the time limit for an outcome.
+def test_outcome_is_reported_although_the_load_cannot_be_measured() -> None:
+    """The entry goes on with the load that it knows."""
+    bench, running = waiting_run()
+    break_step(bench, 'meter.failing_share')
+    bench.answer(running)
+    assert bench.outcomes['r-1'].kind is OutcomeKind.ANSWERED
+    assert not bench.outcomes['r-1'].load.limit
+
+
 # Guards against runs that are forgotten when the end of their exchange cannot
 # be processed.
 @pytest.mark.parametrize('loss', Loss)
