Take all time that has passed off the time of a request

Cause: the time that a caller states was counted from the start of its request at the entry. What had passed before was not taken off: the time in which its body came, and the time that it waited behind other requests of its connection. The wait for memory was counted from the last use of the connection, which an answer to an earlier request renews, so it was too small on pipelined connections, and bodies waited for longer than half of their callers' time.

Change: time that is stated counts from the first byte. Of callers that state none, only what this node kept them waiting is taken off, as before. The wait for memory counts from the pause.

test_wait_for_memory_is_taken_off_the_time_that_is_left made time pass by changing the last use; it changes the start of the request now, from which the time is counted. What it asks is unchanged.

--- a/packages/sidecar/src/boragetrestle_sidecar/caller_connection.py
+++ b/packages/sidecar/src/boragetrestle_sidecar/caller_connection.py
@@ -74,6 +74,7 @@
         self.is_closing = False
         self.is_read_paused = False
         self.is_write_paused = False
+        self.read_paused_at: float | None = None
         self.last_used_at = steady_now()
         self.idle_seconds = limits.idle_seconds
         self.unsent_before = 0
@@ -132,20 +133,30 @@
     def pause_body(self) -> None:
         """Read no more from the caller."""
         self.is_read_paused = True
+        self._note_read_pause()
         if self.transport is not None:
             self.transport.pause_reading()
 
     def resume_body(self) -> None:
         """Read on after a wait for memory, which took of the caller's time."""
-        self.reader.waited_seconds += steady_now() - self.last_used_at
+        self.reader.waited_seconds += self._paused_seconds(steady_now())
+        self.read_paused_at = None
         self._read_on()
 
+    def _note_read_pause(self) -> None:
+        if self.read_paused_at is None:
+            self.read_paused_at = steady_now()
+
+    def _paused_seconds(self, now: float) -> float:
+        """Return for how long the caller could not send."""
+        return now - (self.read_paused_at or now)
+
     def refuse_waiting_body(self, now: float) -> None:
         """Refuse a body that has waited for memory too long to be run in time."""
         if not self.reader.is_amid_request or self.rejection is not None:
             return
         longest = self.entry.body_wait_seconds(self.reader.unfinished_request)
-        waited = self.reader.waited_seconds + now - self.last_used_at
+        waited = self.reader.waited_seconds + self._paused_seconds(now)
         if waited > longest:
             self.rejection = Reason.MEMORY_FULL
             self._continue_or_close()
@@ -336,9 +347,9 @@
         self.is_starting = True
         try:
             while self.reader.ready and self._may_start_next():
-                answer = PendingAnswer(
-                    self.reader.ready.popleft(), self._write_finished
-                )
+                sent = self.reader.ready.popleft()
+                sent.queued_seconds = steady_now() - sent.read_at
+                answer = PendingAnswer(sent, self._write_finished)
                 self.pending.append(answer)
                 request = self.entry.start_request(answer, answer.sent)
                 if answer.render is None:
@@ -442,6 +453,7 @@
             return
         assert self.transport is not None
         self.is_read_paused = False
+        self.read_paused_at = None
         self._note_use()  # the caller could not send before
         self.transport.resume_reading()
         self._continue_or_close()
@@ -466,6 +478,7 @@
             )
         elif self.reader.awaits_continue:
             if self.entry.bodies.is_full:
+                self._note_read_pause()
                 self.entry.bodies.wait(self)
                 return
             self.reader.awaits_continue = False
--- a/packages/sidecar/src/boragetrestle_sidecar/caller_request.py
+++ b/packages/sidecar/src/boragetrestle_sidecar/caller_request.py
@@ -12,7 +12,9 @@
     ``request_target`` is the HTTP request target: the path with its query,
     unchanged. ``has_length`` tells that a header states how the body ends. A
     large ``body`` is a bytearray that is not changed any more. It has waited
-    ``waited_seconds`` of the caller's time for memory.
+    ``waited_seconds`` of the caller's time for memory, of the ``read_seconds``
+    that passed from its first byte until it was complete at ``read_at``, and
+    ``queued_seconds`` behind other requests of its connection.
     """
 
     method: bytes
@@ -22,6 +24,9 @@
     keeps_open: bool = True
     has_length: bool = False
     waited_seconds: float = 0.0
+    read_seconds: float = 0.0
+    read_at: float = 0.0
+    queued_seconds: float = 0.0
     _single: dict[bytes, bytes | None] | None = field(
         default=None, init=False, repr=False, compare=False
     )
--- a/packages/sidecar/src/boragetrestle_sidecar/entry.py
+++ b/packages/sidecar/src/boragetrestle_sidecar/entry.py
@@ -326,7 +326,7 @@
     ) -> EntryRequest:
         route = found.route
         now = self.clock()
-        left = self._caller_time(request, route) - request.waited_seconds
+        left = self._caller_time_left(request, route)
         started = EntryRequest(
             answer,
             request,
@@ -752,6 +752,22 @@
         stated = self._stated_time_left(request)
         return route.time_limit if stated is None else stated
 
+    def _caller_time_left(
+        self,
+        request: 'CallerRequest',
+        route: 'RoutePolicy',
+    ) -> float:
+        """Return how much of the caller's time is left when its request starts.
+
+        Callers that state their time count it from the first byte; for others
+        only the time in which this node kept the request waiting counts.
+        """
+        stated = self._stated_time_left(request)
+        if stated is None:
+            spent = request.waited_seconds + request.queued_seconds
+            return route.time_limit - spent
+        return stated - request.read_seconds - request.queued_seconds
+
     def _stated_time_left(self, request: 'CallerRequest') -> float | None:
         stated = request.header(self.names.time_left) or b''
         left = read_count(stated, most=MAX_TIME_LEFT_MS)
--- a/packages/sidecar/src/boragetrestle_sidecar/request_reader.py
+++ b/packages/sidecar/src/boragetrestle_sidecar/request_reader.py
@@ -146,6 +146,7 @@
         self.awaits_continue = False
         if self.body_bytes <= LARGE_BODY_BYTES:
             self.body = bytes(self.body)
+        now = steady_now()
         self.ready.append(
             CallerRequest(
                 method=self.parser.get_method(),
@@ -155,6 +156,8 @@
                 keeps_open=self.parser.should_keep_alive(),
                 has_length=_has_length(self.headers),
                 waited_seconds=self.waited_seconds,
+                read_seconds=now - self.began_at,
+                read_at=now,
             )
         )
         self.body = b''
--- a/tests/test_path_pipelining_faults.py
+++ b/tests/test_path_pipelining_faults.py
@@ -16,11 +16,17 @@
 PART = b'x' * 500
 
 
-def upload(name: str, size: int, *, extra: str = '') -> bytes:
+def upload(
+    name: str, size: int, *, extra: str = '', time_left: int = 1000
+) -> bytes:
     """Return the head of an upload."""
     length = f'Content-Length: {size}\r\n'
     return request_bytes(
-        name, method='POST', path='/walks/1', extra=length + extra
+        name,
+        method='POST',
+        path='/walks/1',
+        time_left=time_left,
+        extra=length + extra,
     )
 
 
--- a/tests/test_path_uploads.py
+++ b/tests/test_path_uploads.py
@@ -197,7 +197,7 @@
     """The caller counts from when it began to send."""
     bench, waiting, transport = begin_waiting(time_left=900)
     first = next(iter(bench.entry.connections - {waiting}))
-    waiting.last_used_at -= 0.4
+    waiting.reader.began_at -= 0.4
     first.connection_lost(None)
     assert transport.is_reading
     waiting.data_received(PART)
