--- a/packages/sidecar/src/boragetrestle_sidecar/sidecar.py
+++ b/packages/sidecar/src/boragetrestle_sidecar/sidecar.py
@@ -167,6 +167,7 @@
             own_load=lambda: self.reporter.own_load(),
             on_peer_heard=self.first_configuration.compare,
             on_notice=self.guard.handle_notice,
+            log=log,
         )
         self.links.messages = messages
         self.server = PeerServer(self.guard, messages, log)
@@ -412,9 +413,18 @@
         )
         settings = self.settings
         for factory, address in (
-            (partial(EndpointConnection, calls.ready), settings.ready),
-            (partial(EndpointConnection, calls.control), settings.control),
-            (partial(EndpointConnection, calls.metrics), settings.metrics),
+            (
+                partial(EndpointConnection, calls.ready, self.log),
+                settings.ready,
+            ),
+            (
+                partial(EndpointConnection, calls.control, self.log),
+                settings.control,
+            ),
+            (
+                partial(EndpointConnection, calls.metrics, self.log),
+                settings.metrics,
+            ),
             (partial(PeerConnection, self.server), settings.peers),
             (partial(CallerConnection, self.entry), settings.callers),
         ):
--- a/tests/test_path_peer_fuzz.py
+++ b/tests/test_path_peer_fuzz.py
@@ -2,12 +2,20 @@
 
 import asyncio
 import random
+from contextlib import suppress
+from functools import partial
 from typing import Any
 
 import cbor2
 import pytest
 from entry_builders import EntryHarness
-from path_builders import FakeTransport, GuardHarness, LineLog, run_order
+from path_builders import (
+    FakeTransport,
+    GuardHarness,
+    LineLog,
+    organisation,
+    run_order,
+)
 from tree_builders import ModelFleet
 
 from boragetrestle_kernel.address import Address
@@ -27,6 +35,12 @@
 from boragetrestle_sidecar.returning_slots import ReturningSlots
 from boragetrestle_sidecar.tree_messages import TreeReport
 
+
+def fail(*_arguments: Any) -> Any:
+    """Fail as a step with a fault."""
+    raise ValueError('a fault')
+
+
 LONG_FRAME_BYTES = 70_000_000
 _VALUES: tuple[Any, ...] = (
     None,
@@ -261,3 +275,58 @@
     (frame,) = FrameReader().feed(encode_frame(FrameKind.OUTCOME, 1, outcome))
     with pytest.raises(WireError):
         decode_fields(frame, Outcome)
+
+
+# Guards against a fault in one message that ends all runs of its link.
+def test_message_that_cannot_be_handled_leaves_the_link_open() -> None:
+    """Runs that are sent behind it are run."""
+    victim = Victim()
+    fleet: Any = victim.messages.fleet
+    fleet.update_load = fail
+    load = ['10.0.0.1:7000', 'a', 'walks', 1, GuardLoad()]
+    sent = encode_frame(FrameKind.LOAD, 0, load)
+    run = encode_frame(FrameKind.RUN, 1, run_order())
+    for receiver, transport in (victim.connection(), victim.link()):
+        receiver.data_received(sent + run)
+        assert not transport.is_closed
+    assert victim.server.guard.running == 1
+
+
+# Guards against an entry that waits for an outcome until the time limit.
+def test_outcome_that_cannot_be_encoded_is_reported_as_unknown() -> None:
+    """Its run has ended."""
+    victim = Victim()
+    connection, transport = victim.connection()
+    sent = encode_frame(FrameKind.RUN, 1, run_order())
+    connection.data_received(sent)
+    (job,) = victim.server.guard.jobs
+    job.reply(Outcome(OutcomeKind.ANSWERED, head=object()))  # type: ignore[arg-type]
+    (frame,) = FrameReader().feed(transport.written)
+    assert decode_fields(frame, Outcome).kind is OutcomeKind.UNKNOWN
+
+
+# Guards against runs that are forgotten when their link is lost.
+def test_runs_of_a_lost_link_end_although_its_loss_cannot_be_noted() -> None:
+    """Their callers get an answer at once."""
+    victim = Victim()
+    link, _transport = victim.link()
+    ended: list[Outcome] = []
+    link.run(run_order(), ended.append)
+    fleet: Any = victim.messages.fleet
+    fleet.mark_unreachable = fail
+    with pytest.raises(ValueError, match='fault'):
+        link.connection_lost(None)
+    assert [outcome.kind for outcome in ended] == [OutcomeKind.UNKNOWN]
+
+
+# Guards against requests that wait for tokens behind a question never asked.
+def test_question_for_tokens_that_fails_decides_the_requests() -> None:
+    """The next requests of the organisation are decided as well."""
+    gate = EntryHarness().rates
+    gate.shares.set_nodes(['a', 'b'])
+    gate.link_of = fail
+    decided: list[str] = []
+    for name in ('r-1', 'r-2'):
+        with suppress(ValueError):
+            gate.request_tokens(organisation(), partial(decided.append, name))
+    assert decided == ['r-1', 'r-2']
