State the version of frames at both ends of a connection

Seen: a build that adds a kind of frame or a field has no way to learn which nodes know it, and builds before this one close the link on either.

Ruled out: a field of the greeting or of the load, which those builds refuse; a field in the row of a node, which stays for a while when an older build takes the node's place after a crash.

Change: the number of HELLO and of PONG, which no build reads and which was 0, is the version of the frames of the node that sends it. The frames have the same length, and golden files hold fields under another number, so none of them changes. Nothing depends on the numbers yet.

--- a/packages/sidecar/src/boragetrestle_sidecar/peer_frames.py
+++ b/packages/sidecar/src/boragetrestle_sidecar/peer_frames.py
@@ -29,7 +29,8 @@
 _NO_BYTES = b'\x40'
 _MAX_HEAD_BYTES = 16  # the start of the array, kind and number
 _Fields = TypeVar('_Fields')
-# Nodes of one version write the same kinds of frames with the same fields.
+# Nodes of one version write the same kinds of frames with the same fields. Each
+# end of a connection states its own as the number of its HELLO or PONG.
 FRAMES_VERSION = 1
 # A body of the largest size with its header fields.
 MAX_FRAME_BYTES = 80_000_000
--- a/packages/sidecar/src/boragetrestle_sidecar/peer_link.py
+++ b/packages/sidecar/src/boragetrestle_sidecar/peer_link.py
@@ -15,6 +15,7 @@
 from boragetrestle_sidecar.link_socket import set_user_timeout
 from boragetrestle_sidecar.outcome import Outcome, OutcomeKind, Reason
 from boragetrestle_sidecar.peer_frames import (
+    FRAMES_VERSION,
     Frame,
     FrameKind,
     FrameReader,
@@ -189,7 +190,7 @@
         self.reply_due_since = None
         self.disconnected.clear()
         hello = self.messages.hello_fields(self.address)
-        self.writer.send(FrameKind.HELLO, 0, hello)
+        self.writer.send(FrameKind.HELLO, FRAMES_VERSION, hello)
         for encoded in self.unsent:
             self.writer.send_bytes(encoded)
         self.unsent.clear()
--- a/packages/sidecar/src/boragetrestle_sidecar/peer_server.py
+++ b/packages/sidecar/src/boragetrestle_sidecar/peer_server.py
@@ -15,6 +15,7 @@
 from boragetrestle_sidecar.link_socket import set_user_timeout
 from boragetrestle_sidecar.outcome import Outcome, OutcomeKind, Reason
 from boragetrestle_sidecar.peer_frames import (
+    FRAMES_VERSION,
     MAX_GREETING_BYTES,
     Frame,
     FrameKind,
@@ -159,7 +160,7 @@
         elif frame.kind is FrameKind.PING:
             self._delivery_delay(decode_fields(frame, Ping).sent_at)
             load = self.server.messages.own_load()
-            self.send(FrameKind.PONG, frame.number, load)
+            self.send(FrameKind.PONG, FRAMES_VERSION, load)
         else:
             self.server.messages.handle(frame, self.send, None)
 
--- a/tests/test_path_upgrades.py
+++ b/tests/test_path_upgrades.py
@@ -9,6 +9,7 @@
 from boragetrestle_deploy.configuration import decode_configuration
 from path_builders import LineLog
 from path_standins import Host, MemoryStore
+from test_path_peer_fuzz import Victim
 from wire_values import (
     CONFIGURATION,
     EARLIER_FRAMES,
@@ -63,6 +64,24 @@
     assert line in host.node.telemetry.render()
 
 
+# Guards against a new kind of frame that is sent to a build that refuses it.
+def test_both_ends_of_a_connection_state_their_version_of_frames() -> None:
+    """In numbers that builds before version 1 don't read, and send as 0."""
+
+    async def test() -> None:
+        victim = Victim()
+        _, sent = victim.link()
+        server, answered = victim.connection()
+        server.data_received(encode_frame(FrameKind.PING, 0, [1.0]))
+        greeting, _ping = FrameReader().feed(sent.written)
+        (reply,) = FrameReader().feed(answered.written)
+        kinds = (greeting.kind, reply.kind)
+        assert kinds == (FrameKind.HELLO, FrameKind.PONG)
+        assert (greeting.number, reply.number) == (FRAMES_VERSION,) * 2
+
+    asyncio.run(test())
+
+
 # Guards against links that break while nodes are replaced by a newer build.
 @pytest.mark.parametrize('kind', KINDS_WITH_FIELDS, ids=lambda kind: kind.name)
 def test_further_fields_are_passed_over(kind: FrameKind) -> None:
