Let the soak name builds, check rates, and see what stops give up

Change: each start of a node is noted with its build, logs are kept by build, and lines on cuts, second runs and false refusals name the nodes and builds that the request passed. Witness.rates bounds the requests of a key in any 5 s; Witness.given_up_by applies the rule on stops. SoakHost.replace restarts a node from another build and reports one that outlasts its grace period or is not ready 15 s after its start.

Evidence: 5 new cases of given-up requests, 2 of rates, 2 of cuts in test_soak.py.

--- a/tests/soak_host.py
+++ b/tests/soak_host.py
@@ -14,7 +14,7 @@
 from endless_builders import ENDLESS_FRAMINGS
 from soak_http import EndlessAnswer, Message, answer_of, call, serve
 from soak_proxy import Proxy
-from soak_witness import MEMORY_MB, ColdTime, Run
+from soak_witness import MEMORY_MB, Build, ColdTime, Run
 
 if TYPE_CHECKING:
     from soak_witness import Witness
@@ -22,6 +22,8 @@
 ROOT = Path(__file__).parent.parent
 HEARTBEAT_SECONDS = 0.5
 SIGNAL_RETRY_SECONDS = 0.01
+READY_POLL_SECONDS = 0.1
+READY_SECONDS = 15.0
 RESTART_SECONDS = 0.3  # the platform starts an ended process again soon
 WORK_SECONDS = (0.005, 0.06)
 LONG_WORK_SECONDS = (0.6, 1.2)
@@ -54,6 +56,7 @@
         chance: random.Random,
         *,
         build: Path = ROOT,
+        grace_seconds: float = GRACE_SECONDS,
     ) -> None:
         self.number = number
         self.ip = f'127.8.0.{number}'
@@ -62,6 +65,7 @@
         self.witness = witness
         self.chance = chance
         self.build = build
+        self.grace_seconds = grace_seconds
         self.target_proxy = Proxy((self.ip, 7009))
         self.store_proxy = Proxy(store)
         self.process: asyncio.subprocess.Process | None = None
@@ -124,6 +128,40 @@
             self.expected_end = True
         self.process.send_signal(number)
 
+    async def replace(self, build: Path) -> None:
+        """Stop the node as planned and start it from a build."""
+        self.build = build
+        process = self.process
+        self.signal(signal.SIGTERM)
+        if process is not None:
+            try:
+                async with asyncio.timeout(self.grace_seconds):
+                    await process.wait()
+            except TimeoutError:
+                line = f'node {self.number} outlasted its grace period'
+                self.witness.ended.append(line)
+                process.kill()
+                await process.wait()
+        await self.wait_until_ready()
+
+    async def wait_until_ready(self) -> None:
+        """Wait until the node takes requests."""
+        until = time.monotonic() + READY_SECONDS
+        while not await self._is_ready():
+            if time.monotonic() > until:
+                line = f'node {self.number} is not ready after its start'
+                self.witness.ended.append(line)
+                return
+            await asyncio.sleep(READY_POLL_SECONDS)
+
+    async def _is_ready(self) -> bool:
+        request = b'GET /ready HTTP/1.1\r\nhost: node\r\n\r\n'
+        try:
+            answer = await call((self.ip, 7004), request, seconds=1.0)
+        except (OSError, EOFError, TimeoutError):
+            return False
+        return answer.first[1] == '200'
+
     def note_peak(self) -> None:
         """Note the largest resident memory of the process so far."""
         if self.process is None or self.process.returncode is not None:
@@ -170,27 +208,36 @@
 
     async def _keep_node(self) -> None:
         path = self.folder / f'{self.number}.json'
-        sources = [self.build / 'platform', *self.build.glob('packages/*/src')]
         path.write_text(json.dumps(self._settings()))
-        with (self.folder / f'{self.number}.log').open('ab') as log:
-            while not self.is_over:
-                self.expected_end = False
-                self.process = await asyncio.create_subprocess_exec(
-                    sys.executable,
-                    str(self.build / 'platform' / 'start.py'),
-                    stdout=log,
-                    stderr=log,
-                    env={
-                        **os.environ,
-                        'PYTHONPATH': ':'.join(map(str, sources)),
-                        'BORAGETRESTLE_SETTINGS': str(path),
-                    },
+        while not self.is_over:
+            self.expected_end = False
+            code, build = await self._run_node(path)
+            if not self.expected_end and not self.is_over:
+                line = (
+                    f'node {self.number} ({build}) ended by itself with {code}'
                 )
-                code = await self.process.wait()
-                if not self.expected_end and not self.is_over:
-                    line = f'node {self.number} ended by itself with {code}'
-                    self.witness.ended.append(line)
-                await asyncio.sleep(RESTART_SECONDS)
+                self.witness.ended.append(line)
+            await asyncio.sleep(RESTART_SECONDS)
+
+    async def _run_node(self, settings: Path) -> tuple[int, str]:
+        """Run the node until it ends; return its exit code and its build."""
+        build = Build.CURRENT if self.build == ROOT else Build.EARLIER
+        sources = [self.build / 'platform', *self.build.glob('packages/*/src')]
+        name = f'{self.number}-{build.name.lower()}.log'
+        self.witness.started[self.number].append((time.monotonic(), build))
+        with (self.folder / name).open('ab') as log:
+            self.process = await asyncio.create_subprocess_exec(
+                sys.executable,
+                str(self.build / 'platform' / 'start.py'),
+                stdout=log,
+                stderr=log,
+                env={
+                    **os.environ,
+                    'PYTHONPATH': ':'.join(map(str, sources)),
+                    'BORAGETRESTLE_SETTINGS': str(settings),
+                },
+            )
+        return await self.process.wait(), build.value
 
     async def _beat(self) -> None:
         while True:
@@ -295,7 +342,7 @@
                 'Control': f'{self.ip}:7005',
             },
             'HeartbeatMs': HEARTBEAT_SECONDS * 1000,
-            'Bounds': {'GraceS': GRACE_SECONDS, 'ColdOverage': 1.5},
+            'Bounds': {'GraceS': self.grace_seconds, 'ColdOverage': 1.5},
             'Limits': {'MemoryMb': MEMORY_MB},
             'AppAddr': f'{self.ip}:7001',
             'Service': 'walks',
--- a/tests/soak_run.py
+++ b/tests/soak_run.py
@@ -78,12 +78,17 @@
 class Soak:
     """One seed: hosts, callers, a store, and faults in series."""
 
+    calm_plans = frozenset(PLANNED)  # which end no link between nodes
+
     def __init__(
         self,
         seed: int,
         folder: Path,
         builds: Sequence[Path] = (ROOT,),
         plans: Sequence[str] = (),
+        *,
+        hosts: int = HOSTS,
+        grace_seconds: float = GRACE_SECONDS,
     ) -> None:
         self.seed = seed
         self.chance = random.Random(seed)
@@ -106,8 +111,9 @@
                 self.witness,
                 self.chance,
                 build=builds[number % len(builds)],
+                grace_seconds=grace_seconds,
             )
-            for number in range(HOSTS)
+            for number in range(hosts)
         ]
 
     async def play(self, seconds: float) -> list[str]:
@@ -117,11 +123,8 @@
         for host in self.hosts:
             await host.start()
         await asyncio.sleep(START_SECONDS)
-        callers = [
-            asyncio.create_task(self._call_on(number))
-            for number in range(CALLERS)
-        ]
-        await self._harm_for(seconds)
+        callers = [asyncio.create_task(caller) for caller in self.callers()]
+        await self.harm_for(seconds)
         await asyncio.sleep(CALM_SECONDS)
         calm_since = time.monotonic() - CHECKED_SECONDS
         self.is_over = True
@@ -144,6 +147,18 @@
                 )
                 for key, owner in self.keys.items()
             ),
+            *(
+                _resource(
+                    'Tenants',
+                    self.witness.owners[key],
+                    {
+                        'ApiKeys': [key],
+                        'RatePerS': rate.per_second,
+                        'Burst': rate.burst,
+                    },
+                )
+                for key, rate in self.witness.rates.items()
+            ),
         ]
         document = {'Version': self.version, 'Resources': resources}
         encoded = base64.b64encode(json.dumps(document).encode()).decode()
@@ -153,7 +168,12 @@
         """Choose a host."""
         return self.chance.choice(self.hosts)
 
-    async def _harm_for(self, seconds: float) -> None:
+    def callers(self) -> list[Coroutine[Any, Any, None]]:
+        """Return what sends requests until the seed is over."""
+        return [self.call_on(number) for number in range(CALLERS)]
+
+    async def harm_for(self, seconds: float) -> None:
+        """Play faults in series."""
         until = time.monotonic() + seconds
         under_way: list[asyncio.Task[None]] = []
         while time.monotonic() < until:
@@ -163,7 +183,7 @@
             await asyncio.sleep(self.chance.uniform(*FAULT_REST_SECONDS))
         await asyncio.gather(*under_way)
 
-    async def _call_on(self, number: int) -> None:
+    async def call_on(self, number: int, key: str = '') -> None:
         """Send requests, on a kept connection as long as it is open."""
         chance = random.Random(f'{self.seed}/{number}')
         link: tuple[asyncio.StreamReader, asyncio.StreamWriter] | None = None
@@ -176,7 +196,8 @@
                     link = await asyncio.open_connection(host.ip, 7002)
                 except OSError:
                     continue  # the node is down: another one is tried
-            if not await self.send(chance, host, link, _some_prefixes(chance)):
+            prefixes = _some_prefixes(chance)
+            if not await self.send(chance, host, link, prefixes, key):
                 link[1].transport.abort()
                 link = None
         if link is not None:
@@ -197,10 +218,12 @@
         host: SoakHost,
         link: tuple[asyncio.StreamReader, asyncio.StreamWriter],
         prefixes: list[str],
+        key: str = '',
     ) -> bool:
         """Send a request to each prefix without waiting for answers.
 
-        The body of an answer tells whether it came in its place and whole.
+        Without a key each request has one of some organisation. The body of an
+        answer tells whether it came in its place and whole.
         Returns whether the connection can be kept.
         """
         reader, writer = link
@@ -210,7 +233,7 @@
                 host.number,
                 time.monotonic(),
                 not prefix.startswith('/buy/'),
-                chance.choice(list(self.witness.owners)[1:]),
+                key or chance.choice(list(self.witness.owners)[1:]),
                 0,
                 False,
             )
@@ -249,7 +272,7 @@
 
         When all work is planned, no link between nodes may end with an error.
         """
-        is_calm = set(self.plans) <= set(PLANNED)
+        is_calm = set(self.plans) <= self.calm_plans
         return [
             f'{path.name}: {line}'
             for path in sorted(self.folder.glob('*.log'))
@@ -266,7 +289,12 @@
             is_whole = has_seal and not answer.body.strip(b'x')
         status = int(answer.first[1])
         self.witness.sent.append(
-            replace(sent, status=status, is_whole=is_whole)
+            replace(
+                sent,
+                status=status,
+                is_whole=is_whole,
+                answered_at=time.monotonic(),
+            )
         )
 
 
@@ -523,13 +551,13 @@
     async with asyncio.TaskGroup() as callers:
         for number in range(LONG_CALLERS):
             callers.create_task(
-                _send_long(soak, host, until, is_kept=number % 2 == 0)
+                send_long(soak, host, until, is_kept=number % 2 == 0)
             )
         await asyncio.sleep(soak.chance.uniform(*LONG_REST_SECONDS))
         host.signal(signal.SIGTERM)
 
 
-async def _send_long(
+async def send_long(
     soak: Soak,
     host: SoakHost,
     until: float,
--- a/tests/soak_witness.py
+++ b/tests/soak_witness.py
@@ -3,6 +3,7 @@
 import math
 from collections import Counter, defaultdict
 from dataclasses import dataclass, field
+from enum import Enum
 
 # Configurations are in force this long after the store took them, and targets
 # may be sent requests this long after their drain was acknowledged.
@@ -20,10 +21,35 @@
 MOST_COLD_IN_SECOND = COLD_RATE * 1.5 + 8
 EVACUATE_SECONDS = 5.0
 MEMORY_MB = 300  # of a process, on the smallest hosts
+GIVEN_UP = frozenset((502, 504))
+TIME_LIMIT_SECONDS = 1.9  # a little less than that of the routes
+# A stop may give up what was sent in its first seconds and is still at work in
+# the last part of its grace period.
+LATEST_SENT_SECONDS = 3.0
+WORK_SHARE = 5 / 6
 NOT_RUN = frozenset((408, 421, 429, 503))
 DENIED = frozenset((400, 401, 403, 404))
 LOST_SECONDS = 0.2  # a request on a closed connection may be this old unread
 LEAST_CALM_SHARE = 0.95  # of requests answered in the calm at the end
+# Runs of an organisation in a window, over what its rate and burst give; a run
+# starts some time after its request was admitted.
+RATE_WINDOW_SECONDS = 5.0
+RATE_TOLERANCE = 1.1
+
+
+class Build(Enum):
+    """Which sources a node runs."""
+
+    CURRENT = 'current build'
+    EARLIER = 'earlier build'
+
+
+@dataclass(frozen=True, slots=True)
+class Rate:
+    """The requests a second, and the burst, that a key may send."""
+
+    per_second: float
+    burst: float
 
 
 @dataclass(frozen=True, slots=True)
@@ -37,6 +63,7 @@
     key: str
     status: int
     is_whole: bool
+    answered_at: float = math.inf
 
 
 @dataclass(frozen=True, slots=True)
@@ -117,6 +144,45 @@
         # When a node first passed on that a target is limited or leaves.
         self.told_limit: dict[tuple[int, str], float] = {}
         self.told_leaving: dict[tuple[int, str], float] = {}
+        self.rates: dict[str, Rate] = {}  # of some keys
+        # When each node was started, and from which build.
+        self.started: defaultdict[int, list[tuple[float, Build]]] = defaultdict(
+            list
+        )
+
+    def build_of(self, node: int, at: float) -> Build:
+        """Return the build that a node ran at a time."""
+        builds = [build for since, build in self.started[node] if since <= at]
+        return builds[-1] if builds else Build.CURRENT
+
+    def cuts_by(self, *builds: Build) -> list[str]:
+        """Return a line for each request that planned work cut there.
+
+        The entry alone closes the connection of a caller.
+        """
+        return [
+            line
+            for cut in self.cuts
+            if self.build_of(cut.node, cut.sent_at) in builds
+            for line in self._cut(cut)
+        ]
+
+    def given_up_by(self, build: Build, grace_seconds: float) -> list[str]:
+        """Return a line for each request that a stop there gave up.
+
+        Only for runs in which targets answer all that they begin, and nodes
+        are harmed by planned stops alone.
+        """
+        ran = {run.request_id for run in self.runs}
+        return [
+            f'{sent.request_id}: {sent.status} in a stop, though it ran'
+            f'{self._way(sent)}'
+            for sent in self.sent
+            if sent.status in GIVEN_UP
+            and sent.request_id in ran
+            and self.build_of(sent.node, sent.sent_at) is build
+            and self._is_given_up(sent, grace_seconds)
+        ]
 
     def faults(self, calm_since: float) -> list[str]:
         """Return a line for each promise that was broken."""
@@ -125,7 +191,7 @@
         return [
             *self.ended,
             *self._unsafe(runs),
-            *(line for cut in self.cuts for line in self._cut(cut)),
+            *self.cuts_by(*Build),
             *(
                 f'node {node}: {peak:.0f} MB, allowed {MEMORY_MB}'
                 for node, peak in self.peaks_mb.items()
@@ -153,6 +219,7 @@
                 for asked in self.evacuations
                 for line in self._evacuation(asked, by_id)
             ),
+            *(line for key in self.rates for line in self._rate(key)),
             *self._calm(calm_since),
         ]
 
@@ -161,11 +228,63 @@
         for sent in self.sent:
             count = 0 if sent.may_repeat else runs[sent.request_id]
             if count > 1:
-                found.append(f'{sent.request_id}: ran {count} times')
+                found.append(
+                    f'{sent.request_id}: ran {count} times{self._way(sent)}'
+                )
             if count and sent.status in NOT_RUN:
-                found.append(f'{sent.request_id}: {sent.status}, but it ran')
+                found.append(
+                    f'{sent.request_id}: {sent.status}, but it ran'
+                    f'{self._way(sent)}'
+                )
         return found
 
+    def _way(self, sent: Sent | Cut) -> str:
+        """Return the nodes and builds that a request passed."""
+        entry = self.build_of(sent.node, sent.sent_at)
+        guards = [
+            (self.nodes[run.target], run.started_at)
+            for run in self.runs
+            if run.request_id == sent.request_id and run.target in self.nodes
+        ]
+        parts = [f', taken by node {sent.node} ({entry.value})'] + [
+            f', run beside node {node} ({self.build_of(node, at).value})'
+            for node, at in guards
+        ]
+        return ''.join(parts)
+
+    def _rate(self, key: str) -> list[str]:
+        """Return a line if the requests of a key ran over its rate."""
+        rate = self.rates[key]
+        sent = {sent.request_id for sent in self.sent if sent.key == key}
+        began: dict[str, float] = {}
+        for run in self.runs:
+            if run.request_id in sent:
+                began.setdefault(run.request_id, run.started_at)
+        most = _most_within(RATE_WINDOW_SECONDS, list(began.values()))
+        allowed = RATE_TOLERANCE * (
+            rate.per_second * RATE_WINDOW_SECONDS + rate.burst
+        )
+        if most <= allowed:
+            return []
+        return [
+            f'{key}: {most} requests ran in {RATE_WINDOW_SECONDS:g} s, '
+            f'allowed {allowed:g}'
+        ]
+
+    def _is_given_up(self, sent: Sent, grace_seconds: float) -> bool:
+        if sent.answered_at - sent.sent_at > TIME_LIMIT_SECONDS:
+            return False
+        stops = [
+            at
+            for at in self.disturbed[sent.node]
+            if at < sent.answered_at < at + grace_seconds
+        ]
+        return any(
+            sent.sent_at > at + LATEST_SENT_SECONDS
+            or sent.answered_at < at + WORK_SHARE * grace_seconds
+            for at in stops
+        )
+
     def _cut(self, cut: Cut) -> list[str]:
         """Return a line if only planned work can have cut the request.
 
@@ -189,8 +308,8 @@
         ):
             return []
         return [
-            f'{cut.request_id}: cut by node {cut.node} after {waited:.1f} s, '
-            f'{len(targets)} targets ran it'
+            f'{cut.request_id}: cut by node {cut.node} after {waited:.1f} s'
+            f'{self._way(cut)}'
         ]
 
     def _run(self, run: Run, by_id: dict[str, Sent]) -> list[str]:
@@ -223,13 +342,7 @@
             if run.target == limit.target and self._is_bound(run, limit, by_id)
         ]
         allowed = WINDOW_TOLERANCE * limit.rate * WINDOW_SECONDS + WINDOW_SLACK
-        most = max(
-            (
-                sum(began <= at < began + WINDOW_SECONDS for at in times)
-                for began in times
-            ),
-            default=0,
-        )
+        most = _most_within(WINDOW_SECONDS, times)
         if most <= allowed:
             return []
         return [
@@ -244,10 +357,7 @@
             if run.target == cold.target
             and cold.since <= run.started_at <= cold.until
         ]
-        most = max(
-            (sum(began <= at < began + 1 for at in times) for began in times),
-            default=0,
-        )
+        most = _most_within(1, times)
         if most <= MOST_COLD_IN_SECOND:
             return []
         return [f'{cold.target}: {most} runs in a second while cold']
@@ -302,12 +412,24 @@
         return not any(since < moment < sent.sent_at for moment in disturbed)
 
     def _calm(self, since: float) -> list[str]:
-        statuses = [
+        statuses = Counter(
             sent.status
             for sent in self.sent
-            if sent.sent_at > since and sent.key not in self.withdrawn_at
-        ]
-        served = statuses.count(200)
-        if served >= LEAST_CALM_SHARE * len(statuses) and served:
+            if sent.sent_at > since
+            and sent.key not in self.withdrawn_at
+            and sent.key not in self.rates
+        )
+        served = statuses[200]
+        if served >= LEAST_CALM_SHARE * statuses.total() and served:
             return []
-        return [f'in the calm: {served} of {len(statuses)}, {statuses[:40]}']
+        return [
+            f'in the calm: {served} of {statuses.total()}, {dict(statuses)}'
+        ]
+
+
+def _most_within(seconds: float, times: list[float]) -> int:
+    """Return the most moments that one window holds."""
+    return max(
+        (sum(began <= at < began + seconds for at in times) for began in times),
+        default=0,
+    )
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -3,8 +3,18 @@
 from pathlib import Path
 
 import pytest
+from soak_builders import run, sent
 from soak_run import play_seed
-from soak_witness import MEMORY_MB, Cut, Limit, Run, Sent, Witness
+from soak_witness import (
+    MEMORY_MB,
+    Build,
+    Cut,
+    Limit,
+    Rate,
+    Run,
+    Sent,
+    Witness,
+)
 
 SECONDS = 5.0
 SEEDS = (1, 2)  # seeds that ever failed are added, with their cause
@@ -20,32 +30,6 @@
     assert not play_seed(seed, seconds=SECONDS, folder=tmp_path)
 
 
-def sent(status: int = 200, **changes: object) -> Sent:
-    """Return an unsafe request."""
-    known: dict[str, object] = {
-        'request_id': 'r',
-        'node': 1,
-        'sent_at': 50.0,
-        'may_repeat': False,
-        'key': 'key-1',
-        'status': status,
-        'is_whole': True,
-    }
-    return Sent(**{**known, **changes})  # type: ignore[arg-type]
-
-
-def run(**changes: object) -> Run:
-    """Return a run of it."""
-    known: dict[str, object] = {
-        'request_id': 'r',
-        'target': 't',
-        'started_at': 50.0,
-        'organisation': 'org-1',
-        'had_key': False,
-    }
-    return Run(**{**known, **changes})  # type: ignore[arg-type]
-
-
 @pytest.mark.parametrize(
     ('asked', 'runs', 'found'),
     [
@@ -127,6 +111,65 @@
     assert ('cut by node 1' in faults) is is_found
 
 
+@pytest.mark.parametrize('build', list(Build))
+def test_cuts_are_counted_against_the_build_that_made_them(
+    build: Build,
+) -> None:
+    """Guards against an old build's cuts hiding those of the current one."""
+    witness = Witness()
+    witness.nodes = {'t': 2}
+    witness.started[1] = [(0.0, Build.CURRENT), (40.0, build)]
+    witness.started[2] = [(0.0, Build.EARLIER)]
+    witness.runs = [run()]
+    witness.cuts = [Cut('r', 1, 50.0, 50.5)]
+    found = witness.cuts_by(build)
+    assert len(found) == 1
+    assert f'by node 1 ({build.value}), run beside node 2 (earlier' in found[0]
+    assert found[0] in witness.faults(calm_since=60.0)
+    assert not witness.cuts_by(*set(Build) - {build})
+
+
+@pytest.mark.parametrize(
+    ('sent_at', 'answered_at', 'is_found'),
+    [
+        (49.0, 50.5, True),
+        (49.0, 51.5, False),  # its time limit was over
+        (51.0, 52.4, True),
+        (51.0, 52.6, False),  # in the last sixth of the grace period
+        (53.1, 55.0, False),
+    ],
+)
+def test_soak_sees_requests_that_stops_give_up(
+    sent_at: float,
+    answered_at: float,
+    is_found: bool,
+) -> None:
+    """Guards against a stop that ends early what a target works at."""
+    witness = Witness()
+    witness.disturbed[1] = [50.0]
+    witness.sent = [sent(502, sent_at=sent_at, answered_at=answered_at)]
+    assert not witness.given_up_by(Build.CURRENT, grace_seconds=3.0)
+    witness.runs = [run()]
+    found = witness.given_up_by(Build.CURRENT, grace_seconds=3.0)
+    assert bool(found) is is_found
+
+
+@pytest.mark.parametrize(('count', 'is_over'), [(66, False), (67, True)])
+def test_soak_sees_organisations_over_their_rate(
+    count: int,
+    is_over: bool,
+) -> None:
+    """Guards against rates that two builds grant twice."""
+    witness = Witness()
+    witness.owners = {'key-1': 'org-1'}
+    witness.rates = {'key-1': Rate(per_second=10, burst=10)}
+    names = [f'r{number}' for number in range(count)]
+    witness.sent = [sent(request_id=name) for name in names]
+    witness.runs = [run(request_id=name) for name in names + names[:5]]
+    found = '\n'.join(witness.faults(calm_since=40.0))
+    assert (f'{count} requests ran in 5 s' in found) is is_over
+
+
 def test_soak_sees_processes_that_outgrow_their_memory() -> None:
     """A platform would have ended them."""
     witness = Witness()
