--- a/Makefile
+++ b/Makefile
@@ -21,7 +21,7 @@
 # time run one at a time.
 test: setup
 	$(PY) -m pytest -m 'not processes and not loopback' -n $(WORKERS)
-	$(PY) -m pytest -m 'processes or loopback'
+	$(PY) -m pytest -rs -m 'processes or loopback'
 
 test-quick: setup
 	$(PY) -m pytest -m 'not processes' -n $(WORKERS)
