Test the memory of a process under heads and framing without end

So far tests of whole processes had three kinds of bodies without end. Heads, interim answers, chunk sizes, extensions, trailers, answers to others and noise were tested on one connection of a guard.

--- a/tests/endless_builders.py
+++ b/tests/endless_builders.py
@@ -4,6 +4,7 @@
 import re
 from collections.abc import AsyncGenerator, Awaitable, Callable
 from contextlib import asynccontextmanager
+from typing import NoReturn
 
 from entry_builders import request_bytes
 from memory_process import NODE_IPS
@@ -26,13 +27,31 @@
     ),
     'end of the connection': (b'\r\n', _PART),
 }
+_CHUNKED = _HEAD + b'transfer-encoding: chunked\r\n\r\n'
+_SHORT_ANSWER = b'HTTP/1.1 200 OK\r\ncall-id: x\r\ncontent-length: 0\r\n\r\n'
+# Answers whose heads, framing or trailers are endless: their start, into which
+# the id of the request goes, and each part.
+ENDLESS_HEADS = {
+    'reason phrase': (b'HTTP/1.1 200 ', _PART),
+    'header': (_HEAD + b'a: ', _PART),
+    'headers': (_HEAD, b'a: b\r\n' * 10_000),
+    'interim answers': (b'', b'HTTP/1.1 103 Early Hints\r\n\r\n' * 4000),
+    'interim header': (b'HTTP/1.1 103 Early Hints\r\na: ', _PART),
+    'chunk size': (_CHUNKED, b'0' * PART_BYTES),
+    'chunk extension': (_CHUNKED + b'5;a=', _PART),
+    'small chunks': (_CHUNKED, b'1;a=bcdef\r\nx\r\n' * 6000),
+    'trailer': (_CHUNKED + b'0\r\na: ', _PART),
+    'trailers': (_CHUNKED + b'0\r\n', b'a: b\r\n' * 10_000),
+    'answers to others': (b'', _SHORT_ANSWER * 2000),
+    'noise': (b'', b'\x00\xff' * (PART_BYTES // 2)),
+}
 
 
 class RawTarget:
     """A target that reads requests and answers with raw bytes.
 
     Requests whose path contains ``endless`` get an answer without end in the
-    framing that follows, those with ``large`` a whole one of
+    framing that ``framing`` names, those with ``large`` a whole one of
     ``LARGE_ANSWER_BYTES``, and all others get ``whole``.
     """
 
@@ -66,8 +85,10 @@
             left -= len(part)
         found = re.search(rb'call-id: (\S+)', head, re.IGNORECASE)
         assert found is not None
-        writer.write(_HEAD % found[1])
         start_line = head.split(b'\r\n')[0]
+        if b'endless' in start_line and self.framing in ENDLESS_HEADS:
+            await _write_endless(writer, found[1], *ENDLESS_HEADS[self.framing])
+        writer.write(_HEAD % found[1])
         if b'large' in start_line:
             writer.write(b'content-length: %d\r\n\r\n' % LARGE_ANSWER_BYTES)
             for _ in range(0, LARGE_ANSWER_BYTES, PART_BYTES):
@@ -77,11 +98,20 @@
         if b'endless' not in start_line:
             writer.write(b'content-length: 5\r\n\r\nwhole')
             return
-        start, endless = ENDLESS_FRAMINGS[self.framing]
-        writer.write(start)
-        while True:
-            writer.write(endless)
-            await writer.drain()
+        await _write_endless(writer, b'', *ENDLESS_FRAMINGS[self.framing])
+
+
+async def _write_endless(
+    writer: asyncio.StreamWriter,
+    request_id: bytes,
+    start: bytes,
+    part: bytes,
+) -> NoReturn:
+    """Write until the node closes the connection, which raises ``OSError``."""
+    writer.write(start.replace(b'%s', request_id))
+    while True:
+        writer.write(part)
+        await writer.drain()
 
 
 @asynccontextmanager
--- a/tests/test_path_memory.py
+++ b/tests/test_path_memory.py
@@ -6,6 +6,7 @@
 import pytest
 from endless_builders import (
     ENDLESS_FRAMINGS,
+    ENDLESS_HEADS,
     RawTarget,
     ask,
     ask_slowly,
@@ -18,6 +19,7 @@
 pytestmark = pytest.mark.processes
 
 CALLERS = 16
+MAX_HEADS_MB = 30  # some segments of each connection
 SLOW_CALLERS = 30
 START_SECONDS = 0.1
 SLOW_SECONDS = 4.0
@@ -63,6 +65,22 @@
     run_with_process(test)
 
 
+# Guards against heads, framing and trailers that are kept while they go on.
+def test_endless_heads_of_many_connections_take_little() -> None:
+    """Each is refused at once, one after the other."""
+
+    async def test(targets: list[RawTarget], nodes: MemoryProcess) -> None:
+        for framing in ENDLESS_HEADS:
+            for target in targets:
+                target.framing = framing
+            statuses = await together(CALLERS, ask_endless)
+            assert 502 in statuses, framing
+            assert set(statuses) <= {502, 503}, framing
+            assert nodes.peak_mb < nodes.base_mb + MAX_HEADS_MB, framing
+
+    run_with_process(test)
+
+
 # Guards against finished answers that are in no account of memory.
 def test_large_answers_to_slow_callers_fit_the_process() -> None:
     """They get whole answers or a refusal; small ones are served meanwhile."""
