--- a/tests/soak_witness.py
+++ b/tests/soak_witness.py
@@ -134,6 +134,7 @@
         # Of the disturbances, those that may not cost a request.
         self.planned: set[float] = set()
         self.cuts: list[Cut] = []
+        self.unanswered: list[Sent] = []  # within the callers' time limit
         self.peaks_mb: defaultdict[int, float] = defaultdict(float)
         self.ended: list[str] = []
         self.limits: list[Limit] = []
@@ -155,6 +156,16 @@
         builds = [build for since, build in self.started[node] if since <= at]
         return builds[-1] if builds else Build.CURRENT
 
+    def run_between(self, entry: Build, guard: Build) -> int:
+        """Return how many runs a node of one build sent to one of another."""
+        by_id = {sent.request_id: sent for sent in self.sent}
+        return sum(
+            self.build_of(self.nodes[run.target], run.started_at) is guard
+            and self.build_of(sent.node, sent.sent_at) is entry
+            for run in self.runs
+            if (sent := by_id.get(run.request_id))
+        )
+
     def cuts_by(self, *builds: Build) -> list[str]:
         """Return a line for each request that planned work cut there.
 
@@ -167,6 +178,27 @@
             for line in self._cut(cut)
         ]
 
+    def unanswered_lines(self) -> list[str]:
+        """Return a line for each request whose caller waited in vain."""
+        return [
+            f'{sent.request_id}: no answer{self._way(sent)}'
+            f'{self._last_events(sent)}'
+            for sent in self.unanswered
+        ]
+
+    def _last_events(self, sent: Sent) -> str:
+        """Return how long before a request its node was disturbed."""
+        starts = [at for at, _build in self.started[sent.node]]
+        events = [
+            f', {what} {sent.sent_at - max(before):.1f} s before'
+            for what, moments in (
+                ('started', starts),
+                ('disturbed', self.disturbed[sent.node]),
+            )
+            if (before := [at for at in moments if at <= sent.sent_at])
+        ]
+        return ''.join(events)
+
     def given_up_by(self, build: Build, grace_seconds: float) -> list[str]:
         """Return a line for each request that a stop there gave up.
 
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -154,6 +154,18 @@
     assert bool(found) is is_found
 
 
+def test_runs_between_builds_are_counted_by_direction() -> None:
+    """Guards against an upgrade in which the builds never meet."""
+    witness = Witness()
+    witness.nodes = {'t': 2}
+    witness.started[1] = [(0.0, Build.EARLIER)]
+    witness.started[2] = [(0.0, Build.EARLIER), (49.0, Build.CURRENT)]
+    witness.sent = [sent()]
+    witness.runs = [run(), run(started_at=48.0)]
+    assert witness.run_between(Build.EARLIER, Build.CURRENT) == 1
+    assert not witness.run_between(Build.CURRENT, Build.EARLIER)
+
+
 @pytest.mark.parametrize(('count', 'is_over'), [(66, False), (67, True)])
 def test_soak_sees_organisations_over_their_rate(
     count: int,
--- a/tests/test_soak_upgrade.py
+++ b/tests/test_soak_upgrade.py
@@ -35,7 +35,7 @@
     )
     lines = [
         f'\nupgrade from {commit[:7]}: {verdict.summary}',
-        *(f'not replaced: {line}' for line in verdict.not_replaced),
+        *(f'not run: {line}' for line in verdict.not_run),
         *(f'fault of {commit[:7]}: {line}' for line in verdict.earlier_losses),
         '',
     ]
