Keep a socket open while its caller takes an answer

Cause: behind an answer that announces the close, a connection was read and dropped for a second, and closed when its own buffer was empty. The end of the answer could still lie in the buffer of the system. If the caller sent anything more, the socket was reset and that end was lost. At a stop the process ended in the same state, and the reset came with its end.

Change: a connection lingers as long as its caller takes more of what the system holds, and a stop waits for that as for its own buffers, up to the end of the grace period. Where a system does not tell what a socket holds, all is as before.

--- a/packages/sidecar/src/boragetrestle_sidecar/caller_connection.py
+++ b/packages/sidecar/src/boragetrestle_sidecar/caller_connection.py
@@ -13,6 +13,7 @@
 from boragetrestle_sidecar.caller_limits import CallerLimits
 from boragetrestle_sidecar.close_reason import ANNOUNCED_CLOSES, CloseReason
 from boragetrestle_sidecar.failure_trace import failure_trace
+from boragetrestle_sidecar.link_socket import unacknowledged_bytes
 from boragetrestle_sidecar.outcome import Reason
 from boragetrestle_sidecar.pending_answer import PendingAnswer
 from boragetrestle_sidecar.refusal_answer import refusal_bytes
@@ -257,16 +258,21 @@
         is_last = reason is CloseReason.LAST_ANSWER
         self._linger(LINGER_SECONDS if is_last else BODY_LINGER_SECONDS)
 
-    def _linger(self, seconds: float) -> None:
-        asyncio.get_running_loop().call_later(seconds, self._end_linger)
+    def _linger(self, seconds: float, untaken_before: int = 0) -> None:
+        asyncio.get_running_loop().call_later(
+            seconds, self._end_linger, untaken_before
+        )
 
-    def _end_linger(self) -> None:
+    def _end_linger(self, untaken_before: int) -> None:
         """Close, or wait on while the caller takes its answers."""
         transport = self.transport
         if transport is None or transport.is_closing():
             return
+        untaken = self.untaken_bytes
         if transport.get_write_buffer_size():
             self._linger(LINGER_SECONDS)
+        elif untaken and untaken != untaken_before:
+            self._linger(BODY_LINGER_SECONDS, untaken)
         else:
             transport.close()
 
@@ -299,15 +305,21 @@
         return self.transport.get_write_buffer_size()
 
     @property
-    def owes_answers(self) -> bool:
-        """Whether a request is read or runs, or an answer is still to be sent.
+    def untaken_bytes(self) -> int:
+        """How many bytes of answers the transport or the system still holds."""
+        if self.transport is None:
+            return 0
+        return self.unsent_bytes + unacknowledged_bytes(self.transport)
 
-        What the caller is slow to read lies in the transport.
-        """
+    @property
+    def owes_answers(self) -> bool:
+        """Whether a request is read or runs, or an answer is not taken yet."""
         if self.transport is None:
             return False
+        if self.untaken_bytes:
+            return True
         if self.is_closing:
-            return self.transport.get_write_buffer_size() > 0
+            return False
         return self._has_open_work or self.reader.is_amid_request
 
     def _note_use(self) -> None:
--- a/packages/sidecar/src/boragetrestle_sidecar/link_socket.py
+++ b/packages/sidecar/src/boragetrestle_sidecar/link_socket.py
@@ -1,11 +1,14 @@
-"""Socket options that let the kernel notice connections that went silent.
+"""Options and state of sockets: silent connections, bytes not taken yet.
 
 A host that has lost power or is cut off sends no reset, and an open connection
 may go silent for good although new ones work.
 """
 
 import asyncio
+import fcntl
 import socket
+import struct
+import termios
 
 # The kernel closes a connection between nodes once sent bytes stay
 # unacknowledged for this long. Statuses are sent several times within it.
@@ -14,6 +17,7 @@
 CALL_USER_TIMEOUT_MS = 1200
 KEEPALIVE_SECONDS = 1  # the kernel counts whole seconds
 KEEPALIVE_PROBES = 1
+_COUNT = struct.Struct('i')
 
 
 def set_user_timeout(
@@ -37,6 +41,23 @@
     opened.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
 
 
+def unacknowledged_bytes(transport: asyncio.BaseTransport) -> int:
+    """Return how many sent bytes the kernel holds for the other end.
+
+    They are lost if the socket is closed while bytes wait to be read. Where the
+    kernel does not tell, it counts as holding none.
+    """
+    opened: socket.socket = transport.get_extra_info('socket')
+    descriptor = opened.fileno()
+    if descriptor < 0:
+        return 0
+    try:
+        held = fcntl.ioctl(descriptor, termios.TIOCOUTQ, bytes(_COUNT.size))
+    except OSError:
+        return 0
+    return int(_COUNT.unpack(held)[0])
+
+
 def _set(transport: asyncio.BaseTransport, option: int, number: int) -> None:
     opened: socket.socket = transport.get_extra_info('socket')
     opened.setsockopt(socket.IPPROTO_TCP, option, number)
--- a/tests/path_builders.py
+++ b/tests/path_builders.py
@@ -83,6 +83,10 @@
     def setsockopt(self, *_options: int) -> None:
         """Accept an option."""
 
+    def fileno(self) -> int:
+        """Return that the socket is not open."""
+        return -1
+
 
 class FakeTransport:
     """A transport that records what is written."""
--- a/tests/test_path_caller_closes.py
+++ b/tests/test_path_caller_closes.py
@@ -4,17 +4,19 @@
 """
 
 import asyncio
+import os
 import re
 import socket
 import time
 from collections.abc import Callable
+from contextlib import suppress
 from dataclasses import replace
 from pathlib import Path
 from typing import Any
 
 import pytest
 from entry_builders import EntryHarness, request_bytes
-from path_builders import ManualClock, configuration
+from path_builders import FakeTransport, ManualClock, configuration
 from path_standins import Host, MemoryStore
 from test_path_nodes import run_with_hosts, wait_until
 from test_path_stop import BODY, begin_download, expect_downloads, read_rest
@@ -25,9 +27,14 @@
 from boragetrestle_sidecar.caller_limits import CallerLimits
 from boragetrestle_sidecar.close_reason import CloseReason
 from boragetrestle_sidecar.configuration import Configuration
+from boragetrestle_sidecar.endpoint_server import EndpointAnswer
+from boragetrestle_sidecar.link_socket import unacknowledged_bytes
 from boragetrestle_sidecar.sidecar import MAINTENANCE_INTERVAL_SECONDS
 
 IDLE_SECONDS = CallerLimits().idle_seconds
+SOCKET_BYTES = 200_000  # fits the buffer of a socket
+SLOW_BYTES = 4_000
+SLOW_SECONDS = 0.05
 UPLOAD = request_bytes(method='POST', extra='Content-Length: 9\r\n')
 
 
@@ -192,6 +199,45 @@
     run_with_hosts(test)
 
 
+# Guards against an answer that leaves the process and is cut by its socket.
+@pytest.mark.loopback
+def test_answer_that_is_taken_slowly_is_whole_although_more_is_sent() -> None:
+    """The system holds the end of it for longer than the connection lingers."""
+
+    async def test(hosts: list[Host], _store: MemoryStore) -> None:
+        body = b'x' * SOCKET_BYTES
+        hosts[0].target.answer = lambda _request: EndpointAnswer(200, body)
+        loop = asyncio.get_running_loop()
+        caller = socket.socket()
+        caller.setblocking(False)
+        caller.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, SLOW_BYTES)
+        await loop.sock_connect(caller, (hosts[0].ip, 7002))
+        sent = request_bytes('r-1', extra='Connection: close\r\n')
+        await loop.sock_sendall(caller, sent)
+        received = b''
+        while not received.endswith(body):
+            with suppress(ConnectionError):
+                await loop.sock_sendall(caller, b'x')
+            part = await loop.sock_recv(caller, SLOW_BYTES)
+            if not part:
+                break
+            received += part
+            await asyncio.sleep(SLOW_SECONDS)
+        assert len(received.partition(b'\r\n\r\n')[2]) == SOCKET_BYTES
+        caller.close()
+
+    run_with_hosts(test, hosts=1)
+
+
+# Guards against a stop that fails where sockets don't tell what they hold.
+def test_socket_that_does_not_tell_what_it_holds_counts_as_empty() -> None:
+    """A file is no socket."""
+    transport: Any = FakeTransport()
+    with Path(os.devnull).open() as opened:
+        transport.get_extra_info = lambda _name: opened
+        assert not unacknowledged_bytes(transport)
+
+
 # Guards against a stalled body whose refusal overtakes an answer before it.
 def test_stalled_body_is_refused_behind_the_answers_before_it() -> None:
     """The connection closes after both."""
