--- a/packages/sidecar/src/boragetrestle_sidecar/link_socket.py
+++ b/packages/sidecar/src/boragetrestle_sidecar/link_socket.py
@@ -1,4 +1,4 @@
-"""Socket options that let the kernel notice connections that went silent.
+"""Options and state of sockets: silent connections, bytes not taken yet.
 
 A host that has lost power or is cut off sends no reset, and an open connection
 may go silent for good although new ones work.
@@ -7,7 +7,7 @@
 import asyncio
 import fcntl
 import socket
-import sys
+import struct
 import termios
 
 # The kernel closes a connection between nodes once sent bytes stay
@@ -17,7 +17,7 @@
 CALL_USER_TIMEOUT_MS = 1200
 KEEPALIVE_SECONDS = 1  # the kernel counts whole seconds
 KEEPALIVE_PROBES = 1
-_NO_BYTES = bytes(4)  # the size of a C int
+_COUNT = struct.Struct('i')
 
 
 def set_user_timeout(
@@ -43,11 +43,28 @@
 
 def unread_bytes(transport: asyncio.BaseTransport) -> int:
     """Return how many bytes have come that the event loop has not read yet."""
+    return _bytes_held(transport, termios.FIONREAD)
+
+
+def unacknowledged_bytes(transport: asyncio.BaseTransport) -> int:
+    """Return how many sent bytes the kernel holds for the other end.
+
+    They are lost if the socket is closed while bytes wait to be read.
+    """
+    return _bytes_held(transport, termios.TIOCOUTQ)
+
+
+def _bytes_held(transport: asyncio.BaseTransport, request: int) -> int:
+    """Ask the kernel; where it does not tell, it counts as holding none."""
     opened: socket.socket = transport.get_extra_info('socket')
-    if opened.fileno() < 0:
+    descriptor = opened.fileno()
+    if descriptor < 0:
         return 0  # closed
-    found = fcntl.ioctl(opened.fileno(), termios.FIONREAD, _NO_BYTES)
-    return int.from_bytes(found, sys.byteorder)
+    try:
+        held = fcntl.ioctl(descriptor, request, bytes(_COUNT.size))
+    except OSError:
+        return 0
+    return int(_COUNT.unpack(held)[0])
 
 
 def _set(transport: asyncio.BaseTransport, option: int, number: int) -> None:
