Answer callers that send as a stop ends

Cause: a stop closed all connections and the listener in one step. What had come since the event loop had read last was reset: requests on kept connections, connections that waited in the kernel to be accepted, and those that had been accepted without being read yet. No byte of such a request was read, so no rule was broken, but its caller was told nothing.

Change: a connection with unread bytes stays open until they are read, and refused. The listener closes once the last answers have left, accepts what the kernel has still got for it, and callers have 50 ms to send on those connections.

The new test waited for its answer in vain before.

--- a/packages/sidecar/src/boragetrestle_sidecar/caller_connection.py
+++ b/packages/sidecar/src/boragetrestle_sidecar/caller_connection.py
@@ -201,16 +201,18 @@
         else:
             self.close(CloseReason.IDLE)
 
-    def finish_stop(self) -> None:
+    def finish_stop(self, *, reads_on: bool = False) -> None:
         """Refuse what has been read of further requests, then close.
 
-        The entry has refused those that waited or ran.
+        The entry has refused those that waited or ran. With ``reads_on`` a
+        connection on which more has come stays open until that is read.
         """
         self._start_next()
         if self.reader.is_amid_request and self.rejection is None:
             self.rejection = Reason.STOPPING
         self._continue_or_close()
-        self.close(CloseReason.STOP)
+        if not (reads_on and self.has_unread):
+            self.close(CloseReason.STOP)
 
     def close(self, reason: CloseReason) -> None:
         """Close once everything written has been sent.
@@ -289,6 +291,11 @@
             return 0
         return unread_bytes(self.transport)
 
+    @property
+    def has_unread(self) -> bool:
+        """Whether the caller has sent more, and it will be read."""
+        return not self.is_closing and self.unread_bytes > 0
+
     @property
     def owes_answers(self) -> bool:
         """Whether a request is read or runs, or an answer is still to be sent.
--- a/packages/sidecar/src/boragetrestle_sidecar/sidecar.py
+++ b/packages/sidecar/src/boragetrestle_sidecar/sidecar.py
@@ -12,6 +12,10 @@
 from boragetrestle_kernel.errors import SettingsError
 from boragetrestle_sidecar.admission.admission import Admission
 from boragetrestle_sidecar.caller_connection import CallerConnection
+from boragetrestle_sidecar.caller_listener import (
+    LISTEN_BACKLOG,
+    CallerListener,
+)
 from boragetrestle_sidecar.config_keeper import ConfigKeeper
 from boragetrestle_sidecar.endpoint_server import EndpointConnection
 from boragetrestle_sidecar.entry import Entry
@@ -66,13 +70,14 @@
 # it, so both together are less than a sixth.
 FLUSH_FRACTION = 0.05
 CLOSE_MARGIN_FRACTION = 0.1
+# What callers that have just connected send arrives within this.
+LAST_CALLERS_SECONDS = 0.05
 # A node that has just started is ready when its links are up, or after this.
 LINK_WAIT_SECONDS = 1.0
 # In fleets up to this size loads are reported at each interval; in larger ones
 # at each second one, which halves the traffic of nodes with many children.
 MAX_SMALL_FLEET = 17
 TICKS_IN_LARGE_FLEET = 2
-LISTEN_BACKLOG = 1024  # after a restart all callers connect at once
 _INCARNATION_BITS = 48  # random numbers of two starts don't coincide
 
 
@@ -92,7 +97,6 @@
         self.log = log
         self.settings = adapter.load_settings()
         self.chance = random.Random()
-        self.address = str(self.settings.peers)
         self.telemetry = Telemetry()
         evacuations = Evacuations(log, known_domains=self.settings.regions)
         self.guard = Guard(
@@ -176,10 +180,18 @@
         )
         self.tasks: set[asyncio.Task[None]] = set()
         self.listeners: list[asyncio.Server] = []
+        self.caller_listener = CallerListener(
+            partial(CallerConnection, self.entry), log
+        )
         self.started_at = steady_now()
         self.stop_requested = asyncio.Event()
         self._connect_components()
 
+    @property
+    def address(self) -> str:
+        """The address at which other nodes reach this one."""
+        return str(self.settings.peers)
+
     @property
     def is_ready(self) -> bool:
         """Whether the node accepts requests of callers."""
@@ -262,7 +274,6 @@
         )
         await self._close_callers()
         self.close()
-        # Those that were accepted after the others had been closed.
         opened = [
             connection
             for connection in self.entry.connections
@@ -273,22 +284,35 @@
             requests=requests,
             callers=callers,
             opened=len(opened),
-            unread=sum(connection.unread_bytes > 0 for connection in opened),
+            unread=sum(connection.has_unread for connection in opened),
             after=steady_now() - began,
         )
 
     async def _close_callers(self) -> None:
         """Refuse what is left and let the last answers leave.
 
-        Callers may send until the process is gone, so the listener stays open
-        and what is read meanwhile is refused.
+        Callers may send until the listener closes, so what is read meanwhile is
+        refused. Those that have connected by then get an answer, too.
         """
+        flush_until = steady_now() + FLUSH_FRACTION * self.settings.stop_seconds
         self.entry.finish_stop()
+        self._finish_connections(reads_on=True)
+        await self._wait_for_callers(flush_until - LAST_CALLERS_SECONDS)
+        await self.caller_listener.close()
+        await asyncio.sleep(LAST_CALLERS_SECONDS)
+        self._finish_connections(reads_on=True)
+        await self._wait_for_callers(flush_until)
+        self._finish_connections(reads_on=False)
+
+    def _finish_connections(self, *, reads_on: bool) -> None:
         for connection in list(self.entry.connections):
-            connection.finish_stop()
-        flush_until = steady_now() + FLUSH_FRACTION * self.settings.stop_seconds
-        while steady_now() < flush_until and any(
-            connection.owes_answers for connection in self.entry.connections
+            connection.finish_stop(reads_on=reads_on)
+
+    async def _wait_for_callers(self, until: float) -> None:
+        """Wait until callers have their answers and nothing is unread."""
+        while steady_now() < until and any(
+            connection.owes_answers or connection.has_unread
+            for connection in self.entry.connections
         ):
             await asyncio.sleep(SWEEP_INTERVAL_SECONDS)
 
@@ -406,7 +430,6 @@
             (partial(EndpointConnection, calls.control), settings.control),
             (partial(EndpointConnection, calls.metrics), settings.metrics),
             (partial(PeerConnection, self.server), settings.peers),
-            (partial(CallerConnection, self.entry), settings.callers),
         ):
             listener = await asyncio.get_running_loop().create_server(
                 factory,
@@ -416,6 +439,7 @@
                 reuse_address=True,
             )
             self.listeners.append(listener)
+        self.listeners.append(await self.caller_listener.open(settings.callers))
 
     def _start_tasks(self) -> None:
         for job in (
--- a/tests/test_path_stop_requests.py
+++ b/tests/test_path_stop_requests.py
@@ -1,6 +1,7 @@
 """Requests that come while a node stops, from its first to its last moment."""
 
 import asyncio
+import socket
 from contextlib import suppress
 from typing import Any
 
@@ -17,8 +18,9 @@
     send_during_stop,
     spread_requests,
 )
-from test_path_nodes import run_with_hosts
+from test_path_nodes import run_with_hosts, wait_until
 
+from boragetrestle_sidecar.close_reason import CloseReason
 from boragetrestle_sidecar.outcome import OutcomeKind, Reason
 from boragetrestle_sidecar.sidecar import MIN_STOP_SECONDS
 from boragetrestle_sidecar.stop_window import StopWindow
@@ -230,3 +232,36 @@
     assert b'"run": "not-run"' in transport.written
     assert b'retry-after: ' in transport.written
     assert transport.is_closed
+
+
+# Guards against requests that come as a stop ends and end in a reset.
+@pytest.mark.loopback
+def test_callers_that_send_as_a_stop_ends_are_refused(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """One has just connected, and the other has kept its connection."""
+
+    async def test(hosts: list[Host], _store: MemoryStore) -> None:
+        node = hosts[0].node
+        address = hosts[0].ip, 7002
+        callers = [socket.create_connection(address)]
+        await wait_until(lambda: bool(node.entry.connections))
+        refuse_all = node.entry.finish_stop
+
+        def send_then_refuse() -> None:
+            callers.append(socket.create_connection(address))
+            for number, caller in enumerate(callers):
+                caller.send(request_bytes(f'r-{number}'))
+            refuse_all()
+
+        monkeypatch.setattr(node.entry, 'finish_stop', send_then_refuse)
+        await node.stop()
+        for connection in list(node.entry.connections):
+            connection.abort(CloseReason.STOP)  # as the end of the process
+        for caller in callers:
+            with caller:
+                caller.settimeout(1.0)
+                assert caller.recv(1000).startswith(b'HTTP/1.1 503')
+        assert not StopWitness(hosts).ran
+
+    run_with_hosts(test)
