Notice callers that leave while their connection is not read

What targets saw: runs of callers that had left, for as long as one of them takes, and a further one that was started afterwards.

Cause: reading pauses behind 4 requests that wait, and behind bodies without memory. The event loop tells nothing of a connection that it does not read, neither an orderly end nor a reset.

Change: connections whose reading is paused are asked each 0.2 s whether the other end has closed.

--- a/packages/sidecar/src/boragetrestle_sidecar/caller_connection.py
+++ b/packages/sidecar/src/boragetrestle_sidecar/caller_connection.py
@@ -10,6 +10,7 @@
     HeadTooLargeError,
 )
 from boragetrestle_sidecar.body_budget import BodyClaim
+from boragetrestle_sidecar.caller_departure import has_departed
 from boragetrestle_sidecar.caller_limits import CallerLimits
 from boragetrestle_sidecar.close_reason import ANNOUNCED_CLOSES, CloseReason
 from boragetrestle_sidecar.failure_trace import failure_trace
@@ -110,6 +111,14 @@
             if answer.request is not None:
                 self.entry.abandon(answer.request)
 
+    def close_if_departed(self) -> None:
+        """Close a connection that is not read if its caller has left it."""
+        transport = self.transport
+        if not self.is_read_paused or transport is None:
+            return
+        if not transport.is_closing() and has_departed(transport):
+            transport.close()
+
     def eof_received(self) -> bool:
         """Treat a half-closed connection as a disconnect."""
         return False
--- a/packages/sidecar/src/boragetrestle_sidecar/entry.py
+++ b/packages/sidecar/src/boragetrestle_sidecar/entry.py
@@ -54,6 +54,8 @@
 # Guards answer by the time limit; without an answer this much later, the entry
 # refuses the request itself.
 ANSWER_GRACE_SECONDS = 0.03
+# Below the half second within which runs of callers that left have to end.
+DEPARTURE_CHECK_SECONDS = 0.2
 # Reserved from a caller's time for sending the last answer back.
 ANSWER_RETURN_SECONDS = 0.04
 MAX_TIME_LEFT_MS = 86_400_000  # a day; routes allow seconds
@@ -109,6 +111,7 @@
         self.requests: set[EntryRequest] = set()
         self.bodies = BodyBudget(int(settings.memory_bytes * BODY_MEMORY_SHARE))
         self.arrivals: Counter[str] = Counter()
+        self.departures_checked_at = -math.inf
         self.is_stopping = False
         self.stop_window = NO_STOP
         self.dropped_headers = frozenset((
@@ -199,8 +202,15 @@
         )
 
     def expire_overdue_requests(self) -> None:
-        """Refuse overdue requests without an answer; called every few ms."""
+        """Refuse overdue requests without an answer; called every few ms.
+
+        Those of callers that have left are cancelled.
+        """
         now = self.clock()
+        if now >= self.departures_checked_at + DEPARTURE_CHECK_SECONDS:
+            self.departures_checked_at = now
+            for connection in list(self.connections):
+                connection.close_if_departed()
         for request in list(self.requests):
             if now > request.expires_at + ANSWER_GRACE_SECONDS:
                 self._run_step(request, partial(self._expire, request))
--- a/tests/test_path_departed_callers.py
+++ b/tests/test_path_departed_callers.py
@@ -1,14 +1,21 @@
 """Callers that leave while their requests run."""
 
+import asyncio
 from collections.abc import Callable
 
+import pytest
 from entry_builders import EntryHarness, FakeHop, node_load, request_bytes
 from path_builders import GuardHarness
+from path_standins import Host, MemoryStore
+from test_path_nodes import run_with_hosts
 
 from boragetrestle_sidecar.hop import LocalHop
 from boragetrestle_sidecar.outcome import Outcome, OutcomeKind, Reason
 from boragetrestle_sidecar.run_order import RunOrder
 
+MANY_REQUESTS = 20  # more than are read while others run
+LEAVE_SECONDS = 0.4  # below the half second in which their runs have to end
+
 
 def test_run_of_a_caller_that_left_is_not_placed_again() -> None:
     """The guard of the same node reports the cancelled run at once."""
@@ -59,3 +66,33 @@
     connection.connection_lost(None)
     assert bench.hops['b'].cancelled == [1]
     assert not refusing.cancelled
+
+
+# Guards against requests that go on since their connection is not read.
+@pytest.mark.loopback
+@pytest.mark.parametrize('path', ['/walks/1', '/buy/1'])
+@pytest.mark.parametrize('by_reset', [False, True])
+def test_caller_that_leaves_many_requests_is_noticed(
+    path: str,
+    *,
+    by_reset: bool,
+) -> None:
+    """Reading pauses behind them, so the end of the connection is not read."""
+
+    async def test(hosts: list[Host], _store: MemoryStore) -> None:
+        for host in hosts:
+            host.target.answers_after = 10 * LEAVE_SECONDS
+        entry = hosts[0].node.entry
+        _reader, writer = await asyncio.open_connection(hosts[0].ip, 7002)
+        for number in range(MANY_REQUESTS):
+            writer.write(request_bytes(f'r-{number}', path=path))
+        await asyncio.sleep(LEAVE_SECONDS / 2)
+        assert entry.requests
+        if by_reset:
+            writer.transport.abort()
+        writer.close()
+        await asyncio.sleep(LEAVE_SECONDS)
+        assert not entry.requests
+        assert not entry.connections
+
+    run_with_hosts(test)
