--- a/tests/test_path_cut_messages.py
+++ b/tests/test_path_cut_messages.py
@@ -123,12 +123,12 @@
         victim = Victim()
         guard = victim.server.guard
         for length in cuts_of(whole):
-            connection, _transport = victim.connection()
+            connection = victim.connection()[0]
             connection.data_received(whole[:length])
             assert not guard.jobs
             connection.connection_lost(None)
             assert not victim.server.buffers.held_bytes
-        connection, _transport = victim.connection()
+        connection = victim.connection()[0]
         connection.data_received(whole)
         assert guard.running == 1
         connection.connection_lost(None)
