Refuse a request whose time is over before it takes a token

Cause: since the time behind other requests is taken off, a request may have none left when its turn comes. It took a token of its organisation and was sent to a guard, which refused it.

Change: its entry refuses it with the same reason, as not run.

--- a/packages/sidecar/src/boragetrestle_sidecar/entry.py
+++ b/packages/sidecar/src/boragetrestle_sidecar/entry.py
@@ -352,6 +352,11 @@
         if not self._ends_before_stop(request):
             self._refuse_for_stop(request)
             return
+        if request.expires_at <= self.clock():
+            self._refuse(
+                request, Reason.EXPIRED, retry_after=self._retry_after(request)
+            )
+            return
         if self.suspects.crashes and self.suspects.is_blocked(
             _request_fingerprint(request)
         ):
--- a/tests/test_path_time_spent.py
+++ b/tests/test_path_time_spent.py
@@ -70,3 +70,17 @@
     clock.now += 0.2
     connection.refuse_waiting_body(clock.now)
     assert b'"code": "memory-full"' in transport.written
+
+
+# Guards against runs and tokens that are spent on callers who have given up.
+def test_request_whose_time_is_over_is_refused_as_not_run(
+    clock: ManualClock,
+) -> None:
+    """No guard is asked."""
+    bench, connection = waiting_request(clock)
+    clock.now += 0.5
+    (run,) = bench.sent()
+    run.answer()
+    assert len(bench.sent()) == 1
+    written: bytes = connection.transport.written
+    assert b'"code": "expired-in-queue", "run": "not-run"' in written
