Refuse stored costs with numbers that no node has measured

Cause: the costs of routes that are read from the store were checked for their type only. Until a node has measured a route, admission plans with them.

Seen in a model of one entry: with 1e300 s as the time of a run, 40 of 40 requests were refused with 503, and with them the runs that would have measured it. With a negative number of runs, 14 of 40 were refused.

Change: they have the bounds that messages between nodes have, and are refused as one that cannot be read. Wrong numbers within the bounds are still believed.

Evidence: four cases more in test_path_costs.py failed before (costs taken over), none after.

--- a/packages/sidecar/src/boragetrestle_sidecar/node_status.py
+++ b/packages/sidecar/src/boragetrestle_sidecar/node_status.py
@@ -2,6 +2,7 @@
 
 from typing import NamedTuple
 
+from boragetrestle_sidecar.peer_numbers import Amount
 from boragetrestle_sidecar.returning_slots import ReturningSlots
 
 
@@ -15,9 +16,9 @@
     """
 
     route: str
-    calls: dict[str, float]
-    run_seconds: float
-    runs: float
+    calls: dict[str, Amount]
+    run_seconds: Amount
+    runs: Amount
 
 
 class NodeStatus(NamedTuple):
--- a/tests/test_path_costs.py
+++ b/tests/test_path_costs.py
@@ -100,13 +100,25 @@
     play(test, monkeypatch)
 
 
+# Guards against a fleet that plans with costs that no node has measured.
+@pytest.mark.parametrize(
+    'content',
+    [
+        b'not a list',
+        b'[["a",{},-1.0,9]]',
+        b'[["a",{},1e300,9]]',
+        b'[["a",{},0.1,-9]]',
+        b'[["a",{"b":-1.0},0.1,9]]',
+    ],
+)
 def test_costs_that_cannot_be_read_are_passed_over(
     monkeypatch: pytest.MonkeyPatch,
+    content: bytes,
 ) -> None:
     """The node measures its costs again instead."""
 
     async def test(store: MemoryStore) -> None:
-        store.put(COSTS_TABLE, 'costs', b'not a list')
+        store.put(COSTS_TABLE, 'costs', content)
         fresh = _Node(store, writes=False)
         await fresh.run(lambda: 'costs-refused' in fresh.log.kinds())
         assert not fresh.admission.call_graph.costs
