--- a/tests/test_route_command.py
+++ b/tests/test_route_command.py
@@ -10,7 +10,7 @@
 
 import msgspec
 import pytest
-from path_builders import organisation, route
+from path_builders import LineLog, organisation, route
 from path_standins import Host, MemoryStore
 from test_path_nodes import run_with_hosts
 from test_path_route_explanation import (
@@ -36,7 +36,7 @@
 async def served(handler: Handler) -> AsyncGenerator[str, None]:
     """Serve answers at an address of this host."""
     listener = await asyncio.get_running_loop().create_server(
-        partial(EndpointConnection, handler), '127.0.0.1', 0
+        partial(EndpointConnection, handler, LineLog()), '127.0.0.1', 0
     )
     async with listener:
         port = listener.sockets[0].getsockname()[1]
