Let the leaving target of case 6 say so in its answers

Change: the header from the leave on; the ping arrives 5 s late, when all machines are in touch again.

--- a/review/6/case.py
+++ b/review/6/case.py
@@ -12,7 +12,7 @@
 from fleet2 import DRAIN_SECONDS, Fleet, message, run_case  # noqa: E402
 
 KILL_AFTER_ACK_SECONDS = 0.3
-LATE_SECONDS = 2.5  # from the sending of the late ping to its arrival
+LATE_SECONDS = 5.0  # from the sending of the late ping to its arrival
 SERVES_ON_SECONDS = 11.0  # after the acknowledgement, then the target exits
 
 
@@ -40,6 +40,7 @@
     late_ping = leaver.ping()
     late_at = time.monotonic() + LATE_SECONDS
     await asyncio.sleep(0.05)
+    leaver.headers = {'server_leaving': '1'}  # in all its answers from now on
     leave = message(f'DELETE /instances/{leaver.id} HTTP/1.1', host='node')
     if not await leaver.tell(leave, 'leave'):
         raise RuntimeError('the leave was not acknowledged')
