Add a case: a late ping lets a restarted node overload a cold target

Cause: the first report after a start is trusted, also one of an earlier lifetime under the same id.

--- a/review/fleet2.py
+++ b/review/fleet2.py
@@ -281,10 +281,12 @@
         self.server = Server(self._answer)
         self.tasks = set()
 
-    async def start(self):
+    async def start(self, *, keeps_id=False, cold_seconds=0.0):
         """Begin a new lifetime."""
         self.starts += 1
-        self.id = f'i-{self.number}-{self.starts}'
+        if not keeps_id:
+            self.id = f'i-{self.number}-{self.starts}'
+        self.cold_until = time.monotonic() + cold_seconds
         self.born = int(time.time() * 1000)
         self.sequence = 0
         self.state = 'ready'
@@ -321,7 +323,7 @@
             'Status': {
                 'State': self.state,
                 'Sequence': self.sequence,
-                'ColdRemainingMs': 0,
+                'ColdRemainingMs': self._cold_ms(),
             },
             'born': self.born,
         }
@@ -332,6 +334,9 @@
             content_type='application/json',
         )
 
+    def _cold_ms(self):
+        return max(0, int(1000 * (self.cold_until - time.monotonic())))
+
     async def tell(self, request, kind):
         """Send a call to the node; return whether it was acknowledged."""
         try:
@@ -652,7 +657,7 @@
     async def configure(self, **changes):
         """Write a newer configuration; the store's answer is the ack."""
         self.version += 3
-        spec = {'HealthPath': '/health', 'MaxConnections': 460}
+        spec = self.service_spec()
         resources = [
             _resource('Services', name, spec)
             for name in dict.fromkeys(self.services)
@@ -679,6 +684,9 @@
         await self.store.put('op', 'config', json.dumps(document).encode())
         self.record.write('configuration', version=self.version)
 
+    def service_spec(self):
+        return {'HealthPath': '/health', 'MaxConnections': 460}
+
     def routes(self, **changes):
         service = self.services[0]
         return [
