--- a/review/fleet2.py
+++ b/review/fleet2.py
@@ -793,6 +793,14 @@
     return _resource('Routes', 'r-' + re.sub(r'\W', '', prefix), spec)
 
 
+async def _until_signal(playing):
+    """Play a case; SIGTERM cancels it, so that it ends its processes."""
+    task = asyncio.current_task()
+    loop = asyncio.get_running_loop()
+    loop.add_signal_handler(signal.SIGTERM, task.cancel)
+    return await playing
+
+
 def run_case(play):
     """Run a case; exit with 1 if the rule was broken, 0 if it held, 2 if not run.
 
@@ -800,8 +808,8 @@
     """
     is_troubled = os.environ.get('TROUBLE', '1') != '0'
     try:
-        breaches = asyncio.run(play(is_troubled))
-    except Exception as error:  # a fault of the case is no broken rule
+        breaches = asyncio.run(_until_signal(play(is_troubled)))
+    except (Exception, asyncio.CancelledError) as error:  # a fault of the case is no broken rule
         traceback.print_exc()
         print(f'not run: {error!r}')
         sys.exit(2)
