Read and write parts of the store's tables

Nodes used only the part with the empty name. A part takes a few hundred transactions a second, one after another, so rows that many nodes write at the same moment need parts of their own. The stand-ins for the store know parts too. No row or call of this build changes.

--- a/packages/bench/src/boragetrestle_bench/pass_cost_bench.py
+++ b/packages/bench/src/boragetrestle_bench/pass_cost_bench.py
@@ -96,9 +96,9 @@
             rows[key] = row
         self.changed.append((table, key, row))
 
-    async def view(self, table: str) -> TableView:
-        """Return all rows of a table."""
-        rows = tuple(self.tables.get(table, {}).values())
+    async def view(self, table: str, *, part: str = '') -> TableView:
+        """Return all rows of one part of a table."""
+        rows = tuple(self.tables.get(f'{table}{part}', {}).values())
         return TableView(rows, len(self.changed), 1)
 
     async def changes(
@@ -121,8 +121,15 @@
             1,
         )
 
-    async def commit(self, table: str, transaction: Transaction) -> Committed:
+    async def commit(
+        self,
+        table: str,
+        transaction: Transaction,
+        *,
+        part: str = '',
+    ) -> Committed:
         """Apply the writes of a transaction."""
+        table = f'{table}{part}'
         for write in transaction.writes:
             content = write.content if isinstance(write, Put) else None
             self.write(table, write.key, content)
--- a/packages/sidecar/src/boragetrestle_sidecar/counted_store.py
+++ b/packages/sidecar/src/boragetrestle_sidecar/counted_store.py
@@ -27,9 +27,9 @@
         self.store = store
         self.telemetry = telemetry
 
-    async def view(self, table: str) -> 'TableView':
-        """Return a snapshot of a table."""
-        return await self._count('view', self.store.view(table))
+    async def view(self, table: str, *, part: str = '') -> 'TableView':
+        """Return a snapshot of one part of a table."""
+        return await self._count('view', self.store.view(table, part=part))
 
     async def changes(
         self,
@@ -46,9 +46,11 @@
         self,
         table: str,
         transaction: 'Transaction',
+        *,
+        part: str = '',
     ) -> 'Committed':
-        """Apply a transaction to a table if all its checks hold."""
-        call = self.store.commit(table, transaction)
+        """Apply a transaction to one part of a table if all checks hold."""
+        call = self.store.commit(table, transaction, part=part)
         return await self._count('commit', call)
 
     async def _count(self, name: str, call: Awaitable[_Answer]) -> _Answer:
--- a/packages/sidecar/src/boragetrestle_sidecar/store_client.py
+++ b/packages/sidecar/src/boragetrestle_sidecar/store_client.py
@@ -32,13 +32,16 @@
 class StoreClient(Protocol):
     """Read and write tables of rows in the store.
 
+    A table consists of parts, which the store writes independently of each
+    other; the part with the empty name is the usual one.
+
     All methods raise ``StoreError`` when the store gives no usable answer;
     ``commit`` raises ``OutcomeUnknownError`` when the write may have happened,
     ``changes`` raises ``HistoryGoneError`` when the position is too old.
     """
 
-    async def view(self, table: str) -> TableView:
-        """Return a snapshot of a table."""
+    async def view(self, table: str, *, part: str = '') -> TableView:
+        """Return a snapshot of one part of a table."""
 
     async def changes(
         self,
@@ -52,5 +55,11 @@
         Waits up to ``wait`` seconds for one; the result may be empty.
         """
 
-    async def commit(self, table: str, transaction: Transaction) -> Committed:
-        """Apply a transaction to a table if all its checks hold."""
+    async def commit(
+        self,
+        table: str,
+        transaction: Transaction,
+        *,
+        part: str = '',
+    ) -> Committed:
+        """Apply a transaction to one part of a table if all checks hold."""
--- a/tests/path_standins.py
+++ b/tests/path_standins.py
@@ -62,8 +62,11 @@
         self.polls = 0
         self.epoch = 1
 
-    def put(self, table: str, key: str, content: bytes) -> None:
+    def put(
+        self, table: str, key: str, content: bytes, *, part: str = ''
+    ) -> None:
         """Write a row without conditions, as operators do."""
+        table = _place(table, part)
         row = Row(key, content, len(self.log) + 1)
         self.tables.setdefault(table, {})[key] = row
         self.log.append((table, key, row))
@@ -92,10 +95,10 @@
             else:
                 rows[key] = row
 
-    async def view(self, table: str) -> TableView:
-        """Return all rows of a table."""
+    async def view(self, table: str, *, part: str = '') -> TableView:
+        """Return all rows of one part of a table."""
         self._check()
-        rows = tuple(self.tables.get(table, {}).values())
+        rows = tuple(self.tables.get(_place(table, part), {}).values())
         return TableView(rows, len(self.log), self.epoch)
 
     async def changes(
@@ -130,9 +133,12 @@
             self.epoch,
         )
 
-    async def commit(self, table: str, transaction: Transaction) -> Committed:
+    async def commit(
+        self, table: str, transaction: Transaction, *, part: str = ''
+    ) -> Committed:
         """Apply a transaction if all its checks hold."""
         self._check()
+        table = _place(table, part)
         rows = self.tables.setdefault(table, {})
         failed = tuple(
             check.key
@@ -259,6 +265,11 @@
         return EndpointAnswer(500)
 
 
+def _place(table: str, part: str) -> str:
+    """Return the name under which a part of a table is kept."""
+    return f'{table}/{part}' if part else table
+
+
 def _version(row: Row | None) -> int:
     return ABSENT if row is None else row.version
 
@@ -306,10 +317,18 @@
 
     async def restart_node(self) -> None:
         """Replace the node by a new process; its target runs on."""
+        self.kill_node()
+        await asyncio.sleep(0.1)
+        await self.start_node()
+
+    def kill_node(self) -> None:
+        """End the node as a kill does; its target runs on."""
         self.node.close()
         for connection in list(self.node.server.connections):
             connection.abort()
-        await asyncio.sleep(0.1)
+
+    async def start_node(self) -> None:
+        """Start a new node process."""
         self.node = Sidecar(self.adapter, self.node.log)
         await self.node.start()
 
--- a/tests/soak_run.py
+++ b/tests/soak_run.py
@@ -482,7 +482,9 @@
 async def domain_evacuated(soak: Soak) -> None:
     """Evacuate a domain, at times again at once or over an outage."""
     domain = soak.some_host().domain
-    if any(key.startswith('evacuate/') for _table, key in soak.store.rows):
+    if any(
+        key.startswith('evacuate/') for _table, _part, key in soak.store.rows
+    ):
         return
     for _ in range(soak.chance.randint(1, 2)):
         asked = Evacuation(domain, time.monotonic())
--- a/tests/soak_store.py
+++ b/tests/soak_store.py
@@ -17,14 +17,14 @@
     """What the store held at a version."""
 
     version: int
-    rows: dict[tuple[str, str], dict[str, Any]]
+    rows: dict[tuple[str, str, str], dict[str, Any]]
 
 
 class SoakStore:
     """Tables with one counter of versions and a feed of changes."""
 
     def __init__(self) -> None:
-        self.rows: dict[tuple[str, str], dict[str, Any]] = {}
+        self.rows: dict[tuple[str, str, str], dict[str, Any]] = {}
         self.history: list[dict[str, Any]] = []
         self.version = 0
         self.first_kept = 0
@@ -59,7 +59,7 @@
         ]
         removed = [
             {'Table': table, 'Key': key}
-            for table, key in copy.rows.keys() - self.rows.keys()
+            for table, _part, key in copy.rows.keys() - self.rows.keys()
             if table == OPERATORS
         ]
         self.version = copy.version
@@ -78,10 +78,11 @@
             status = await self._commit(json.loads(request.body))
             return None if self.loses_answers else self._answer([], status)
         if url.path == '/rows-get':
+            wanted = (query['Table'], query.get('part', ''))
             rows = [
                 row
-                for (table, _key), row in sorted(self.rows.items())
-                if table == query['Table']
+                for (table, part, _key), row in sorted(self.rows.items())
+                if (table, part) == wanted
             ]
             return self._answer(rows)
         return await self._feed(query['Table'], int(query['after']), query)
@@ -116,7 +117,7 @@
 
     async def _commit(self, body: dict[str, Any]) -> int:
         for wanted in body['Expect']:
-            row = self.rows.get((wanted['Table'], wanted['Key']), _ABSENT)
+            row = self.rows.get(_place(wanted), _ABSENT)
             if row['Ver'] != wanted['Ver']:
                 return 412
         await self._apply(body['Upserts'], body['Remove'])
@@ -130,10 +131,10 @@
         self.version += 1
         for row in written:
             kept = {'part': '', **row, 'Ver': self.version}
-            self.rows[row['Table'], row['Key']] = kept
+            self.rows[_place(row)] = kept
             self.history.append(kept)
         for row in removed:
-            self.rows.pop((row['Table'], row['Key']), None)
+            self.rows.pop(_place(row), None)
             gone = {'part': '', **row, 'Ver': self.version, 'Tombstone': True}
             self.history.append(gone)
         async with self.changed:
@@ -148,3 +149,7 @@
         }
         encoded = json.dumps(body).encode()
         return answer_of(status, encoded, store_era=str(self.epoch))
+
+
+def _place(row: dict[str, Any]) -> tuple[str, str, str]:
+    return (row['Table'], row.get('part', ''), row['Key'])
--- a/tests/test_path_store_following.py
+++ b/tests/test_path_store_following.py
@@ -37,10 +37,10 @@
         self.refusal: Refusal | None = None
         self.calls = 0
 
-    async def view(self, table: str) -> TableView:
-        """Return a snapshot of a table."""
+    async def view(self, table: str, *, part: str = '') -> TableView:
+        """Return a snapshot of one part of a table."""
         await self._refuse(0)
-        return await self.store.view(table)
+        return await self.store.view(table, part=part)
 
     async def changes(
         self,
@@ -56,10 +56,12 @@
         await self._refuse(wait - (virtual_now() - began))
         return changes
 
-    async def commit(self, table: str, transaction: Transaction) -> Committed:
+    async def commit(
+        self, table: str, transaction: Transaction, *, part: str = ''
+    ) -> Committed:
         """Apply a transaction."""
         await self._refuse(0)
-        return await self.store.commit(table, transaction)
+        return await self.store.commit(table, transaction, part=part)
 
     async def _refuse(self, wait: float) -> None:
         self.calls += 1
