Keep in the store what binds a node about its target

Cause: leaves, drains and the newest birth of a target were in the memory of the node beside it, and in that of its peers. After a kill of all nodes nobody knew them, and a node took any first report for current. Ruled out: a leave that peers were not told, since notices of other nodes had it before the kill, and a leave under another birth, since both reports have the same.

Change: a node writes leaves, drains, later births and the return to cold to a row of its own, in a part of its own of the table "targets", before it acknowledges a leave or a drain. After a start its guard opens only when the row has been read, or, while the store does not answer, at a second report about a heartbeat after the first. A write is conditional on the row that was read before it, so that a lost answer cannot undo a later write. A leave that the store does not have within 0.8 s is answered 503 and not acknowledged; the guard is closed and peers know all the same.

Cost when nothing is wrong: one read for each restart, none at the first start of the fleet, and no write (test_calm_restarts_write_nothing).

One test of the acknowledgement is stricter: peers are told before the node waits for the store.

--- a/packages/sidecar/src/boragetrestle_sidecar/endpoint_server.py
+++ b/packages/sidecar/src/boragetrestle_sidecar/endpoint_server.py
@@ -5,7 +5,7 @@
 """
 
 import asyncio
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 from http import HTTPStatus
 from typing import TYPE_CHECKING, NamedTuple, cast
 
@@ -31,19 +31,23 @@
     content_type: bytes = b'application/json'
 
 
-EndpointHandler = Callable[[CallerRequest], EndpointAnswer]
+EndpointHandler = Callable[
+    [CallerRequest], EndpointAnswer | Awaitable[EndpointAnswer]
+]
 
 
 class EndpointConnection(asyncio.Protocol):
-    """Answer each request at once from a handler that does not wait.
+    """Answer requests in their order from a handler.
 
-    Requests wait while the other end does not take the answers before.
+    Requests wait while the other end does not take the answers before, and
+    while the handler waits for the answer to an earlier one.
     """
 
     def __init__(self, handler: EndpointHandler, log: 'DecisionLog') -> None:
         self.handler = handler
         self.log = log
         self.is_paused = False
+        self.task: asyncio.Task[None] | None = None
         self.reader = RequestReader(LIMITS)
         self.transport: asyncio.Transport | None = None
 
@@ -57,11 +61,8 @@
 
     def resume_writing(self) -> None:
         """Answer the requests that have waited, and read on."""
-        assert self.transport is not None
         self.is_paused = False
-        self._answer_ready()
-        if not self.is_paused:
-            self.transport.resume_reading()
+        self._go_on()
 
     def data_received(self, received: bytes) -> None:
         """Answer the requests that are complete; close on a malformed one."""
@@ -75,27 +76,65 @@
             return
         self._answer_ready()
 
+    def _go_on(self) -> None:
+        assert self.transport is not None
+        self._answer_ready()
+        if not self.is_paused and self.task is None:
+            self.transport.resume_reading()
+
     def _answer_ready(self) -> None:
         assert self.transport is not None
         while self.reader.ready and not self.transport.is_closing():
-            if self.is_paused:
+            if self.is_paused or self.task is not None:
                 self.transport.pause_reading()
                 return
             request = self.reader.ready.popleft()
-            self._write(self._handle(request), keeps_open=request.keeps_open)
+            answer = self._handle(request)
+            if isinstance(answer, EndpointAnswer):
+                self._write(answer, keeps_open=request.keeps_open)
+            else:
+                self.task = asyncio.get_running_loop().create_task(
+                    self._answer_later(request, answer)
+                )
+
+    async def _answer_later(
+        self,
+        request: CallerRequest,
+        waits: Awaitable[EndpointAnswer],
+    ) -> None:
+        try:
+            answer = await waits
+        except Exception as error:
+            answer = self._failure(request, error)
+        self.task = None
+        assert self.transport is not None
+        if self.transport.is_closing():
+            return
+        self._write(answer, keeps_open=request.keeps_open)
+        self._go_on()
 
-    def _handle(self, request: CallerRequest) -> EndpointAnswer:
+    def _handle(
+        self,
+        request: CallerRequest,
+    ) -> EndpointAnswer | Awaitable[EndpointAnswer]:
         """Return the answer to a request; a fault is its own answer."""
         try:
             return self.handler(request)
         except Exception as error:
-            self.log.write_limited(
-                'endpoint-failed',
-                path=request.path,
-                error=repr(error),
-                trace=failure_trace(error),
-            )
-            return EndpointAnswer(HTTPStatus.INTERNAL_SERVER_ERROR)
+            return self._failure(request, error)
+
+    def _failure(
+        self,
+        request: CallerRequest,
+        error: Exception,
+    ) -> EndpointAnswer:
+        self.log.write_limited(
+            'endpoint-failed',
+            path=request.path,
+            error=repr(error),
+            trace=failure_trace(error),
+        )
+        return EndpointAnswer(HTTPStatus.INTERNAL_SERVER_ERROR)
 
     def _write(self, answer: EndpointAnswer, *, keeps_open: bool) -> None:
         assert self.transport is not None
--- a/packages/sidecar/src/boragetrestle_sidecar/guard.py
+++ b/packages/sidecar/src/boragetrestle_sidecar/guard.py
@@ -51,6 +51,7 @@
     from boragetrestle_sidecar.run_order import RunOrder
     from boragetrestle_sidecar.target_answer import TargetAnswer
     from boragetrestle_sidecar.target_pace import TargetPace
+    from boragetrestle_sidecar.target_record import TargetRecord
     from boragetrestle_sidecar.target_report import TargetReport
     from boragetrestle_sidecar.wire_names import WireNames
 
@@ -212,6 +213,26 @@
         Raises ``WireError`` for one that the host's target cannot have sent.
         """
         self.services.check(report, self.reported_target.report)
+        target = self.reported_target
+        if target.awaits_record and not target.confirms(report, self.clock()):
+            self.log.write_limited(
+                'report-held',
+                target=report.target,
+                started_at=report.started_at,
+                sequence=report.sequence,
+            )
+            return
+        self._use_report(report)
+
+    def apply_record(self, record: 'TargetRecord') -> None:
+        """Use what an earlier process on this host saved about the target."""
+        held = self.reported_target.apply_record(record)
+        if held is not None and self.reported_target.report is None:
+            self._use_report(held)
+        if not self.is_open:
+            self._refuse_waiting(Reason.DRAINING)
+
+    def _use_report(self, report: 'TargetReport') -> None:
         had_left = self.reported_target.has_announced_end
         is_new = self.reported_target.update(report, self.clock())
         self.silence_detector.is_suspected = False
--- a/packages/sidecar/src/boragetrestle_sidecar/reported_target.py
+++ b/packages/sidecar/src/boragetrestle_sidecar/reported_target.py
@@ -2,12 +2,14 @@
 
 from typing import TYPE_CHECKING
 
+from boragetrestle_kernel.ids import TargetId
+from boragetrestle_sidecar.first_report import FirstReport
 from boragetrestle_sidecar.target_leaves import TargetLeaves, UnreportedLeave
+from boragetrestle_sidecar.target_record import TargetRecord, newest_leaves
 from boragetrestle_sidecar.target_report import TargetState
 
 if TYPE_CHECKING:
     from boragetrestle_kernel.address import Address
-    from boragetrestle_kernel.ids import TargetId
     from boragetrestle_sidecar.target_report import TargetReport
 
 # A report may be seconds late, but not by four heartbeat intervals.
@@ -18,7 +20,11 @@
     """The newest report of the host's target; older ones are ignored.
 
     Reports are ordered by the start of the target and then by their sequence,
-    so that a delayed report of an earlier incarnation is ignored.
+    so that a delayed report of an earlier incarnation is ignored. ``record`` is
+    what has to outlast this process; ``revision`` grows with each change of it.
+    ``outdated`` is the start and sequence before which reports are not used. A
+    node that has restarted holds back the first report until it has read the
+    record.
     """
 
     def __init__(self, address: 'Address', *, heartbeat: float) -> None:
@@ -28,6 +34,49 @@
         self.reported_at = 0.0
         self.leaves = TargetLeaves()
         self.superseded = (-1, -1)
+        self.outdated = (0, 0)
+        self.revision = 0
+        self.is_settled = True
+        self.first_report = FirstReport(heartbeat=heartbeat)
+
+    def await_record(self) -> None:
+        """Hold back reports until the record of an earlier process is read."""
+        self.is_settled = False
+
+    @property
+    def awaits_record(self) -> bool:
+        """Whether a first report could be older than what others know."""
+        return not self.is_settled and self.report is None
+
+    @property
+    def record(self) -> TargetRecord:
+        """What has to outlast this process."""
+        return TargetRecord(
+            *self.outdated,
+            left=newest_leaves(self.leaves.starts),
+            left_by=newest_leaves(self.leaves.unreported),
+        )
+
+    def apply_record(self, record: TargetRecord) -> 'TargetReport | None':
+        """Add what an earlier process knew; return the report held back."""
+        for target, started_at in record.left.items():
+            if self.leaves.starts.get(TargetId(target), -1) < started_at:
+                self.leaves.add(TargetId(target), started_at)
+        for left, left_by in record.left_by.items():
+            leave = UnreportedLeave(TargetId(left), left_by)
+            self.leaves.add_unreported(leave)
+        outdated = (record.started_at, record.sequence)
+        self.outdated = max(self.outdated, outdated)
+        if self.report is not None and self.report.sort_key < outdated:
+            self.report = None
+        self.is_settled = True
+        return self.first_report.release()
+
+    def confirms(self, report: 'TargetReport', now: float) -> bool:
+        """Return whether a report may be used before the record is known."""
+        if report.address != self.address:
+            return False
+        return self.first_report.confirm(report, now)
 
     def update(self, report: 'TargetReport', now: float) -> bool:
         """Store a newer report; return whether it is of a new incarnation."""
@@ -36,9 +85,10 @@
             return False
         if self._is_superseded(report):
             return False
-        if report.address != self.address:
+        if report.address != self.address or report.sort_key < self.outdated:
             return False
         is_new = known is None or known.incarnation != report.incarnation
+        self._note_outdated(report, is_new=is_new)
         self.report = report
         self.reported_at = now
         return is_new
@@ -58,6 +108,7 @@
             return False
         was_known = self.leaves.has_left(*known.incarnation)
         self.leaves.add(*known.incarnation)
+        self.revision += not was_known
         return not was_known
 
     def note_leaving(self, target: 'TargetId', started_at: int) -> bool:
@@ -68,6 +119,7 @@
         if self.leaves.starts.get(target, -1) >= started_at:
             return False
         self.leaves.add(target, started_at)
+        self.revision += 1
         known = self.report
         return known is not None and known.incarnation == (target, started_at)
 
@@ -77,7 +129,7 @@
         Returns whether that closes the target that has reported meanwhile.
         """
         was_leaving = self.is_leaving
-        self.leaves.add_unreported(leave)
+        self.revision += self.leaves.add_unreported(leave)
         return self.is_leaving and not was_leaving
 
     def note_drain(self, started_at: int, sequence: int) -> None:
@@ -130,5 +182,26 @@
             return False
         return now - self.reported_at < MAX_MISSED_HEARTBEATS * self.heartbeat
 
+    def _note_outdated(self, report: 'TargetReport', *, is_new: bool) -> None:
+        """Note the earlier reports that must not be used after a restart.
+
+        These are the ones of earlier incarnations, and those from before the
+        target drained or became cold again.
+        """
+        known = self.report
+        earlier_start, _sequence = self.outdated
+        if known is None:
+            overtakes = report.state is not TargetState.READY or (
+                0 < earlier_start < report.started_at
+            )
+        else:
+            is_cold_again = report.cold_seconds > 0 and not known.cold_seconds
+            overtakes = (
+                is_new or is_cold_again or report.state is not known.state
+            )
+        if overtakes and report.sort_key > self.outdated:
+            self.outdated = report.sort_key
+            self.revision += 1
+
     def _is_superseded(self, report: 'TargetReport') -> bool:
         return report.sort_key <= self.superseded
--- a/packages/sidecar/src/boragetrestle_sidecar/sidecar.py
+++ b/packages/sidecar/src/boragetrestle_sidecar/sidecar.py
@@ -147,6 +147,7 @@
             self.settings,
             log,
             fleet=self.fleet,
+            guard=self.guard,
             links=self.links,
             keeper=self.keeper,
             admission=self.admission,
@@ -436,6 +437,7 @@
             routes=RouteQueries(RouteExplainer(self.entry)),
             is_ready=lambda: self.is_ready,
             on_guard_changed=self.reporter.send_if_guard_changed,
+            wait_until_saved=self.sync.targets.wait_until_saved,
         )
         settings = self.settings
         for factory, address in (
@@ -495,6 +497,7 @@
                 self.entry.expire_overdue_requests,
                 self.admission.refresh,
                 self.reporter.send_if_guard_changed,
+                self.sync.targets.check,
             ):
                 self.tasks.run_step(step)
 
--- a/packages/sidecar/src/boragetrestle_sidecar/store_sync.py
+++ b/packages/sidecar/src/boragetrestle_sidecar/store_sync.py
@@ -13,12 +13,14 @@
 from boragetrestle_sidecar.steady_clock import steady_now
 from boragetrestle_sidecar.store_following import StoreFollowing
 from boragetrestle_sidecar.table_watch import REJOIN_SECONDS, TableWatch
+from boragetrestle_sidecar.target_archive import TargetArchive
 
 if TYPE_CHECKING:
     from boragetrestle_sidecar.admission.admission import Admission
     from boragetrestle_sidecar.config_keeper import ConfigKeeper
     from boragetrestle_sidecar.decision_log import DecisionLog
     from boragetrestle_sidecar.fleet import Fleet
+    from boragetrestle_sidecar.guard import Guard
     from boragetrestle_sidecar.member_links import MemberLinks
     from boragetrestle_sidecar.path_settings import PathSettings
     from boragetrestle_sidecar.platform_adapter import PlatformAdapter
@@ -35,7 +37,7 @@
 
 
 class StoreSync:
-    """Read configuration, nodes and costs; write this node's row."""
+    """Read configuration, nodes and costs; write this node's rows."""
 
     def __init__(
         self,
@@ -44,6 +46,7 @@
         log: 'DecisionLog',
         *,
         fleet: 'Fleet',
+        guard: 'Guard',
         links: 'MemberLinks',
         keeper: 'ConfigKeeper',
         admission: 'Admission',
@@ -74,6 +77,14 @@
             writes=lambda: self.tree.leads_most,
             reads=self.following.needs_changes,
         )
+        self.targets = TargetArchive(
+            fleet.address,
+            guard,
+            self.store,
+            log,
+            is_first_start=settings.is_first_start,
+            chance=chance,
+        )
         self.tree: TreeExchange
         self.started_at = steady_now()
         self.incomplete_watch: TableWatch | None = None
@@ -114,6 +125,7 @@
             nodes.run,
             self.registration.run,
             self.costs.run,
+            self.targets.run,
         ]
 
     def check_registration(self) -> None:
@@ -131,7 +143,8 @@
             registration.update_row(row)
 
     def check_epoch(self) -> None:
-        """Check the row some time after a new epoch of the store."""
+        """Check the rows some time after a new epoch of the store."""
+        self.targets.check_epoch(self.tree.epoch)
         if self.registration.epoch != self.tree.epoch:
             self.check_registration()
 
--- a/packages/sidecar/src/boragetrestle_sidecar/target_leaves.py
+++ b/packages/sidecar/src/boragetrestle_sidecar/target_leaves.py
@@ -28,6 +28,7 @@
 
     >>> leaves = TargetLeaves()
     >>> leaves.add_unreported(UnreportedLeave('t-1', 5000))
+    True
     >>> leaves.has_left('t-1', 4000), leaves.has_left('t-1', 6000)
     (True, False)
     """
@@ -40,10 +41,14 @@
         """Add the leave of one incarnation."""
         _keep_newest(self.starts, target, started_at)
 
-    def add_unreported(self, leave: UnreportedLeave) -> None:
-        """Add the leave of a target whose start is not known."""
-        known = self.unreported.get(leave.target, leave.left_by)
+    def add_unreported(self, leave: UnreportedLeave) -> bool:
+        """Add the leave of a target whose start is not known.
+
+        Returns whether it is newer than the one known so far.
+        """
+        known = self.unreported.get(leave.target, -1)
         _keep_newest(self.unreported, leave.target, max(known, leave.left_by))
+        return leave.left_by > known
 
     def has_left(self, target: 'TargetId', started_at: int) -> bool:
         """Return whether an incarnation has said that it leaves."""
--- a/tests/test_path_leaves.py
+++ b/tests/test_path_leaves.py
@@ -1,5 +1,9 @@
 """Targets that leave before the node beside them has a report of theirs."""
 
+import asyncio
+from collections.abc import Coroutine
+from typing import Any, cast
+
 import msgspec
 import pytest
 from entry_builders import request_bytes
@@ -138,6 +142,12 @@
     """The node may be killed right after it."""
     guard = restarted_guard()
     told: list[TargetNotice | None] = []
+    waits: list[int] = []
+
+    async def wait_until_saved(_seconds: float) -> bool:
+        waits.append(len(told))
+        return True
+
     endpoints = NodeEndpoints(
         LeaveAdapter(),  # type: ignore[arg-type]
         guard,
@@ -146,10 +156,13 @@
         routes=None,  # type: ignore[arg-type]
         is_ready=lambda: True,
         on_guard_changed=lambda: told.append(guard.notice),
+        wait_until_saved=wait_until_saved,
     )
     answer = endpoints.control(CallerRequest(b'DELETE', b'/t-1'))
-    assert answer.status == 200
     assert told == [guard.notice]
+    acknowledged = asyncio.run(cast('Coroutine[Any, Any, Any]', answer))
+    assert acknowledged.status == 200
+    assert waits == [1]
     assert guard.notice is not None
 
 
--- a/tests/test_path_upgrades.py
+++ b/tests/test_path_upgrades.py
@@ -19,6 +19,7 @@
     KINDS_WITH_FIELDS,
     MEMBER,
     ROUTE_COSTS,
+    TARGET_RECORD,
     extended,
     written_files,
 )
@@ -33,6 +34,7 @@
     decode_fields,
     encode_frame,
 )
+from boragetrestle_sidecar.target_record import decode_record
 
 POLICIES = attrgetter(
     'version',
@@ -94,12 +96,15 @@
 
 # Guards against a fleet that restarts without costs after a newer build.
 def test_further_fields_of_rows_are_passed_over() -> None:
-    """In the row of a node and in the saved costs."""
+    """In the row of a node, in that of its target and in the saved costs."""
     content = {**json.loads(MEMBER.encode()), 'further': [1]}
     row = json.dumps(content).encode()
     assert decode_member(MEMBER.address, row) == MEMBER
     costs = json.dumps(extended(ROUTE_COSTS)).encode()
     assert decode_costs(costs) == ROUTE_COSTS
+    known = json.loads(TARGET_RECORD.encode())
+    target = json.dumps({**known, 'further': [1]}).encode()
+    assert decode_record(target) == TARGET_RECORD
 
 
 # Guards against bytes that builds beside this one read otherwise.
@@ -128,11 +133,17 @@
 
 def test_rows_and_documents_of_earlier_builds_are_read() -> None:
     """A node may read what a build wrote that is no longer there."""
-    node, costs, document = (
+    node, costs, target, document = (
         (GOLDEN / f'{name}.json').read_bytes()
-        for name in ('row-node', 'row-costs', 'document-configuration')
+        for name in (
+            'row-node',
+            'row-costs',
+            'row-target',
+            'document-configuration',
+        )
     )
     assert decode_member(MEMBER.address, node) == MEMBER
     assert decode_costs(costs) == ROUTE_COSTS
+    assert decode_record(target) == TARGET_RECORD
     found = decode_configuration(document)
     assert POLICIES(found) == POLICIES(CONFIGURATION)
--- a/tests/wire_values.py
+++ b/tests/wire_values.py
@@ -48,6 +48,7 @@
 from boragetrestle_sidecar.route_policy import RoutePolicy, ServiceShare
 from boragetrestle_sidecar.run_order import RunOrder
 from boragetrestle_sidecar.target_notice import TargetNotice
+from boragetrestle_sidecar.target_record import TargetRecord
 from boragetrestle_sidecar.tree_messages import TreeReport
 
 GOLDEN = Path(__file__).parent / 'golden'
@@ -108,6 +109,9 @@
 ROUTE_COSTS = [
     RouteCost(route='browse', calls={'book': 1.25}, run_seconds=0.25, runs=30.5)
 ]
+TARGET_RECORD = TargetRecord(
+    started_at=5000, sequence=6, left={'t-1': 4000}, left_by={'t-2': 4500}
+)
 FRAME_VALUES: dict[FrameKind, Any] = {
     FrameKind.HELLO: Hello(
         address=SOURCE, version=5, notice=NOTICE, evacuations=EVACUATED
@@ -221,6 +225,7 @@
         **{name: frame.hex('\n', -32) for name, frame in frames.items()},
         'row-node.json': MEMBER.encode().decode(),
         'row-costs.json': encode_costs(ROUTE_COSTS).decode(),
+        'row-target.json': TARGET_RECORD.encode().decode(),
     }
 
 
