Refuse answers without a status of HTTP/1

Cause: the parsers read any three digits and several protocols; the check behind them refused only numbers below 100, which had been seen. Ruled out: the store's answers, which pass the same reader, and probes, which are frames.

Change: the reader of answers takes HTTP/1.0 and 1.1 with 100 to 599. An outcome of another node without such a status, as builds before this one may send, is an unknown outcome; its link stays. The client of the older path checks the same. Callers get 502 answer-garbled, or the answer of another target if the request may be repeated and the retry budget allows it, as after a lost connection.

Three outcomes in tests of links had the status 0, which no node sends; they have 200 now.

--- a/packages/kernel/src/boragetrestle_kernel/http_client.py
+++ b/packages/kernel/src/boragetrestle_kernel/http_client.py
@@ -18,6 +18,8 @@
 _MAX_HEAD_BYTES = 65_536
 # A server in trouble may send interim responses without end.
 _MAX_INTERIM_RESPONSES = 64
+_MAX_STATUS = 599
+_VERSIONS = frozenset((b'1.0', b'1.1'))
 
 InterimHandler = Callable[[h11.InformationalResponse], None]
 
@@ -26,6 +28,17 @@
     """Ignore an interim (1xx) response."""
 
 
+def _check_status_line(head: h11.Response) -> None:
+    """Refuse what h11 reads and HTTP/1.1 does not know."""
+    if head.http_version in _VERSIONS and head.status_code <= _MAX_STATUS:
+        return
+    version = bytes(head.http_version).decode()
+    raise IncompleteAnswerError(
+        f'HTTP/{version} {head.status_code} begins no response of HTTP/1.1',
+        remedy='check the server for faults',
+    )
+
+
 class HttpClientConnection:
     """One connection to a server, used for one exchange at a time.
 
@@ -126,8 +139,8 @@
     ) -> HttpResponse:
         """Return the final response; pass 1xx ones to ``on_interim``.
 
-        Raises ``HttpError`` for a response that ends early or that has no
-        certain end (see ``HttpResponse.require_framing``), or after too many
+        Raises ``HttpError`` for a response that ends early, that has no HTTP
+        status or another version than HTTP/1, or that has no certain end (see ``HttpResponse.require_framing``), or after too many
         interim ones.
         """
         interim_left = _MAX_INTERIM_RESPONSES
@@ -139,6 +152,7 @@
                 interim_left -= 1
                 on_interim(event)
             elif isinstance(event, h11.Response):
+                _check_status_line(event)
                 response = HttpResponse(self, event)
                 response.require_framing(self.method)
                 return response
--- a/packages/sidecar/src/boragetrestle_sidecar/answer_reader.py
+++ b/packages/sidecar/src/boragetrestle_sidecar/answer_reader.py
@@ -18,9 +18,22 @@
 # With answers to earlier requests, which are discarded.
 MAX_EXCHANGE_BYTES = MAX_ANSWER_BYTES + MAX_ANSWER_BYTES // 2
 _STATUS_LINE = re.compile(rb'HTTP/\d\.\d \d{3}')
+# The parser reads RTSP and ICE as well, and two more versions of HTTP.
+_PROTOCOL = b'HTTP/'
+_VERSIONS = frozenset(('1.0', '1.1'))
+_MAX_STATUS = 599
 _BODILESS = frozenset((HTTPStatus.NO_CONTENT, HTTPStatus.NOT_MODIFIED))
 
 
+def is_status(status: int) -> bool:
+    """Return whether a number is an HTTP status (RFC 9110, section 15).
+
+    >>> is_status(599), is_status(0), is_status(600)
+    (True, False, False)
+    """
+    return HTTPStatus.CONTINUE <= status <= _MAX_STATUS
+
+
 class AnswerReader:
     """Parse bytes into complete answers, one after the other.
 
@@ -34,6 +47,7 @@
         self.parser = httptools.HttpResponseParser(self)
         self.expects_no_body = False
         self.body: bytes | bytearray = b''
+        self.start = b''
         self.begin_exchange()
         self._reset()
 
@@ -57,6 +71,7 @@
         self._check_size()
 
     def _parse(self, received: bytes) -> None:
+        self._check_protocol(received)
         try:
             self.parser.feed_data(received)
         except (
@@ -70,6 +85,19 @@
                 remedy='check what the server sends on this connection',
             ) from error
 
+    def _check_protocol(self, received: bytes) -> None:
+        """Refuse bytes that begin like a response of another protocol."""
+        if not self.is_amid_answer:
+            self.start = b''
+        missing = len(_PROTOCOL) - len(self.start)
+        if missing:
+            self.start += received.lstrip(b'\r\n')[:missing]
+            if not _PROTOCOL.startswith(self.start):
+                raise HttpError(
+                    f'the response begins with {self.start!r}',
+                    remedy='check what the server sends on this connection',
+                )
+
     def end(self) -> bool:
         """Complete an answer that ends with its properly closed connection.
 
@@ -142,13 +170,14 @@
         self.is_amid_answer = False
 
     def _check_head(self) -> None:
-        """Refuse a head without an HTTP status, or with that of another.
+        """Refuse a head without an HTTP/1 status, or with that of another.
 
         A server may send a part of an earlier answer where the next is due.
         """
-        if self.status < HTTPStatus.CONTINUE:
+        version = self.parser.get_http_version()
+        if version not in _VERSIONS or not is_status(self.status):
             raise HttpError(
-                f'{self.status} is no HTTP status',
+                f'HTTP/{version} {self.status} begins no response of HTTP/1.1',
                 remedy='check what the server sends on this connection',
             )
         values = [self.reason_phrase, *(value for _, value in self.headers)]
--- a/packages/sidecar/src/boragetrestle_sidecar/peer_link.py
+++ b/packages/sidecar/src/boragetrestle_sidecar/peer_link.py
@@ -10,7 +10,7 @@
 
 from boragetrestle_kernel.errors import WireError
 from boragetrestle_sidecar.answer_buffers import AnswerBuffers
-from boragetrestle_sidecar.answer_reader import MAX_ANSWER_BYTES
+from boragetrestle_sidecar.answer_reader import MAX_ANSWER_BYTES, is_status
 from boragetrestle_sidecar.frame_writer import FrameWriter
 from boragetrestle_sidecar.link_socket import set_user_timeout
 from boragetrestle_sidecar.outcome import Outcome, OutcomeKind, Reason
@@ -46,6 +46,7 @@
 MAX_UNSENT_FRAMES = 64  # more requests than wait for tokens of one node
 _LINK_LOST = Outcome(OutcomeKind.UNKNOWN, Reason.LINK_LOST)
 _CANCELLED = Outcome(OutcomeKind.UNKNOWN, Reason.CALLER_GONE)
+_GARBLED = Outcome(OutcomeKind.UNKNOWN, Reason.ANSWER_GARBLED)
 _NO_ROOM = Outcome(OutcomeKind.UNKNOWN, Reason.NO_ROOM)
 _NOT_CONNECTED = Outcome(OutcomeKind.NOT_SENT, Reason.UNREACHABLE)
 
@@ -284,6 +285,14 @@
         if frame.number not in self.replies:
             return
         outcome = decode_fields(frame, Outcome)
+        is_answer = outcome.kind is OutcomeKind.ANSWERED
+        if is_answer and not is_status(outcome.status):
+            self.log.write_limited(
+                'peer-status-refused',
+                peer=str(self.address),
+                status=outcome.status,
+            )
+            outcome = _GARBLED._replace(load=outcome.load)
         self.replies.pop(frame.number)(outcome)
 
     async def _connect(self) -> bool:
--- a/tests/test_exchange.py
+++ b/tests/test_exchange.py
@@ -111,6 +111,27 @@
         assert loop.relay.attempts == [Attempt.CUT]
 
 
+# Guards against a number that is no status, for which callers have no meaning.
+@pytest.mark.parametrize(
+    'start',
+    [
+        b'HTTP/1.1 000 OK',
+        b'HTTP/1.1 600 OK',
+        b'HTTP/1.1 999 OK',
+        b'HTTP/0.9 200 OK',
+        b'HTTP/2.0 200 OK',
+    ],
+)
+async def test_answer_without_a_status_of_http_1_is_refused(start):
+    raw = start + b'\r\nContent-Length: 3\r\n\r\nabc'
+    async with trio.open_nursery() as nursery:
+        loop = Loopback(answers(raw), nursery)
+        client = await loop.start()
+        response = await client.request(b'GET', b'/', _FIELDS)
+        assert response.status == 502
+        nursery.cancel_scope.cancel()
+
+
 async def test_answer_without_an_end_is_refused():
     async with trio.open_nursery() as nursery:
         loop = Loopback(answers(_OK + b'\r\nabc', is_kept=False), nursery)
--- a/tests/test_path_links.py
+++ b/tests/test_path_links.py
@@ -106,6 +106,27 @@
     run_with_peer(test)
 
 
+# Guards against an answer without a status from a node of an earlier build.
+@pytest.mark.parametrize('status', [-1, 0, 99, 600, 999])
+def test_answer_without_a_status_is_unknown_and_the_link_stays(
+    status: int,
+) -> None:
+    """The target may have run the request; other runs go on."""
+
+    async def test(peer: _Peer) -> None:
+        peer.run()
+        answer = Outcome(OutcomeKind.ANSWERED, status=status, body=b'x')
+        number = peer.link.last_number
+        peer.link.data_received(encode_frame(FrameKind.OUTCOME, number, answer))
+        (outcome,) = peer.outcomes
+        assert outcome.kind is OutcomeKind.UNKNOWN
+        assert outcome.reason is Reason.ANSWER_GARBLED
+        assert not outcome.body
+        assert not peer.transport.is_closed
+
+    run_with_peer(test)
+
+
 def test_peer_that_owes_an_outcome_is_pinged_and_dropped() -> None:
     """A host that has lost power sends no reset; only silence shows it."""
 
@@ -188,7 +209,9 @@
     async def test(_peer: _Peer) -> None:
         answers = AnswerBuffers(ANSWERS_BYTES)
         peers = [_Peer(answers) for _ in range(LINKS)]
-        outcome = Outcome(OutcomeKind.ANSWERED, body=bytes(LONG_BYTES))
+        outcome = Outcome(
+            OutcomeKind.ANSWERED, status=200, body=bytes(LONG_BYTES)
+        )
         for peer in peers:
             peer.run()
         sent = encode_frame(FrameKind.OUTCOME, 1, outcome)
@@ -202,7 +225,7 @@
         assert kinds.total() == LINKS
         for peer in peers:
             peer.run()
-            whole = Outcome(OutcomeKind.ANSWERED, body=b'whole')
+            whole = Outcome(OutcomeKind.ANSWERED, status=200, body=b'whole')
             encoded = encode_frame(FrameKind.OUTCOME, 2, whole)
             peer.link.data_received(encoded)
             assert peer.outcomes[1].body == b'whole'
@@ -225,7 +248,9 @@
         odd.link.data_received(sent[:-1])
         answers.limit = 0
         whole.run()
-        outcome = Outcome(OutcomeKind.ANSWERED, body=bytes(LONG_BYTES))
+        outcome = Outcome(
+            OutcomeKind.ANSWERED, status=200, body=bytes(LONG_BYTES)
+        )
         encoded = encode_frame(FrameKind.OUTCOME, 1, outcome)
         whole.link.data_received(encoded[: LONG_BYTES // 2])
         assert odd.transport.is_closed
--- a/tests/test_path_server_connection.py
+++ b/tests/test_path_server_connection.py
@@ -148,7 +148,9 @@
 
 
 # Guards against "HTTP/1.1 7 Unknown" for a caller.
-@pytest.mark.parametrize('status', [b'000', b'007', b'099'])
+@pytest.mark.parametrize(
+    'status', [b'000', b'007', b'099', b'600', b'700', b'999']
+)
 @pytest.mark.parametrize('framing', [b'', b'content-length: 0\r\n'])
 def test_number_that_is_no_status_is_no_answer(
     status: bytes,
@@ -164,6 +166,38 @@
     assert not listener.answers
 
 
+# Guards against bytes of another protocol that callers get as an answer.
+@pytest.mark.parametrize(
+    'protocol',
+    [b'HTTP/0.9', b'HTTP/2.0', b'HTTP/3.0', b'RTSP/1.0', b'ICE/1.1'],
+)
+@pytest.mark.parametrize('part_bytes', [1, 1000])
+def test_response_of_another_protocol_is_no_answer(
+    protocol: bytes,
+    part_bytes: int,
+) -> None:
+    """The parser takes several, and other versions of HTTP."""
+    connection, _transport, listener = exchange()
+    sent = answer_bytes('r-1').replace(b'HTTP/1.1', protocol)
+    assert sent.startswith(protocol)
+    for start in range(0, len(sent), part_bytes):
+        connection.data_received(sent[start : start + part_bytes])
+    assert listener.losses == [Loss.GARBLED]
+    assert not listener.answers
+
+
+@pytest.mark.parametrize('part_bytes', [1, 3, 1000])
+def test_answer_of_an_older_server_is_taken(part_bytes: int) -> None:
+    """In parts of any size, behind an empty line and an interim answer."""
+    connection, _transport, listener = exchange()
+    sent = b'\r\nHTTP/1.1 100 Continue\r\n\r\n' + answer_bytes('r-1').replace(
+        b'HTTP/1.1', b'HTTP/1.0'
+    )
+    for start in range(0, len(sent), part_bytes):
+        connection.data_received(sent[start : start + part_bytes])
+    assert listener.bodies == [b'whole']
+
+
 def test_answer_before_the_request_was_taken_closes_the_connection() -> None:
     """The rest of that request is still on its way."""
     connection, transport, listener = exchange()
