--- a/tests/test_exchange.py
+++ b/tests/test_exchange.py
@@ -122,7 +122,7 @@
         b'HTTP/2.0 200 OK',
     ],
 )
-async def test_answer_without_a_status_of_http_1_is_refused(start):
+async def test_answer_that_has_no_http_status_is_refused(start):
     raw = start + b'\r\nContent-Length: 3\r\n\r\nabc'
     async with trio.open_nursery() as nursery:
         loop = Loopback(answers(raw), nursery)
