Give connections and their requests one clock in tests

make test failed on a host that had been up for less than about 1,000 s: test_connection_with_open_work_is_not_idle (running, answered behind another).

Cause: the test replaced the clock of connections by one that begins at 1,000 s and left the clock that stamps their requests on the time since boot. The request then seemed to have waited for the difference, was over its time limit, and was refused. The test was wrong; its checks are unchanged.

Change: one fixture replaces both, also for the tests that did so already.

Figures: failed here at an uptime of 300 to 974 s, and with the clock shifted to 5 s on; passes at 5, 150, 900 and 5,000 s. All tests of test_path_*.py without processes and sockets passed with the clock shifted to each of these, so no other test of them has two clocks.

--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -6,7 +6,9 @@
 import hypothesis
 import pytest
 import trio
+from path_builders import ManualClock
 
+from boragetrestle_sidecar import caller_connection, request_reader
 from boragetrestle_standin.scheduling import seed_scheduling
 
 hypothesis.settings.register_profile(
@@ -45,6 +47,19 @@
     seed_scheduling(_SEED)
 
 
+@pytest.fixture
+def clock(monkeypatch: pytest.MonkeyPatch) -> ManualClock:
+    """Replace the clock of callers' connections, and of their requests.
+
+    One of the two on real time would make a test depend on how long the host
+    has been up.
+    """
+    found = ManualClock()
+    for module in (caller_connection, request_reader):
+        monkeypatch.setattr(module, 'steady_now', found)
+    return found
+
+
 def pytest_collection_modifyitems(items):
     """Let the run pass over listed tests that fail; they still run."""
     listed = _known_red()
--- a/tests/test_path_caller_closes.py
+++ b/tests/test_path_caller_closes.py
@@ -91,14 +91,6 @@
 }
 
 
-@pytest.fixture
-def clock(monkeypatch: pytest.MonkeyPatch) -> ManualClock:
-    """Replace the steady clock of connections."""
-    found = ManualClock()
-    monkeypatch.setattr(caller_connection, 'steady_now', found)
-    return found
-
-
 # Guards against a kept connection that closes as idle with a request on it.
 @pytest.mark.parametrize('state', OPEN_WORK)
 def test_connection_with_open_work_is_not_idle(
--- a/tests/test_path_time_spent.py
+++ b/tests/test_path_time_spent.py
@@ -2,7 +2,6 @@
 
 from typing import Any
 
-import pytest
 from entry_builders import EntryHarness, request_bytes
 from path_builders import ManualClock, route
 from test_path_pipelining_faults import (
@@ -12,17 +11,6 @@
     upload,
 )
 
-from boragetrestle_sidecar import caller_connection, request_reader
-
-
-@pytest.fixture
-def clock(monkeypatch: pytest.MonkeyPatch) -> ManualClock:
-    """Return the clock of all connections."""
-    found = ManualClock()
-    for module in (caller_connection, request_reader):
-        monkeypatch.setattr(module, 'steady_now', found)
-    return found
-
 
 def waiting_request(clock: ManualClock) -> tuple[EntryHarness, Any]:
     """Return an entry with a request and another that waits behind it."""
