Run loopback tests one at a time in make test-quick

They listen on fixed addresses, and beside each other 20 of them failed with 'address already in use'. The same tests run, as in make test: first those on the virtual clock beside each other, then those on loopback.

--- a/Makefile
+++ b/Makefile
@@ -24,7 +24,8 @@
 	$(PY) -m pytest -rs -m 'processes or loopback'
 
 test-quick: setup
-	$(PY) -m pytest -m 'not processes' -n $(WORKERS)
+	$(PY) -m pytest -m 'not processes and not loopback' -n $(WORKERS)
+	$(PY) -m pytest -m 'loopback and not processes'
 
 trial: setup
 	$(VENV)/bin/boragetrestle trial
