Tell nodes that start of the crashes that requests caused

Cause: a crash is told to the nodes that run when it happens, and a node that starts later learns of none. Ruled out: crashes lost on the way, since all running nodes refuse the request, and a lapsed block, since retries passed within 10 s.

Change: a node sends the crashes that still count to a neighbour in the tree whose connection is new. Requests that a target has answered are left out.

--- a/packages/sidecar/src/boragetrestle_sidecar/sidecar.py
+++ b/packages/sidecar/src/boragetrestle_sidecar/sidecar.py
@@ -161,6 +161,7 @@
             keeper=self.keeper,
             aggregation=LoadAggregation(),
             store=self.sync.following,
+            suspects=self.suspects,
         )
         self.sync.connect(self.tree)
         messages = PeerMessages(
--- a/packages/sidecar/src/boragetrestle_sidecar/suspects.py
+++ b/packages/sidecar/src/boragetrestle_sidecar/suspects.py
@@ -58,8 +58,14 @@
 
     def is_blocked(self, request_fingerprint: str) -> bool:
         """Return whether a request has crashed too many targets."""
+        seen = self.crashes.get(request_fingerprint, ())
+        return len(seen) >= CRASHES_TO_BLOCK and self.is_recent(
+            request_fingerprint
+        )
+
+    def is_recent(self, request_fingerprint: str) -> bool:
+        """Return whether the crashes of a request still count."""
         seen = self.crashes.get(request_fingerprint)
         if seen is None:
             return False
-        is_recent = self.clock() - seen[-1] < BLOCK_SECONDS
-        return is_recent and len(seen) >= CRASHES_TO_BLOCK
+        return self.clock() - seen[-1] < BLOCK_SECONDS
--- a/packages/sidecar/src/boragetrestle_sidecar/tree_exchange.py
+++ b/packages/sidecar/src/boragetrestle_sidecar/tree_exchange.py
@@ -22,6 +22,7 @@
     from boragetrestle_sidecar.node_status import RouteCost
     from boragetrestle_sidecar.peer_messages import SendFrame
     from boragetrestle_sidecar.store_following import StoreFollowing
+    from boragetrestle_sidecar.suspects import Suspects
 
 # A configuration that was sent is not sent again to the same node before this,
 # and neither is the whole table of nodes.
@@ -57,7 +58,9 @@
 class TreeExchange:
     """Send and receive what is passed along the edges of the tree.
 
-    ``interval`` is how often reports are sent, in seconds.
+    ``interval`` is how often reports are sent, in seconds. ``known_crashes`` has
+    the suspected request of each crash by the number of the crash, or nothing
+    once a target has answered it.
     """
 
     def __init__(
@@ -69,6 +72,7 @@
         keeper: 'ConfigKeeper',
         aggregation: 'LoadAggregation',
         store: 'StoreFollowing',
+        suspects: 'Suspects',
         clock: Callable[[], float] = steady_now,
     ) -> None:
         self.address = address
@@ -77,10 +81,11 @@
         self.keeper = keeper
         self.aggregation = aggregation
         self.store = store
+        self.suspects = suspects
         self.clock = clock
         self.parent: Neighbour | None = None
         self.children: dict[str, Neighbour] = {}
-        self.known_crashes: dict[int, None] = {}
+        self.known_crashes: dict[int, str] = {}
         self.interval = LOAD_INTERVAL_SECONDS
         self.has_lost_parent = False
         self.epoch = 0
@@ -150,7 +155,10 @@
         if child is None:
             child = Neighbour(report.address, send)
             self.children[report.address] = child
-        child.send = send
+            self._send_crashes(child)
+        elif child.send != send:
+            child.send = send
+            self._send_crashes(child)
         self.aggregation.record_child(report.address, report.load)
         self._update(child, report)
 
@@ -231,7 +239,9 @@
             return False
         if len(self.known_crashes) >= MAX_REMEMBERED_CRASHES:
             self.known_crashes.pop(next(iter(self.known_crashes)))
-        self.known_crashes[crash] = None
+        if not has_crashed:
+            self._forget_crashes(found)
+        self.known_crashes[crash] = found if has_crashed else ''
         fields = Crash(self.address, crash, found, has_crashed)
         self._send_to_neighbours(FrameKind.SUSPECT, fields, source)
         return True
@@ -248,6 +258,23 @@
             link = self.links.get(address)
             assert link is not None
             self.parent = Neighbour(address, link.send, heard_at=self.clock())
+            self._send_crashes(self.parent)
+
+    def _forget_crashes(self, found: str) -> None:
+        """Send the crashes of a request no more, since it was answered."""
+        for crash, known in self.known_crashes.items():
+            if known == found:
+                self.known_crashes[crash] = ''
+
+    def _send_crashes(self, neighbour: Neighbour) -> None:
+        """Send the crashes that still count to a node that may have restarted.
+
+        It passes over those that it knows, by their numbers.
+        """
+        for crash, found in self.known_crashes.items():
+            if self.suspects.is_recent(found):
+                fields = Crash(self.address, crash, found, has_crashed=True)
+                neighbour.send(FrameKind.SUSPECT, 0, fields)
 
     def _build_report(self, load: 'FleetLoad') -> TreeReport:
         return TreeReport(
--- a/tests/test_path_tree.py
+++ b/tests/test_path_tree.py
@@ -210,6 +210,36 @@
     assert all(crashes == ['suspect'] for crashes in told)
 
 
+# Guards against requests that crash targets again at each node that restarts.
+@pytest.mark.parametrize('place', [0, 1, 40])
+def test_restarted_node_learns_of_crashes(place: int) -> None:
+    """From its neighbours, each once; the others do not count them again."""
+    fleet = ModelFleet(60)
+    fleet.read_table()
+    fleet.play(4)
+    crashes = ['suspect'] * 3
+    for _ in crashes:
+        fleet.running[7].tree.report_crash('suspect', True)
+    new = fleet.restart(fleet.running[place].own.address)
+    assert not new.crashes
+    fleet.play(2)
+    told = [node.crashes for node in fleet.running if node.crashes]
+    assert new.crashes == crashes
+    assert all(each == crashes for each in told)
+
+
+def test_restarted_node_does_not_learn_of_requests_that_were_answered() -> None:
+    """A request that a target answers crashes none."""
+    fleet = ModelFleet(60)
+    fleet.read_table()
+    fleet.play(4)
+    for has_crashed in (True, True, True, False, True):
+        fleet.running[7].tree.report_crash('suspect', has_crashed)
+    new = fleet.restart(fleet.running[1].own.address)
+    fleet.play(2)
+    assert new.crashes == ['suspect']
+
+
 def test_few_nodes_of_each_domain_follow_the_store() -> None:
     """Calls to the store cost money; two a domain outlive the loss of one."""
     known = members(194)
--- a/tests/tree_builders.py
+++ b/tests/tree_builders.py
@@ -71,12 +71,12 @@
     def __init__(self, child: 'ModelNode', parent: 'ModelNode') -> None:
         self.child = child
         self.parent = parent
+        self.answer = partial(child.receive, parent)
 
     def send(self, kind: FrameKind, number: int, fields: object) -> bool:
         """Send a frame to the parent."""
-        answer = partial(self.child.receive, self.parent)
         return self.parent.receive(
-            self.child, kind, number, fields, answer=answer
+            self.child, kind, number, fields, answer=self.answer
         )
 
 
@@ -133,6 +133,7 @@
             chance=model.chance,
             clock=model.clock,
         )
+        suspects: Any = self
         self.tree = TreeExchange(
             own.address,
             fleet=self.fleet,
@@ -140,6 +141,7 @@
             keeper=self.keeper,
             aggregation=self.aggregation,
             store=self.following,
+            suspects=suspects,
             clock=model.clock,
         )
         self.tree.interval = STEP_SECONDS
@@ -151,7 +153,6 @@
         self.crashes: list[str] = []
         self.heard_versions: list[int] = []
         self.notices: list[TargetNotice] = []
-        suspects: Any = self
         rates: Any = None
         self.messages = PeerMessages(
             fleet=self.fleet,
@@ -170,6 +171,15 @@
         assert not is_own
         self.crashes.append(found)
 
+    def clear(self, found: str, *, is_own: bool) -> None:
+        """Forget a request that a target has answered."""
+        assert not is_own
+        self.crashes = [each for each in self.crashes if each != found]
+
+    def is_recent(self, found: str) -> bool:
+        """Return whether the node still counts the crashes of a request."""
+        return found in self.crashes
+
     def receive(
         self,
         sender: 'ModelNode',
@@ -242,6 +252,15 @@
         for node in self.running:
             node.fleet.replace_rows(rows, epoch=epoch, position=1)
 
+    def restart(self, address: str) -> ModelNode:
+        """Replace a node by a new process and return it."""
+        old = self.nodes[address]
+        new = ModelNode(self, old.own)
+        self.nodes[address] = new
+        rows = rows_of(node.own for node in self.nodes.values())
+        new.fleet.replace_rows(rows, epoch=0, position=1)
+        return new
+
     def play(self, seconds: float, arrivals: float = 1.0) -> None:
         """Let all nodes report, in random order, for some time."""
         for _ in range(int(seconds / STEP_SECONDS)):
