Block a request for longer each time that it crashes a target again

Cause: the block lasted 60 s from the last crash, whatever followed.

Change: each crash after the third doubles it. An innocent request that was there at three crashes is let through after 60 s as before.

--- a/packages/sidecar/src/boragetrestle_sidecar/suspects.py
+++ b/packages/sidecar/src/boragetrestle_sidecar/suspects.py
@@ -12,6 +12,7 @@
 
 CRASHES_TO_BLOCK = 3  # an unrelated request is rarely present at three crashes
 BLOCK_SECONDS = 60.0  # callers resend such requests; targets restart in seconds
+_MAX_DOUBLINGS = 10  # of the time for which a request is blocked
 _MAX_SUSPECTS = 2000  # fingerprints remembered, about 200 KB
 
 
@@ -64,8 +65,13 @@
         )
 
     def is_recent(self, request_fingerprint: str) -> bool:
-        """Return whether the crashes of a request still count."""
+        """Return whether the crashes of a request still count.
+
+        A request that crashes another target when it is let through again is
+        blocked for twice as long as before.
+        """
         seen = self.crashes.get(request_fingerprint)
         if seen is None:
             return False
-        return self.clock() - seen[-1] < BLOCK_SECONDS
+        further = min(max(0, len(seen) - CRASHES_TO_BLOCK), _MAX_DOUBLINGS)
+        return self.clock() - seen[-1] < BLOCK_SECONDS * (1 << further)
--- a/tests/test_path_crashes.py
+++ b/tests/test_path_crashes.py
@@ -1,9 +1,19 @@
 """Requests that are lost when their target crashes."""
 
-from path_builders import GuardHarness, LineLog, report, run_order
+from path_builders import (
+    GuardHarness,
+    LineLog,
+    ManualClock,
+    report,
+    run_order,
+)
 from path_standins import Host, MemoryStore
 
-from boragetrestle_sidecar.suspects import CRASHES_TO_BLOCK, fingerprint_of
+from boragetrestle_sidecar.suspects import (
+    CRASHES_TO_BLOCK,
+    Suspects,
+    fingerprint_of,
+)
 
 
 def lose(bench: GuardHarness, runs: int) -> None:
@@ -28,6 +38,22 @@
     assert node.suspects.is_blocked(found)
 
 
+# Guards against requests that crash a target each time that they are let through.
+def test_block_lasts_twice_as_long_after_each_further_crash() -> None:
+    """A day of an hour has few of them."""
+    clock = ManualClock()
+    suspects = Suspects(clock=clock)
+    for _ in range(CRASHES_TO_BLOCK):
+        suspects.record_crash('killer', is_own=False)
+    let_through = 0
+    for _ in range(3600):
+        clock.now += 1
+        if not suspects.is_blocked('killer'):
+            let_through += 1
+            suspects.record_crash('killer', is_own=False)
+    assert let_through == 5
+
+
 def test_lost_runs_are_kept_without_their_bodies() -> None:
     """A target may be lost with uploads at work."""
     bench = GuardHarness(slots=9, connections=9)
