Test answers of endpoints that wait, and calls that name a part

A leave that the store does not have is answered 503, an answer that waits keeps its place on the connection, and the store's client names the part of a table. The test of the acknowledgement covers both outcomes now, under a new name.

--- a/tests/test_deploy_store.py
+++ b/tests/test_deploy_store.py
@@ -25,9 +25,11 @@
 
     def __init__(self, *answers: TargetAnswer) -> None:
         self.answers = deque(answers)
+        self.asked: list[str] = []
 
-    async def call(self, *_args: object, **_options: object) -> TargetAnswer:
+    async def call(self, *asked: object, **_options: object) -> TargetAnswer:
         """Return the next answer."""
+        self.asked.append(' '.join(map(str, asked)))
         return self.answers.popleft()
 
 
@@ -123,3 +125,14 @@
     store = store_with(answer(None), answer(None))
     assert result_of(store.view('t')).epoch == 0
     assert result_of(store.commit('t', WRITE)).is_committed
+
+
+def test_calls_name_the_part_of_a_table() -> None:
+    """The store writes parts independently of each other."""
+    caller: Any = ScriptedCaller(answer('1'), answer('1'))
+    store = PlatformStore(caller)
+    result_of(store.view('targets', part='10.0.0.1:7000'))
+    result_of(store.commit('targets', WRITE, part='10.0.0.1:7000'))
+    read, written = caller.asked
+    assert 'Table=targets&part=10.0.0.1%3A7000' in read
+    assert '"part":"10.0.0.1:7000"' in written
--- a/tests/test_path_endpoint_connections.py
+++ b/tests/test_path_endpoint_connections.py
@@ -1,5 +1,7 @@
 """Connections to a node's own addresses whose other end misbehaves."""
 
+import asyncio
+from collections.abc import Awaitable, Callable
 from typing import Any
 
 import pytest
@@ -61,3 +63,72 @@
         connection.data_received(REQUEST)
     assert transport.written.startswith(b'HTTP/1.1 500')
     assert (b'HTTP/1.1 200' in transport.written) == keeps_open
+
+
+def run_with_wait(
+    test: Callable[
+        [EndpointConnection, FakeTransport, asyncio.Event], Awaitable[None]
+    ],
+    status: int = 200,
+) -> None:
+    """Run a test with a handler whose first answer waits for an event."""
+
+    async def run() -> None:
+        event = asyncio.Event()
+
+        async def answer_later() -> EndpointAnswer:
+            await event.wait()
+            if status == 500:
+                raise KeyError('fault')
+            return EndpointAnswer(status)
+
+        answers: list[Any] = [answer_later(), EndpointAnswer(204)]
+        connection, transport = connect(lambda _request: answers.pop(0))
+        await test(connection, transport, event)
+        for each in answers:
+            if asyncio.iscoroutine(each):
+                each.close()
+
+    asyncio.run(run())
+
+
+# Guards against answers that overtake one that waits for the store.
+@pytest.mark.parametrize('status', [200, 503, 500])
+def test_answer_that_waits_keeps_its_place(status: int) -> None:
+    """The next request is handled behind it, also if it fails."""
+
+    async def test(
+        connection: EndpointConnection,
+        transport: FakeTransport,
+        event: asyncio.Event,
+    ) -> None:
+        connection.data_received(REQUEST * 2)
+        await asyncio.sleep(0)
+        assert not transport.written
+        assert not transport.is_reading
+        event.set()
+        await asyncio.sleep(0.01)
+        first, _head, second = transport.written.partition(b'HTTP/1.1 204')
+        assert first.startswith(b'HTTP/1.1 %d' % status)
+        assert second
+        assert transport.is_reading
+
+    run_with_wait(test, status)
+
+
+def test_answer_is_dropped_if_the_connection_has_closed_meanwhile() -> None:
+    """Nobody would get it."""
+
+    async def test(
+        connection: EndpointConnection,
+        transport: FakeTransport,
+        event: asyncio.Event,
+    ) -> None:
+        connection.data_received(REQUEST)
+        await asyncio.sleep(0)
+        transport.close()
+        event.set()
+        await asyncio.sleep(0.01)
+        assert not transport.written
+
+    run_with_wait(test)
--- a/tests/test_path_leaves.py
+++ b/tests/test_path_leaves.py
@@ -138,15 +138,18 @@
     assert len(leaves.starts) <= MAX_LEAVES
 
 
-def test_peers_are_told_before_a_leave_is_acknowledged() -> None:
-    """The node may be killed right after it."""
+@pytest.mark.parametrize(('is_saved', 'status'), [(True, 200), (False, 503)])
+def test_leave_is_acknowledged_once_peers_and_the_store_know(
+    *, is_saved: bool, status: int
+) -> None:
+    """All nodes may be killed right after it."""
     guard = restarted_guard()
     told: list[TargetNotice | None] = []
     waits: list[int] = []
 
     async def wait_until_saved(_seconds: float) -> bool:
         waits.append(len(told))
-        return True
+        return is_saved
 
     endpoints = NodeEndpoints(
         LeaveAdapter(),  # type: ignore[arg-type]
@@ -161,7 +164,7 @@
     answer = endpoints.control(CallerRequest(b'DELETE', b'/t-1'))
     assert told == [guard.notice]
     acknowledged = asyncio.run(cast('Coroutine[Any, Any, Any]', answer))
-    assert acknowledged.status == 200
+    assert acknowledged.status == status
     assert waits == [1]
     assert guard.notice is not None
 
