Take a target that ends all its connections for restarted

Cause: only a refused connection told the guard of a crash, and nobody called while the target was down. That it ended all idle connections was seen by the pool and told to nobody. Ruled out: a cold time that was known and lost.

Change: when the target ends the last idle connection sooner than its stated timeout, while it runs nothing, the guard takes it for cold until its next report. This has an effect only where the service has a rate for cold targets.

--- a/packages/sidecar/src/boragetrestle_sidecar/cold_phase.py
+++ b/packages/sidecar/src/boragetrestle_sidecar/cold_phase.py
@@ -20,6 +20,7 @@
 
     REPORTED = 'reported'
     UNREACHABLE = 'unreachable'
+    CONNECTIONS_ENDED = 'connections-ended'
     TAKEN_BACK = 'taken-back'
 
 
--- a/packages/sidecar/src/boragetrestle_sidecar/guard.py
+++ b/packages/sidecar/src/boragetrestle_sidecar/guard.py
@@ -109,6 +109,7 @@
             ),
             clock=clock,
         )
+        self.pool.on_emptied = self._note_ended_connections
         self.queue = GuardQueue()
         self.meter = RunMeter()
         self.terms = StatedTerms(names, log)
@@ -610,6 +611,15 @@
             self._finish(job, _not_sent(Reason.UNREACHABLE))
         self._refuse_waiting(Reason.UNREACHABLE)
 
+    def _note_ended_connections(self) -> None:
+        """Take a target that has ended all its connections for restarted.
+
+        Without a run that is lost, or a connection that is refused, nothing
+        else shows a restart before its first report.
+        """
+        if not self.running:
+            self.terms.assume_cold(ColdSource.CONNECTIONS_ENDED, self.clock())
+
     def _send(
         self,
         job: GuardJob,
--- a/packages/sidecar/src/boragetrestle_sidecar/server_connection.py
+++ b/packages/sidecar/src/boragetrestle_sidecar/server_connection.py
@@ -47,7 +47,8 @@
     belongs to an earlier exchange and is discarded. A connection on which
     anything unexpected arrived is closed, and ``refusal`` then says what.
     ``buffers`` bounds what connections hold of unfinished answers together.
-    ``refused_ids`` are those that the server refused to run: should it write a
+    ``on_idle_lost`` is called when the server ends the connection while no
+    exchange is running. ``refused_ids`` are those that the server refused to run: should it write a
     refusal once more, it must not meet another attempt under the same id.
     """
 
@@ -62,6 +63,8 @@
         self.id_header = id_header
         self.buffers = buffers or AnswerBuffers(MAX_ANSWER_BYTES)
         self.refusal = ''
+        self.on_idle_lost: Callable[[ServerConnection], None] | None = None
+        self.was_closed_here = False
         self.reader = AnswerReader(self._accept_answer)
         self.listener: ExchangeListener | None = None
         self.request_id: RequestId | None = None
@@ -118,6 +121,10 @@
         max_idle_seconds = self.idle_seconds if within is None else within
         return self.is_usable and now - self.idle_since < max_idle_seconds
 
+    def may_idle(self, now: float) -> bool:
+        """Return whether the server had no reason to close it by its timeout."""
+        return now - self.idle_since < self.idle_seconds
+
     def note_refusal(self, request_id: 'RequestId') -> None:
         """Note that the server has refused to run a request."""
         self.refused_ids.add(request_id)
@@ -130,6 +137,7 @@
         self.reader.discard()
         self.listener = None
         self.is_usable = False
+        self.was_closed_here = True
         if self.pieces is not None:
             self.pieces.clear()
         if self.transport is not None:
@@ -173,6 +181,9 @@
         The kernel reports a time-out for a connection whose other end no longer
         acknowledges anything.
         """
+        if self.listener is None and not self.was_closed_here:
+            if self.on_idle_lost is not None:
+                self.on_idle_lost(self)
         is_silent = isinstance(error, TimeoutError)
         self._fail(Loss.SILENT if is_silent else Loss.CLOSED)
 
--- a/packages/sidecar/src/boragetrestle_sidecar/target_pool.py
+++ b/packages/sidecar/src/boragetrestle_sidecar/target_pool.py
@@ -21,7 +21,10 @@
 
 
 class TargetPool:
-    """Idle connections, the most recently used first."""
+    """Idle connections, the most recently used first.
+
+    ``on_emptied`` is called when the target ends the last one before its time.
+    """
 
     def __init__(
         self,
@@ -37,6 +40,7 @@
         self.idle: list[ServerConnection] = []
         self.opened = 0
         self.buffers = buffers
+        self.on_emptied: Callable[[], None] | None = None
 
     def acquire(
         self,
@@ -87,6 +91,15 @@
                 connection.close()
         self.idle = kept
 
+    def drop_lost(self, connection: ServerConnection) -> None:
+        """Drop an idle connection that the target has ended."""
+        if connection not in self.idle:
+            return
+        self.idle.remove(connection)
+        is_early = connection.may_idle(self.clock())
+        if is_early and not self.idle and self.on_emptied is not None:
+            self.on_emptied()
+
     def close(self) -> None:
         """Close all idle connections."""
         for connection in self.idle:
@@ -107,8 +120,10 @@
         return None
 
     def _new_connection(self) -> ServerConnection:
-        return ServerConnection(
+        connection = ServerConnection(
             id_header=self.id_header,
             buffers=self.buffers,
             clock=self.clock,
         )
+        connection.on_idle_lost = self.drop_lost
+        return connection
--- a/tests/path_builders.py
+++ b/tests/path_builders.py
@@ -266,6 +266,7 @@
             )
             connection.idle_since = self.clock.now
             connection.idle_seconds = LONG
+            connection.on_idle_lost = self.guard.pool.drop_lost
             self.guard.pool.idle.append(connection)
             self.transports.append(transport)
 
--- a/tests/test_path_cold_faults.py
+++ b/tests/test_path_cold_faults.py
@@ -66,3 +66,58 @@
     asyncio.run(play())
     assert bench.sent().count(b'GET ') <= ALLOWED_IN_SECOND
     assert bench.guard.running <= ALLOWED_IN_SECOND
+
+
+def cold_bench(connections: int) -> GuardHarness:
+    """Return a guard of a warm target with idle connections."""
+    bench = GuardHarness(slots=20, connections=connections)
+    bench.guard.configure(
+        configuration(cold_rates={ServiceName('walks'): COLD_RATE})
+    )
+    return bench
+
+
+def end_connection(bench: GuardHarness) -> None:
+    """Let the target end an idle connection."""
+    bench.guard.pool.idle[0].connection_lost(ConnectionResetError())
+
+
+# Guards against the full load of a target that restarted while nobody called.
+def test_target_that_ends_all_connections_counts_as_cold() -> None:
+    """Until its next report; the connection that is left shows that it runs."""
+    bench = cold_bench(connections=3)
+    end_connection(bench)
+    end_connection(bench)
+    assert bench.guard.terms.pace_limit is None
+    end_connection(bench)
+    assert bench.guard.terms.pace_limit == COLD_RATE
+    bench.clock.now += 1.0
+    bench.guard.handle_heartbeat(report(sequence=2, slots=20))
+    assert bench.guard.terms.pace_limit is None
+
+
+def test_connections_that_end_by_their_timeout_are_no_restart() -> None:
+    """Targets close connections that have been idle for long."""
+    bench = cold_bench(connections=1)
+    bench.guard.pool.idle[0].idle_seconds = 5.0
+    bench.clock.now += 5.0
+    end_connection(bench)
+    assert bench.guard.terms.pace_limit is None
+
+
+def test_connections_that_the_node_closes_are_no_restart() -> None:
+    """It closes those that the target may close soon."""
+    bench = cold_bench(connections=2)
+    closed = list(bench.guard.pool.idle)
+    bench.guard.pool.close()
+    for connection in closed:
+        connection.connection_lost(None)
+    assert bench.guard.terms.pace_limit is None
+
+
+def test_target_that_still_runs_a_request_has_not_restarted() -> None:
+    """Its connection would have ended as well."""
+    bench = cold_bench(connections=2)
+    bench.submit(run_order('r-1'))
+    end_connection(bench)
+    assert bench.guard.terms.pace_limit is None
