Spread the writes of records after a store comes back, and rename

Change: the record counts as unsaved only when its delay is over.

Names that needed their context are replaced (hold_back, is_within_timeout, first_bytes), one method is split, and long lines of docstrings are wrapped.

--- a/packages/kernel/src/boragetrestle_kernel/http_client.py
+++ b/packages/kernel/src/boragetrestle_kernel/http_client.py
@@ -139,9 +139,9 @@
     ) -> HttpResponse:
         """Return the final response; pass 1xx ones to ``on_interim``.
 
-        Raises ``HttpError`` for a response that ends early, that has no HTTP
-        status or another version than HTTP/1, or that has no certain end (see ``HttpResponse.require_framing``), or after too many
-        interim ones.
+        Raises ``HttpError`` for a response that ends early, that has no status
+        of HTTP/1, or that has no certain end (see
+        ``HttpResponse.require_framing``), or after too many interim ones.
         """
         interim_left = _MAX_INTERIM_RESPONSES
         while interim_left:
--- a/packages/sidecar/src/boragetrestle_sidecar/answer_reader.py
+++ b/packages/sidecar/src/boragetrestle_sidecar/answer_reader.py
@@ -47,7 +47,7 @@
         self.parser = httptools.HttpResponseParser(self)
         self.expects_no_body = False
         self.body: bytes | bytearray = b''
-        self.start = b''
+        self.first_bytes = b''
         self.begin_exchange()
         self._reset()
 
@@ -88,13 +88,13 @@
     def _check_protocol(self, received: bytes) -> None:
         """Refuse bytes that begin like a response of another protocol."""
         if not self.is_amid_answer:
-            self.start = b''
-        missing = len(_PROTOCOL) - len(self.start)
+            self.first_bytes = b''
+        missing = len(_PROTOCOL) - len(self.first_bytes)
         if missing:
-            self.start += received.lstrip(b'\r\n')[:missing]
-            if not _PROTOCOL.startswith(self.start):
+            self.first_bytes += received.lstrip(b'\r\n')[:missing]
+            if not _PROTOCOL.startswith(self.first_bytes):
                 raise HttpError(
-                    f'the response begins with {self.start!r}',
+                    f'the response begins with {self.first_bytes!r}',
                     remedy='check what the server sends on this connection',
                 )
 
--- a/packages/sidecar/src/boragetrestle_sidecar/endpoint_server.py
+++ b/packages/sidecar/src/boragetrestle_sidecar/endpoint_server.py
@@ -62,7 +62,7 @@
     def resume_writing(self) -> None:
         """Answer the requests that have waited, and read on."""
         self.is_paused = False
-        self._go_on()
+        self._continue()
 
     def data_received(self, received: bytes) -> None:
         """Answer the requests that are complete; close on a malformed one."""
@@ -76,7 +76,7 @@
             return
         self._answer_ready()
 
-    def _go_on(self) -> None:
+    def _continue(self) -> None:
         assert self.transport is not None
         self._answer_ready()
         if not self.is_paused and self.task is None:
@@ -111,7 +111,7 @@
         if self.transport.is_closing():
             return
         self._write(answer, keeps_open=request.keeps_open)
-        self._go_on()
+        self._continue()
 
     def _handle(
         self,
--- a/packages/sidecar/src/boragetrestle_sidecar/first_report.py
+++ b/packages/sidecar/src/boragetrestle_sidecar/first_report.py
@@ -22,19 +22,19 @@
         self.report: TargetReport | None = None
         self.since = 0.0
 
-    def confirm(self, report: 'TargetReport', now: float) -> bool:
-        """Hold back a report; return whether it may be used all the same.
+    def hold_back(self, report: 'TargetReport', now: float) -> bool:
+        """Hold back a report; return false if it may be used all the same.
 
         It may if the same incarnation has reported about a heartbeat before:
         a target that has been replaced or has left no longer does.
         """
         held = self.report
         if held is not None and report.sort_key <= held.sort_key:
-            return False
+            return True
         if held is None or held.incarnation != report.incarnation:
             self.since = now
         self.report = report
-        return now - self.since >= MIN_CONFIRMING_FRACTION * self.heartbeat
+        return now - self.since < MIN_CONFIRMING_FRACTION * self.heartbeat
 
     def release(self) -> 'TargetReport | None':
         """Return the report and hold it back no longer."""
--- a/packages/sidecar/src/boragetrestle_sidecar/guard.py
+++ b/packages/sidecar/src/boragetrestle_sidecar/guard.py
@@ -214,8 +214,7 @@
         Raises ``WireError`` for one that the host's target cannot have sent.
         """
         self.services.check(report, self.reported_target.report)
-        target = self.reported_target
-        if target.awaits_record and not target.confirms(report, self.clock()):
+        if self.reported_target.hold_back(report, self.clock()):
             self.log.write_limited(
                 'report-held',
                 target=report.target,
--- a/packages/sidecar/src/boragetrestle_sidecar/reported_target.py
+++ b/packages/sidecar/src/boragetrestle_sidecar/reported_target.py
@@ -43,11 +43,6 @@
         """Hold back reports until the record of an earlier process is read."""
         self.is_settled = False
 
-    @property
-    def awaits_record(self) -> bool:
-        """Whether a first report could be older than what others know."""
-        return not self.is_settled and self.report is None
-
     @property
     def record(self) -> TargetRecord:
         """What has to outlast this process."""
@@ -72,11 +67,13 @@
         self.is_settled = True
         return self.first_report.release()
 
-    def confirms(self, report: 'TargetReport', now: float) -> bool:
-        """Return whether a report may be used before the record is known."""
-        if report.address != self.address:
+    def hold_back(self, report: 'TargetReport', now: float) -> bool:
+        """Return whether a report has to wait until the record is known."""
+        if self.is_settled or self.report is not None:
             return False
-        return self.first_report.confirm(report, now)
+        if report.address != self.address:
+            return True
+        return self.first_report.hold_back(report, now)
 
     def update(self, report: 'TargetReport', now: float) -> bool:
         """Store a newer report; return whether it is of a new incarnation."""
--- a/packages/sidecar/src/boragetrestle_sidecar/server_connection.py
+++ b/packages/sidecar/src/boragetrestle_sidecar/server_connection.py
@@ -47,9 +47,10 @@
     belongs to an earlier exchange and is discarded. A connection on which
     anything unexpected arrived is closed, and ``refusal`` then says what.
     ``buffers`` bounds what connections hold of unfinished answers together.
-    ``on_idle_lost`` is called when the server ends the connection while no
-    exchange is running. ``refused_ids`` are those that the server refused to run: should it write a
+    ``refused_ids`` are those that the server refused to run: should it write a
     refusal once more, it must not meet another attempt under the same id.
+    ``on_idle_lost`` is called when the server ends the connection while no
+    exchange is running.
     """
 
     def __init__(
@@ -121,8 +122,8 @@
         max_idle_seconds = self.idle_seconds if within is None else within
         return self.is_usable and now - self.idle_since < max_idle_seconds
 
-    def may_idle(self, now: float) -> bool:
-        """Return whether the server had no reason to close it by its timeout."""
+    def is_within_timeout(self, now: float) -> bool:
+        """Return whether it has idled for less than the server allows."""
         return now - self.idle_since < self.idle_seconds
 
     def note_refusal(self, request_id: 'RequestId') -> None:
--- a/packages/sidecar/src/boragetrestle_sidecar/target_archive.py
+++ b/packages/sidecar/src/boragetrestle_sidecar/target_archive.py
@@ -79,9 +79,8 @@
         self.epoch = epoch
         if self.target.record == TargetRecord():
             return
-        self.saved_revision = -1
         asyncio.get_running_loop().call_later(
-            self.chance.uniform(0, REWRITE_SECONDS), self.sync_needed.set
+            self.chance.uniform(0, REWRITE_SECONDS), self._rewrite
         )
 
     async def wait_until_saved(self, seconds: float) -> bool:
@@ -110,6 +109,10 @@
             else:
                 backoff = INITIAL_BACKOFF_SECONDS
 
+    def _rewrite(self) -> None:
+        self.saved_revision = -1
+        self.sync_needed.set()
+
     async def _sync(self) -> None:
         """Take over the row, and write it if this node knows more."""
         view = await self.store.view(TARGETS_TABLE, part=self.address)
@@ -119,26 +122,30 @@
         self.guard.apply_record(stored)
         revision = self.target.revision
         record = self.target.record
-        if record != stored:
-            version = ABSENT if row is None else row.version
-            transaction = Transaction(
-                checks=(Check(RECORD_KEY, version),),
-                writes=(Put(RECORD_KEY, record.encode()),),
-            )
-            committed = await self.store.commit(
-                TARGETS_TABLE, transaction, part=self.address
-            )
-            if not committed.is_committed:
-                self.sync_needed.set()
-                return
+        if record != stored and not await self._write(record, row):
+            self.sync_needed.set()
+            return
+        self.saved_revision = revision
+        async with self.synced:
+            self.synced.notify_all()
+
+    async def _write(self, record: TargetRecord, row: 'Row | None') -> bool:
+        """Replace the row; return whether it was still the one given."""
+        version = ABSENT if row is None else row.version
+        transaction = Transaction(
+            checks=(Check(RECORD_KEY, version),),
+            writes=(Put(RECORD_KEY, record.encode()),),
+        )
+        committed = await self.store.commit(
+            TARGETS_TABLE, transaction, part=self.address
+        )
+        if committed.is_committed:
             self.log.write_limited(
                 'target-saved',
                 started_at=record.started_at,
                 left=[*record.left, *record.left_by],
             )
-        self.saved_revision = revision
-        async with self.synced:
-            self.synced.notify_all()
+        return committed.is_committed
 
     def _decode(self, row: 'Row | None') -> TargetRecord:
         """Return the record in a row; one that cannot be read says nothing."""
--- a/packages/sidecar/src/boragetrestle_sidecar/target_pool.py
+++ b/packages/sidecar/src/boragetrestle_sidecar/target_pool.py
@@ -96,7 +96,7 @@
         if connection not in self.idle:
             return
         self.idle.remove(connection)
-        is_early = connection.may_idle(self.clock())
+        is_early = connection.is_within_timeout(self.clock())
         if is_early and not self.idle and self.on_emptied is not None:
             self.on_emptied()
 
--- a/tests/test_path_target_archive.py
+++ b/tests/test_path_target_archive.py
@@ -207,6 +207,8 @@
         store.restore(0)
         for each in (process, unaware):
             each.archive.check_epoch(store.epoch)
+            await each.settle()
+        assert saved_row(store) is None  # nodes don't write all at once
         await asyncio.sleep(REWRITE_SECONDS + 0.1)
         assert saved_row(store) is not None
         assert len(store.log) == 1
