Write the first record of a target without a read

Cause: each write followed a read of the row, also where no row can be there or the row has just been read. Calls to the store cost money and time.

Change: the row of the last read is kept until the next write, whose version is not known; at the first start of a fleet there is none. A row that is there all the same refuses the write, and is read.

Before: a leave after the first start took 2 calls to the store, a restarted node 3 with the read at its start. After: 1 and 2 (test_leave_after_the_first_start_costs_one_call).

--- a/packages/sidecar/src/boragetrestle_sidecar/target_archive.py
+++ b/packages/sidecar/src/boragetrestle_sidecar/target_archive.py
@@ -34,8 +34,9 @@
 
     Each node has a part of the table for itself, so that nodes do not wait for
     each other when many targets leave at once. A write is conditional on the
-    row that was read just before it, so that one whose answer was lost cannot
-    undo a later one.
+    row that was read before it, so that one whose answer was lost cannot undo a
+    later one. ``stored`` and ``version`` are those of the row; after a write the
+    version is not known, and at the first start of a fleet there is no row.
     """
 
     def __init__(
@@ -55,6 +56,8 @@
         self.log = log
         self.chance = chance
         self.epoch: int | None = None
+        self.stored = TargetRecord()
+        self.version = ABSENT if is_first_start else None
         self.saved_revision = self.target.revision
         self.sync_needed = asyncio.Event()
         self.synced = asyncio.Condition()
@@ -74,9 +77,10 @@
 
     def check_epoch(self, epoch: int) -> None:
         """Write the record again if the store came back from an older copy."""
-        if self.epoch is None or epoch <= self.epoch:
-            return
+        before = self.epoch
         self.epoch = epoch
+        if before is None or epoch <= before:
+            return
         if self.target.record == TargetRecord():
             return
         asyncio.get_running_loop().call_later(
@@ -110,42 +114,50 @@
                 backoff = INITIAL_BACKOFF_SECONDS
 
     def _rewrite(self) -> None:
+        self.version = None
         self.saved_revision = -1
         self.sync_needed.set()
 
     async def _sync(self) -> None:
         """Take over the row, and write it if this node knows more."""
-        view = await self.store.view(TARGETS_TABLE, part=self.address)
-        row = {each.key: each for each in view.rows}.get(RECORD_KEY)
-        stored = self._decode(row)
-        self.epoch = view.epoch
-        self.guard.apply_record(stored)
+        if self.version is None:
+            await self._read()
         revision = self.target.revision
         record = self.target.record
-        if record != stored and not await self._write(record, row):
+        if record != self.stored and not await self._write(record):
             self.sync_needed.set()
             return
         self.saved_revision = revision
         async with self.synced:
             self.synced.notify_all()
 
-    async def _write(self, record: TargetRecord, row: 'Row | None') -> bool:
-        """Replace the row; return whether it was still the one given."""
-        version = ABSENT if row is None else row.version
+    async def _read(self) -> None:
+        view = await self.store.view(TARGETS_TABLE, part=self.address)
+        row = {each.key: each for each in view.rows}.get(RECORD_KEY)
+        self.version = ABSENT if row is None else row.version
+        self.stored = self._decode(row)
+        self.guard.apply_record(self.stored)
+
+    async def _write(self, record: TargetRecord) -> bool:
+        """Replace the row; return whether it was still the known one."""
+        assert self.version is not None
         transaction = Transaction(
-            checks=(Check(RECORD_KEY, version),),
+            checks=(Check(RECORD_KEY, self.version),),
             writes=(Put(RECORD_KEY, record.encode()),),
         )
+        self.version = None
         committed = await self.store.commit(
             TARGETS_TABLE, transaction, part=self.address
         )
-        if committed.is_committed:
-            self.log.write_limited(
-                'target-saved',
-                started_at=record.started_at,
-                left=[*record.left, *record.left_by],
-            )
-        return committed.is_committed
+        if not committed.is_committed:
+            return False
+        self.stored = record
+        self.log.write_limited(
+            'target-saved',
+            started_at=record.started_at,
+            left=[*record.left, *record.left_by],
+        )
+        return True
 
     def _decode(self, row: 'Row | None') -> TargetRecord:
         """Return the record in a row; one that cannot be read says nothing."""
--- a/tests/test_path_target_archive.py
+++ b/tests/test_path_target_archive.py
@@ -206,6 +206,7 @@
         await process.settle()
         store.restore(0)
         for each in (process, unaware):
+            each.archive.check_epoch(store.epoch - 1)
             each.archive.check_epoch(store.epoch)
             await each.settle()
         assert saved_row(store) is None  # nodes don't write all at once
@@ -274,6 +275,22 @@
     run_virtual(test())
 
 
+def test_leave_after_the_first_start_costs_one_call() -> None:
+    """No row can be there; a further change is written after a read."""
+
+    async def test() -> None:
+        store = MemoryStore()
+        process = ArchiveHarness(store, is_first_start=True)
+        leave_by_call(process)
+        assert await process.archive.wait_until_saved(0.8)
+        assert store.calls == 1
+        process.guard.handle_heartbeat(report(started_at=LEFT_AT + 1))
+        await process.settle()
+        assert store.calls == 3
+
+    run_virtual(test())
+
+
 def test_calm_restarts_write_nothing() -> None:
     """Calls to the store cost money: one read for each restart."""
 
