Measure the store's silence by the operators' table only

A node reads the store for a fleet that has not heard from it for 4.5 s. A read of the table of nodes counted as hearing from it, so that a node that started, or a volunteer that happened to read that table, kept all others from reading the configuration for another 4.5 s.

Change: only an answer about the operators' table ends the silence; a volunteer reads for 2 s, so both tables, and a node that has just started waits for its neighbours before it volunteers.

test_read_of_the_table_of_nodes_says_nothing_of_the_configuration failed before.

--- a/packages/sidecar/src/boragetrestle_sidecar/store_following.py
+++ b/packages/sidecar/src/boragetrestle_sidecar/store_following.py
@@ -26,6 +26,8 @@
 # In a fleet that does not hear from the store, one node more tries it this
 # often on average.
 VOLUNTEER_INTERVAL_SECONDS = 0.5
+# For which a volunteer reads, so that both tables are read once.
+VOLUNTEER_SECONDS = 2.0
 NEVER_HEARD_SECONDS = 1e6
 # When a whole fleet starts, its nodes write their rows within this time, and a
 # single read then finds them all.
@@ -35,7 +37,9 @@
 class StoreFollowing:
     """What this node knows of the store's reachability, and what it reads.
 
-    ``was_read`` tells whether this node has read the table of nodes once.
+    ``was_read`` tells whether this node has read the table of nodes once, and
+    ``heard_at`` when it or another last read the operators' table. A node that
+    has just started waits for its neighbours before it volunteers.
     """
 
     def __init__(
@@ -52,7 +56,9 @@
         delay = FIRST_START_DELAY_SECONDS if is_first_start else 0.0
         self.first_read_at = clock() + delay
         self.was_read = False
-        self.heard_at = clock() - NEVER_HEARD_SECONDS
+        self.started_at = clock()
+        self.heard_at = self.started_at - NEVER_HEARD_SECONDS
+        self.volunteers_until = 0.0
         self.tree: TreeExchange | None = None
 
     @property
@@ -62,11 +68,11 @@
 
     @property
     def age(self) -> float:
-        """Seconds since this node or another heard from the store."""
+        """Seconds since this node or another read the operators' table."""
         return self.clock() - self.heard_at
 
     def record_age(self, age: float) -> None:
-        """Take over how long ago another node heard from the store."""
+        """Take over how long ago another node read the operators' table."""
         self.heard_at = max(self.heard_at, self.clock() - age)
 
     def needs_nodes(self) -> bool:
@@ -81,13 +87,24 @@
             return False
         if self.links.is_follower or self._replaces_followers():
             return True
-        if self.age < STORE_SILENCE_SECONDS:
-            return False
-        nodes = len(self.links.fleet.members)
-        interval = VOLUNTEER_INTERVAL_SECONDS * nodes
-        return self.chance.random() * interval < IDLE_CHECK_SECONDS
+        return self._volunteers()
 
     def _replaces_followers(self) -> bool:
         """Return whether the nodes that would read for this one may be lost."""
         tree = self.tree
         return tree is not None and (tree.leads_domain or tree.is_cut_off)
+
+    def _volunteers(self) -> bool:
+        """Return whether this node tries the store for a silent fleet."""
+        now = self.clock()
+        if now < self.volunteers_until:
+            return True
+        heard_at = max(self.heard_at, self.started_at)
+        if now - heard_at < STORE_SILENCE_SECONDS:
+            return False
+        nodes = len(self.links.fleet.members)
+        interval = VOLUNTEER_INTERVAL_SECONDS * nodes
+        if self.chance.random() * interval >= IDLE_CHECK_SECONDS:
+            return False
+        self.volunteers_until = now + VOLUNTEER_SECONDS
+        return True
--- a/packages/sidecar/src/boragetrestle_sidecar/store_sync.py
+++ b/packages/sidecar/src/boragetrestle_sidecar/store_sync.py
@@ -104,7 +104,6 @@
             store=self.store,
             log=self.log,
             chance=self.chance,
-            on_confirmed=self.following.record_age,
         )
         nodes = watch(
             NODES_TABLE,
@@ -117,6 +116,7 @@
             on_change=self._apply_configuration_row,
             is_needed=self.following.needs_changes,
             poll_delay=CONFIG_POLL_DELAY_SECONDS,
+            on_confirmed=self.following.record_age,
         )
         if self.settings.is_first_start:
             self.registration.check()
--- a/tests/test_path_store_following.py
+++ b/tests/test_path_store_following.py
@@ -7,7 +7,8 @@
 from typing import Any
 
 import pytest
-from path_standins import MemoryStore
+from path_builders import LineLog
+from path_standins import Host, MemoryStore
 from tree_builders import (
     STEP_SECONDS,
     ModelFleet,
@@ -230,6 +231,11 @@
                 node.step(1.0)
 
 
+def always() -> bool:
+    """Return true, for a watch that is always needed."""
+    return True
+
+
 @pytest.mark.parametrize('refusal', list(Refusal))
 @pytest.mark.parametrize(
     ('count', 'seed'),
@@ -329,6 +335,24 @@
     run_virtual(test())
 
 
+# Guards against a node that keeps others from reading a change.
+def test_read_of_the_table_of_nodes_says_nothing_of_the_configuration() -> None:
+    """Nodes read the store themselves if no other has read the latter."""
+
+    async def test() -> None:
+        sync = Host(1, MemoryStore(), LineLog()).node.sync
+        jobs: list[Any] = sync.jobs()
+        operators, nodes = (job.__self__ for job in jobs[:2])
+        for watch, is_heard in ((nodes, False), (operators, True)):
+            watch.is_needed = always
+            task = asyncio.create_task(watch.run())
+            await asyncio.sleep(0.1)
+            task.cancel()
+            assert (sync.following.age < 1) == is_heard
+
+    asyncio.run(test())
+
+
 def test_followers_and_not_all_nodes_read_the_store() -> None:
     """Calls to it cost money."""
 
