Restart the silence detector in one place after a loss

No change of behaviour: a loss is closed, silent or garbled, and the last two restarted the detector alike. test_path_guard.py and test_path_silent_target.py pass, as before.

--- a/packages/sidecar/src/boragetrestle_sidecar/guard.py
+++ b/packages/sidecar/src/boragetrestle_sidecar/guard.py
@@ -723,15 +723,12 @@
         self._log_refused_bytes('answer-refused', job)
         if loss is Loss.SILENT:
             self.pool.close()  # the others have usually gone silent as well
+        if loss is Loss.CLOSED:
+            self.crash_watch.record_loss(job.order, self.clock())
+        else:
             self.silence_detector.restart(
                 self.clock(), is_idle=not self.running
             )
-        if loss is Loss.GARBLED:
-            self.silence_detector.restart(
-                self.clock(), is_idle=not self.running
-            )
-        if loss is Loss.CLOSED:
-            self.crash_watch.record_loss(job.order, self.clock())
         self._finish(job, Outcome(OutcomeKind.UNKNOWN, _LOSS_REASON[loss]))
         self._dispatch()
 
