Forget what foreign reports said before a configuration

With such reports in the state draining nothing was served any more: 0 of 32 with the store away around the kill, and the store kept it so.

Cause: a report that comes before the first configuration cannot be judged. The configuration dropped the one in use, but the copy that was held back was used again once the record had been read, and what had been saved (newest start), told to peers (drain) or taken for a crash was never judged.

Change: only the service of the host's settings exists before a configuration. Reports of any other leave nothing but what names their own incarnation; the held ones are judged as well. Rows and notices of earlier builds name no service and hold against one late report only, so that a fleet that is out gets in.

The row of a target has a further field, service. The build before passes over it; rows without it are read (golden files).

Archives in tests have a configuration now unless told otherwise, since a target of a service besides the host's own is only known by one; the tests of leaves run with and without it.

--- a/packages/sidecar/src/boragetrestle_sidecar/configured_services.py
+++ b/packages/sidecar/src/boragetrestle_sidecar/configured_services.py
@@ -36,6 +36,13 @@
         """Return whether targets of a service may be used."""
         return not self.known or service in self.known
 
+    def confirms(self, service: 'ServiceName') -> bool:
+        """Return whether a service exists for certain.
+
+        Before the first configuration only that of the own host does.
+        """
+        return service == self.own or service in self.known
+
     def check(
         self,
         report: 'TargetReport',
--- a/packages/sidecar/src/boragetrestle_sidecar/guard.py
+++ b/packages/sidecar/src/boragetrestle_sidecar/guard.py
@@ -97,9 +97,11 @@
         self.telemetry = telemetry or Telemetry()
         self.clock = clock
         self.wall_clock = wall_clock
+        self.services = ConfiguredServices(settings.service)
         self.reported_target = ReportedTarget(
             settings.target,
             heartbeat=settings.heartbeat_seconds,
+            confirms=self.services.confirms,
         )
         self.pool = TargetPool(
             settings.target,
@@ -118,7 +120,6 @@
             self.terms.cold.rate = UNKNOWN_RATE
         self.evacuations = evacuations or Evacuations(log)
         self.was_evacuated = False
-        self.services = ConfiguredServices(settings.service)
         self.attribution = CallAttribution()
         self.jobs: set[GuardJob] = set()
         self.running = 0
@@ -238,7 +239,7 @@
         self.silence_detector.is_suspected = False
         if is_new:
             self.found_at = self.clock()
-            if had_left:
+            if had_left or not self.services.confirms(report.service):
                 self.crash_watch.forget_losses()
             self.crash_watch.report_crash(self.found_at)
             self.pool.close()
@@ -264,13 +265,14 @@
     def configure(self, configuration: 'Configuration') -> None:
         """Use the services and limits of a new configuration."""
         self.services.add(configuration)
-        self._drop_foreign_target()
+        self._judge_target()
         self._apply_cold_rate()
 
-    def _drop_foreign_target(self) -> None:
+    def _judge_target(self) -> None:
         """Drop a target from before the first configuration if need be."""
         report = self.reported_target.report
-        if report is None or self.services.knows(report.service):
+        self.reported_target.judge(self.services.knows)
+        if report is None or report is self.reported_target.report:
             return
         self.log.write_unlimited(
             'target-dropped',
@@ -278,7 +280,6 @@
             service=report.service,
             known=sorted(self.services.known),
         )
-        self.reported_target.forget()
         self._refuse_waiting(Reason.NO_TARGET)
 
     def _apply_cold_rate(self) -> None:
@@ -341,8 +342,8 @@
                 self._stop_sending(target, LeaveSource.PEER)
             return
         if notice.drain_sequence is not None:
-            self.reported_target.note_drain(
-                notice.started_at, notice.drain_sequence
+            self.reported_target.drains.add(
+                target, notice.started_at, notice.drain_sequence
             )
         if notice.is_leaving and self.reported_target.note_leaving(
             target, notice.started_at
--- a/packages/sidecar/src/boragetrestle_sidecar/reported_target.py
+++ b/packages/sidecar/src/boragetrestle_sidecar/reported_target.py
@@ -1,15 +1,20 @@
 """The target beside a guard, as it last described itself."""
 
+from collections.abc import Callable
 from typing import TYPE_CHECKING
 
+import msgspec
+
 from boragetrestle_kernel.ids import TargetId
-from boragetrestle_sidecar.first_report import FirstReport
+from boragetrestle_sidecar.held_reports import HeldReports
+from boragetrestle_sidecar.target_drains import TargetDrains
 from boragetrestle_sidecar.target_leaves import TargetLeaves, UnreportedLeave
 from boragetrestle_sidecar.target_record import TargetRecord, newest_leaves
 from boragetrestle_sidecar.target_report import TargetState
 
 if TYPE_CHECKING:
     from boragetrestle_kernel.address import Address
+    from boragetrestle_kernel.ids import ServiceName
     from boragetrestle_sidecar.target_report import TargetReport
 
 # A report may be seconds late, but not by four heartbeat intervals.
@@ -22,22 +27,36 @@
     Reports are ordered by the start of the target and then by their sequence,
     so that a delayed report of an earlier incarnation is ignored. ``record`` is
     what has to outlast this process; ``revision`` grows with each change of it.
-    ``outdated`` is the start and sequence before which reports are not used. A
-    node that has restarted holds back the first report until it has read the
-    record.
+    ``outdated`` is the start and sequence before which reports are not used, and
+    ``outdated_service`` that of the report that made it so. A node that has
+    restarted holds back the first report until it has read the record.
+
+    Another writer may report under a service that does not exist. Until the
+    first configuration such a report cannot be told from one of the target, so
+    what follows from it is kept neither for other nodes nor for the next process.
+    ``confirms`` tells whether a service exists for certain.
     """
 
-    def __init__(self, address: 'Address', *, heartbeat: float) -> None:
+    def __init__(
+        self,
+        address: 'Address',
+        *,
+        heartbeat: float,
+        confirms: 'Callable[[ServiceName], bool]' = lambda _service: True,
+    ) -> None:
         self.address = address
         self.heartbeat = heartbeat
+        self.confirms = confirms
         self.report: TargetReport | None = None
         self.reported_at = 0.0
         self.leaves = TargetLeaves()
-        self.superseded = (-1, -1)
+        self.drains = TargetDrains()
         self.outdated = (0, 0)
+        self.outdated_service = ''
         self.revision = 0
         self.is_settled = True
-        self.first_report = FirstReport(heartbeat=heartbeat)
+        self.overtakes = False
+        self.held = HeldReports(heartbeat=heartbeat)
 
     def await_record(self) -> None:
         """Hold back reports until the record of an earlier process is read."""
@@ -50,6 +69,7 @@
             *self.outdated,
             left=newest_leaves(self.leaves.starts),
             left_by=newest_leaves(self.leaves.unreported),
+            service=self.outdated_service or msgspec.UNSET,
         )
 
     def apply_record(self, record: TargetRecord) -> 'TargetReport | None':
@@ -61,39 +81,53 @@
             leave = UnreportedLeave(TargetId(left), left_by)
             self.leaves.add_unreported(leave)
         outdated = (record.started_at, record.sequence)
-        self.outdated = max(self.outdated, outdated)
-        if self.report is not None and self.report.sort_key < outdated:
+        if outdated > self.outdated:
+            self.outdated = outdated
+            self.outdated_service = record.service or ''
+        if self.report is not None and self._is_outdated(self.report):
             self.report = None
         self.is_settled = True
-        return self.first_report.release()
+        return self.held.newest()
 
     def hold_back(self, report: 'TargetReport', now: float) -> bool:
-        """Return whether a report has to wait until the record is known."""
-        if self.is_settled or self.report is not None:
-            return False
+        """Return whether a report has to wait until more is known."""
         if report.address != self.address:
+            return self.report is None and not self.is_settled
+        self.held.add(report, now)
+        if self._is_outdated(report):
             return True
-        return self.first_report.hold_back(report, now)
+        if self.is_settled or self.report is not None:
+            return False
+        is_newest = self.held.newest() is report
+        return not (is_newest and self.held.is_confirmed(report))
+
+    def judge(self, knows: 'Callable[[ServiceName], bool]') -> None:
+        """Forget the reports of services that no configuration names."""
+        self.held.forget_unknown(knows)
+        report = self.report
+        if report is not None and not knows(report.service):
+            self.report = None
+        elif report is not None and self.overtakes:
+            self._outdate_earlier(report)
 
     def update(self, report: 'TargetReport', now: float) -> bool:
         """Store a newer report; return whether it is of a new incarnation."""
         known = self.report
         if known is not None and report.sort_key <= known.sort_key:
             return False
-        if self._is_superseded(report):
-            return False
-        if report.address != self.address or report.sort_key < self.outdated:
+        if report.address != self.address or self._is_outdated(report):
             return False
         is_new = known is None or known.incarnation != report.incarnation
-        self._note_outdated(report, is_new=is_new)
+        self.overtakes = self._overtakes(report, is_new=is_new)
+        if self.confirms(report.service):
+            if self.overtakes:
+                self._outdate_earlier(report)
+        elif report.state is not TargetState.READY:
+            self._save_drain(report)
         self.report = report
         self.reported_at = now
         return is_new
 
-    def forget(self) -> None:
-        """Drop the newest report, which was not of the host's target."""
-        self.report = None
-
     def knows(self, target: 'TargetId') -> bool:
         """Return whether the newest report is of this target."""
         return self.report is not None and self.report.target == target
@@ -129,10 +163,6 @@
         self.revision += self.leaves.add_unreported(leave)
         return self.is_leaving and not was_leaving
 
-    def note_drain(self, started_at: int, sequence: int) -> None:
-        """Note a report in which the target drains, from before this process."""
-        self.superseded = max(self.superseded, (started_at, sequence))
-
     @property
     def is_leaving(self) -> bool:
         """Whether the target has said that it leaves."""
@@ -162,10 +192,15 @@
 
     @property
     def drain_sequence(self) -> int | None:
-        """The sequence of the newest report if the target drains in it."""
+        """The sequence of the newest report if the target drains in it.
+
+        Nodes take reports of all earlier targets for outdated by it.
+        """
         report = self.report
         if report is None or report.state is TargetState.READY:
             return None
+        if not self.confirms(report.service):
+            return None
         return report.sequence
 
     def is_available(self, now: float) -> bool:
@@ -175,30 +210,55 @@
             return False
         if self.is_leaving:
             return False
-        if self._is_superseded(report):
+        if self._is_outdated(report):
             return False
         return now - self.reported_at < MAX_MISSED_HEARTBEATS * self.heartbeat
 
-    def _note_outdated(self, report: 'TargetReport', *, is_new: bool) -> None:
-        """Note the earlier reports that must not be used after a restart.
+    def _overtakes(self, report: 'TargetReport', *, is_new: bool) -> bool:
+        """Return whether earlier reports must not be used after a restart.
 
         These are the ones of earlier incarnations, and those from before the
         target drained or became cold again.
         """
         known = self.report
         earlier_start, _sequence = self.outdated
+        if report.sort_key < self.outdated:
+            return True
         if known is None:
-            overtakes = report.state is not TargetState.READY or (
+            return report.state is not TargetState.READY or (
                 0 < earlier_start < report.started_at
             )
-        else:
-            is_cold_again = report.cold_seconds > 0 and not known.cold_seconds
-            overtakes = (
-                is_new or is_cold_again or report.state is not known.state
-            )
-        if overtakes and report.sort_key > self.outdated:
-            self.outdated = report.sort_key
+        is_cold_again = report.cold_seconds > 0 and not known.cold_seconds
+        has_turned = report.state is not known.state
+        # Nothing has been saved of a report that could not be judged.
+        is_unsaved = self.overtakes and not self.confirms(known.service)
+        return is_new or is_cold_again or has_turned or is_unsaved
+
+    def _outdate_earlier(self, report: 'TargetReport') -> None:
+        """Take all reports before this one for outdated, also later on."""
+        if self.outdated == report.sort_key:
+            return
+        self.outdated = report.sort_key
+        self.outdated_service = report.service
+        self.revision += 1
+
+    def _save_drain(self, report: 'TargetReport') -> None:
+        """Keep a drain that cannot be judged yet for its own incarnation."""
+        if not self.leaves.has_left(*report.incarnation):
+            self.leaves.add(*report.incarnation)
             self.revision += 1
 
-    def _is_superseded(self, report: 'TargetReport') -> bool:
-        return report.sort_key <= self.superseded
+    def _is_outdated(self, report: 'TargetReport') -> bool:
+        """Return whether a report is from before another that is known.
+
+        What nodes of earlier builds remember may come from another writer. It
+        holds against late reports, but not against a target that reports on.
+        """
+        if self.drains.covers(report):
+            return True
+        is_before_saved = report.sort_key < self.outdated
+        if is_before_saved and self.outdated_service:
+            return True
+        if is_before_saved or report.sort_key <= self.drains.newest:
+            return not self.held.is_confirmed(report)
+        return False
--- a/packages/sidecar/src/boragetrestle_sidecar/target_record.py
+++ b/packages/sidecar/src/boragetrestle_sidecar/target_record.py
@@ -17,7 +17,9 @@
     """Facts about a target that hold also after its node has restarted.
 
     Reports of targets that started before ``started_at``, and those of this
-    start before ``sequence``, are outdated. ``left`` holds the targets that
+    start before ``sequence``, are outdated; ``service`` is that of the target
+    which made them so, and is missing in records of earlier builds, which may come
+    from another writer. ``left`` holds the targets that
     leave with the start of the incarnation, ``left_by`` those that left before
     they reported with the time of the call. All times are milliseconds of the
     wall clock.
@@ -31,6 +33,7 @@
     sequence: Count = 0
     left: dict[str, Count] = {}
     left_by: dict[str, Count] = {}
+    service: str | msgspec.UnsetType = msgspec.UNSET
 
     def encode(self) -> bytes:
         """Return the content of the record's row, a JSON object."""
--- a/tests/archive_builders.py
+++ b/tests/archive_builders.py
@@ -3,7 +3,13 @@
 import asyncio
 import random
 
-from path_builders import NAMES, LineLog, settings
+from path_builders import (
+    NAMES,
+    LineLog,
+    configuration,
+    route,
+    settings,
+)
 from path_standins import MemoryStore
 from virtual_loop import virtual_now
 
@@ -34,6 +40,7 @@
         *,
         is_first_start: bool = False,
         address: str = ADDRESS,
+        is_configured: bool = True,
     ) -> None:
         self.log = LineLog()
         self.store = store
@@ -44,6 +51,9 @@
             clock=virtual_now,
             wall_clock=lambda: LEFT_AT_SECONDS,
         )
+        self.is_configured = is_configured
+        if is_configured:
+            self.configure()
         self.archive = TargetArchive(
             address,
             self.guard,
@@ -54,6 +64,12 @@
         )
         self.task = asyncio.get_running_loop().create_task(self.archive.run())
 
+    def configure(self) -> None:
+        """Let the first configuration come."""
+        self.guard.configure(
+            configuration(route(), route(services={'seats': 1}))
+        )
+
     async def settle(self) -> None:
         """Let the archive do what is due."""
         self.archive.check()
@@ -63,7 +79,7 @@
         """Kill the process and return the one that follows."""
         await self.settle()
         self.task.cancel()
-        following = ArchiveHarness(self.store)
+        following = ArchiveHarness(self.store, is_configured=self.is_configured)
         await following.settle()
         return following
 
--- a/tests/test_path_leaves.py
+++ b/tests/test_path_leaves.py
@@ -123,7 +123,7 @@
     assert msgspec.convert(list(notice), TargetNotice) == notice
     earlier = ReportedTarget(settings().target, heartbeat=1.5)
     assert notice.drain_sequence is not None
-    earlier.note_drain(notice.started_at, notice.drain_sequence)
+    earlier.drains.add(TARGET, notice.started_at, notice.drain_sequence)
     earlier.update(report(started_at=LEFT_AT - 60_000, sequence=99), now=0.0)
     assert not earlier.is_available(0.0)
 
--- a/tests/test_path_target_archive.py
+++ b/tests/test_path_target_archive.py
@@ -81,12 +81,15 @@
 
 
 # Guards against requests to a target that left before all nodes were killed.
+@pytest.mark.parametrize('is_configured', [True, False])
 @pytest.mark.parametrize('leave', LEAVES)
-def test_leave_outlasts_all_nodes(leave: str) -> None:
+def test_leave_outlasts_all_nodes(leave: str, *, is_configured: bool) -> None:
     """A report from before it comes late to the next two processes."""
 
     async def test() -> None:
-        process = ArchiveHarness(MemoryStore(), is_first_start=True)
+        process = ArchiveHarness(
+            MemoryStore(), is_first_start=True, is_configured=is_configured
+        )
         LEAVES[leave](process)
         for _ in range(2):
             process = await process.restart()
--- a/tests/test_path_upgrades.py
+++ b/tests/test_path_upgrades.py
@@ -19,6 +19,7 @@
     KINDS_WITH_FIELDS,
     MEMBER,
     ROUTE_COSTS,
+    SERVICE_RECORD,
     TARGET_RECORD,
     extended,
     written_files,
@@ -145,5 +146,7 @@
     assert decode_member(MEMBER.address, node) == MEMBER
     assert decode_costs(costs) == ROUTE_COSTS
     assert decode_record(target) == TARGET_RECORD
+    served = (GOLDEN / 'row-target-service.json').read_bytes()
+    assert decode_record(served) == SERVICE_RECORD
     found = decode_configuration(document)
     assert POLICIES(found) == POLICIES(CONFIGURATION)
--- a/tests/wire_values.py
+++ b/tests/wire_values.py
@@ -112,6 +112,7 @@
 TARGET_RECORD = TargetRecord(
     started_at=5000, sequence=6, left={'t-1': 4000}, left_by={'t-2': 4500}
 )
+SERVICE_RECORD = TargetRecord(5000, 6, service='walks')
 FRAME_VALUES: dict[FrameKind, Any] = {
     FrameKind.HELLO: Hello(
         address=SOURCE, version=5, notice=NOTICE, evacuations=EVACUATED
@@ -226,6 +227,7 @@
         'row-node.json': MEMBER.encode().decode(),
         'row-costs.json': encode_costs(ROUTE_COSTS).decode(),
         'row-target.json': TARGET_RECORD.encode().decode(),
+        'row-target-service.json': SERVICE_RECORD.encode().decode(),
     }
 
 
