Ignore offers of another protocol in requests

A request with a body was delivered without it.

Cause: the parser delivers a request that offers another protocol at the end of its head, takes what follows for that protocol and reports the offer, which was handled as malformed input besides.

Change: such a request is parsed again from its head without the Upgrade header, together with what followed. CONNECT gets one answer that closes, and what follows it is dropped.

--- a/packages/sidecar/src/boragetrestle_sidecar/request_reader.py
+++ b/packages/sidecar/src/boragetrestle_sidecar/request_reader.py
@@ -13,6 +13,10 @@
 from boragetrestle_sidecar.body_budget import LARGE_BODY_BYTES
 from boragetrestle_sidecar.caller_request import CallerRequest
 from boragetrestle_sidecar.header_number import read_count
+from boragetrestle_sidecar.protocol_offer import (
+    TUNNEL_METHOD,
+    head_without_offer,
+)
 from boragetrestle_sidecar.steady_clock import steady_now
 
 if TYPE_CHECKING:
@@ -30,7 +34,7 @@
     ``awaits_continue`` tells that the caller waits for ``100 Continue`` before
     it sends the body. ``waited_seconds`` is how long the body that is not
     complete yet has waited for memory, and ``began_at`` is when its request
-    began.
+    began. Behind a request for a tunnel nothing is read.
     """
 
     def __init__(self, limits: 'CallerLimits') -> None:
@@ -38,6 +42,7 @@
         self.parser = httptools.HttpRequestParser(self)
         self.ready: deque[CallerRequest] = deque()
         self.awaits_continue = False
+        self.is_tunnel = False
         self.body: bytes | bytearray = b''
         self._reset()
 
@@ -79,22 +84,23 @@
         Raises ``MalformedRequestError`` for bytes that are no HTTP request, and
         ``HeadTooLargeError`` or ``BodyTooLargeError`` beyond the limits.
         """
+        if self.is_tunnel:
+            return
         if self.has_head:
             self.received_body_bytes += len(received)
         else:
             self._count_received_head(len(received))
-        self._parse(received)
+        while received:
+            received = self._parse(received)
         if self.has_begun:
             self._check_framing_size()
 
-    def _parse(self, received: bytes) -> None:
+    def _parse(self, received: bytes) -> bytes:
+        """Parse bytes up to the offer of another protocol; return the rest."""
         try:
             self.parser.feed_data(received)
-        except httptools.HttpParserUpgrade as error:
-            raise MalformedRequestError(
-                'the caller asks to switch to another protocol',
-                remedy='send HTTP/1.1 requests without CONNECT or Upgrade',
-            ) from error
+        except httptools.HttpParserUpgrade as offer:
+            return self._decline_offer(received[offer.args[0] :])
         except httptools.HttpParserError as error:
             if isinstance(error.__context__, HeadTooLargeError):
                 raise error.__context__ from error
@@ -104,6 +110,20 @@
                 f'the received bytes are no valid HTTP/1.1 request: {error}',
                 remedy='send well-formed requests, one after the other',
             ) from error
+        return b''
+
+    def _decline_offer(self, rest: bytes) -> bytes:
+        """Return the bytes to parse in place of a head with an offer."""
+        if self.is_tunnel:
+            return b''
+        head = head_without_offer(
+            self.parser.get_method(),
+            self.request_target,
+            self.parser.get_http_version(),
+            self.headers,
+        )
+        self.parser = httptools.HttpRequestParser(self)
+        return head + rest
 
     def on_message_begin(self) -> None:
         """Reset the state for the next request."""
@@ -151,7 +171,14 @@
         self.body += body
 
     def on_message_complete(self) -> None:
-        """Add the complete request to ``ready``."""
+        """Add the complete request to ``ready``.
+
+        One that offers another protocol is parsed again without the offer.
+        """
+        method = self.parser.get_method()
+        self.is_tunnel = method == TUNNEL_METHOD
+        if self.parser.should_upgrade() and not self.is_tunnel:
+            return
         self.has_begun = False
         self.awaits_continue = False
         if self.body_bytes <= LARGE_BODY_BYTES:
@@ -159,11 +186,13 @@
         now = steady_now()
         self.ready.append(
             CallerRequest(
-                method=self.parser.get_method(),
+                method=method,
                 request_target=self.request_target,
                 headers=self.headers,
                 body=cast('bytes', self.body),
-                keeps_open=self.parser.should_keep_alive(),
+                keeps_open=(
+                    self.parser.should_keep_alive() and not self.is_tunnel
+                ),
                 has_length=_has_length(self.headers),
                 waited_seconds=self.waited_seconds,
                 read_seconds=now - self.began_at,
--- a/tests/test_exchange.py
+++ b/tests/test_exchange.py
@@ -120,6 +120,7 @@
         b'HTTP/1.1 999 OK',
         b'HTTP/0.9 200 OK',
         b'HTTP/2.0 200 OK',
+        b'HTTP/1.1 101 OK\r\nConnection: Upgrade\r\nUpgrade: h2c',
     ],
 )
 async def test_answer_that_has_no_http_status_is_refused(start):
--- a/tests/test_http_server.py
+++ b/tests/test_http_server.py
@@ -189,3 +189,18 @@
         answer = await read_all(stream)
     assert b'connection: close' in answer.lower()
     assert answer.count(b'HTTP/1.1 200') == 1
+
+
+# Guards against a second answer to a request that offers another protocol.
+@pytest.mark.parametrize('protocol', [b'h2c', b'websocket', b'TLS/1.0, h2c'])
+async def test_offer_of_another_protocol_is_ignored(autojump_clock, protocol):
+    offer = b'Connection: Upgrade\r\nUpgrade: %s\r\n' % protocol
+    post = b'POST / HTTP/1.1\r\n%s%sContent-Length: 3\r\n\r\nabc'
+    recorder = RecordingHandler()
+    async with serve_connection(recorder) as stream:
+        await stream.send_all(post % (_HOST, offer) + post % (_HOST, b''))
+        await trio.sleep(1)
+        await stream.send_eof()
+        answer = await read_all(stream)
+    assert answer.count(b'HTTP/1.1 200') == answer.count(b'HTTP/1.1 ') == 2
+    assert recorder.seen == [(b'POST', b'abc')] * 2
