--- a/tests/test_deploy_adapter.py
+++ b/tests/test_deploy_adapter.py
@@ -146,9 +146,18 @@
         b'{}',
         report_document(Address=7),
         report_document(Address='x'),
-        report_document(Status={'State': 'resting', 'Sequence': 1}),
-        report_document(Status={'State': 'ready'}),
-        report_document(Info={'Service': 'walks', 'Zone': 'a', 'Slots': 'x'}),
+        report_document(
+            Status={'State': 'resting', 'Sequence': 1, 'ColdRemainingMs': 0}
+        ),
+        report_document(Status={'State': 'ready', 'ColdRemainingMs': 0}),
+        report_document(
+            Info={
+                'Service': 'walks',
+                'Version': 'v1',
+                'Zone': 'a',
+                'Slots': 'x',
+            }
+        ),
         report_document(born='yesterday'),
     ],
 )
--- a/tests/test_path_foreign_reports.py
+++ b/tests/test_path_foreign_reports.py
@@ -1,5 +1,6 @@
 """Reports that another writer sent, and not the target of the host."""
 
+import json
 from typing import Any
 
 import pytest
@@ -43,6 +44,11 @@
     return report(**{**known, **changes})
 
 
+def without(fields: dict[str, Any], name: str) -> dict[str, Any]:
+    """Return fields without one of them."""
+    return {each: known for each, known in fields.items() if each != name}
+
+
 def configured_guard() -> GuardHarness:
     """Return a guard whose configuration has the services walks and gates."""
     bench = GuardHarness()
@@ -119,6 +125,8 @@
     assert b'target: t-1' in bench.sent()
 
 
+INFO = {'Service': 'walks', 'Version': 'v1', 'Zone': 'a', 'Slots': 8}
+STATUS = {'State': 'ready', 'Sequence': 1, 'ColdRemainingMs': 0}
 IN_A_HEADER = b'a%0d%0ax-organisation:%20acacia'
 
 
@@ -145,19 +153,13 @@
         {'Address': '127.0.0.1:70000'},
         {'Address': '127.0.0.1:²'},
         {'Address': '127.0.0.1:' + '9' * 5000},
-        {'Info': {'Service': 'walks', 'Zone': 'a', 'Slots': -1}},
-        {'Info': {'Service': 'walks', 'Zone': 'a', 'Slots': 0}},
-        {'Info': {'Service': 'walks', 'Zone': 'a', 'Slots': 2**40}},
-        {'Status': {'State': 'ready', 'Sequence': -1}},
-        {'Status': {'State': 'ready', 'Sequence': 2**63}},
-        {'Status': {'State': 'ready', 'Sequence': 10**4000}},
-        {
-            'Status': {
-                'State': 'ready',
-                'Sequence': 1,
-                'ColdRemainingMs': 1e300,
-            }
-        },
+        {'Info': {**INFO, 'Slots': -1}},
+        {'Info': {**INFO, 'Slots': 0}},
+        {'Info': {**INFO, 'Slots': 2**40}},
+        {'Status': {**STATUS, 'Sequence': -1}},
+        {'Status': {**STATUS, 'Sequence': 2**63}},
+        {'Status': {**STATUS, 'Sequence': 10**4000}},
+        {'Status': {**STATUS, 'ColdRemainingMs': 1e300}},
         {'born': -1},
         {'born': 2**63},
         {'born': 10**30},
@@ -174,6 +176,27 @@
         DeployAdapter().decode_target_call(call)
 
 
+# Guards against a target that has left and is used again with no known start.
+@pytest.mark.parametrize(
+    'changes',
+    [
+        {'born': None},
+        *({'Info': without(INFO, name)} for name in INFO),
+        *({'Status': without(STATUS, name)} for name in STATUS),
+    ],
+    ids=str,
+)
+def test_report_that_lacks_a_field_is_refused(changes: dict[str, Any]) -> None:
+    """Another writer has sent it; the target states all of them."""
+    document = json.loads(report_document(**changes))
+    known = {name: each for name, each in document.items() if each is not None}
+    call = CallerRequest(
+        b'PUT', b'/instances/i-1', body=json.dumps(known).encode()
+    )
+    with pytest.raises(WireError, match='i-1'):
+        DeployAdapter().decode_target_call(call)
+
+
 def test_report_that_is_nested_too_deeply_is_refused() -> None:
     """It is answered like any other that cannot be decoded."""
     body = report_document()[:-1] + b', "x": ' + b'[' * 100_000
