Take the first read of the table of nodes for a change

In a fleet of one node each request of an organisation with a rate got 429, from the first start on.

Cause: the shares of rates wait until the nodes are known, and a node was told of them only when the table differed from its own row alone, which it assumes.

test_only_node_of_a_fleet_holds_the_whole_rates failed before.

--- a/packages/sidecar/src/boragetrestle_sidecar/fleet.py
+++ b/packages/sidecar/src/boragetrestle_sidecar/fleet.py
@@ -46,6 +46,7 @@
         self.clock = clock
         self.table = MemberTable()
         self.members: dict[str, Member] = {own.address: own}
+        self.has_read_rows = False
         self.local_guard: Guard | None = None
         self.notices: dict[str, TargetNotice] = {}
         self.views: dict[str, GuardView] = {}
@@ -213,8 +214,9 @@
         if not changed:
             return
         known = {**self.table.members, self.address: self.own}
-        if known == self.members:
+        if known == self.members and self.has_read_rows:
             return
+        self.has_read_rows = True
         self.members = known
         if self.on_members_changed is not None:
             self.on_members_changed(list(known.values()))
--- a/tests/test_path_policies.py
+++ b/tests/test_path_policies.py
@@ -24,6 +24,8 @@
     route,
     run_order,
 )
+from path_standins import Host, MemoryStore
+from tree_builders import rows_of
 
 from boragetrestle_kernel.ids import ServiceName
 from boragetrestle_sidecar.admission.admission import Admission
@@ -631,6 +633,19 @@
     assert passed <= (rate * 20 + rate) * 1.1 + 20
 
 
+# Guards against a fleet of one node that refuses all calls with a rate.
+def test_only_node_of_a_fleet_holds_the_whole_rates() -> None:
+    """From its first read of the table of nodes on."""
+    node = Host(1, MemoryStore(), LineLog()).node
+    shares = node.rates.shares
+    policy = organisation(rate=10, burst=20)
+    assert not shares.take_token(policy, 0.0)
+    node.fleet.replace_rows(rows_of([node.fleet.own]), epoch=0, position=1)
+    shares.refill_own_shares([policy], 0.0)
+    passed = sum(shares.take_token(policy, step / 20) for step in range(1, 101))
+    assert 10 * 5 - 1 <= passed <= 10 * 5 + 20
+
+
 def test_small_rate_outlives_a_holder_that_is_cut_off() -> None:
     """Its tokens are unreachable, and no other node may take them over."""
     policy = organisation(rate=3, burst=4)
