Keep in the store which requests crash targets

Cause: the crashes were in the memory of the nodes only, and a request was checked when it was admitted, not when it was sent on to a second target.

Change: a request that is blocked has a row with the numbers of its crashes, written by the node that saw the last one and by the root of the tree. A node that starts and follows the store reads the rows and hands the crashes over as the frames that nodes know. An answer removes the row, and each write those whose block is over. A further attempt is checked like the first.

Weighed: a write for each crash (innocent requests that ran beside it would get rows as well); one row for all (nodes would wait for each other). Costs: two calls from the third crash of a request on, one read for a node that starts, none in the calm.

--- a/packages/sidecar/src/boragetrestle_sidecar/entry.py
+++ b/packages/sidecar/src/boragetrestle_sidecar/entry.py
@@ -34,7 +34,6 @@
 from boragetrestle_sidecar.service_split import ServiceSplit
 from boragetrestle_sidecar.steady_clock import steady_now
 from boragetrestle_sidecar.stop_window import CLOSED, NO_STOP
-from boragetrestle_sidecar.suspects import fingerprint
 
 if TYPE_CHECKING:
     from boragetrestle_sidecar.caller_connection import CallerConnection
@@ -367,9 +366,7 @@
                 request, Reason.EXPIRED, retry_after=self._retry_after(request)
             )
             return
-        if self.suspects.crashes and self.suspects.is_blocked(
-            _request_fingerprint(request)
-        ):
+        if self._is_suspect(request):
             self._refuse(request, Reason.SUSPECT, retry_after=1.0)
             return
         refused = self.admission.admit_or_retry_after(request)
@@ -382,6 +379,13 @@
         else:
             self._refuse(request, Reason.SHORTAGE, retry_after=refused)
 
+    def _is_suspect(self, request: EntryRequest) -> bool:
+        """Return whether a request has crashed too many targets."""
+        suspects = self.suspects
+        return bool(suspects.crashes) and suspects.is_blocked(
+            request.fingerprint
+        )
+
     def _hold(self, request: EntryRequest, seconds: float) -> None:
         """Admit a request later, when there is capacity again."""
         request.is_held = True
@@ -614,7 +618,7 @@
                 after=seconds,
             )
         if self.suspects.crashes and not is_failure:
-            self.suspects.clear(_request_fingerprint(request), is_own=True)
+            self.suspects.clear(request.fingerprint, is_own=True)
 
     def _may_retry_failed_answer(
         self,
@@ -638,6 +642,8 @@
         now = self.clock()
         if request.expires_at - now < MIN_RETRY_RUN_SECONDS:
             return False
+        if self._is_suspect(request):
+            return False
         if request.placements >= MAX_PLACEMENTS:
             return False
         if not self._ends_before_stop(request):
@@ -824,13 +830,5 @@
         return b'\r\n'.join(lines)
 
 
-def _request_fingerprint(request: EntryRequest) -> str:
-    return fingerprint(
-        _organisation_name(request.organisation),
-        request.request.request_target,
-        request.request.body,
-    )
-
-
 def _organisation_name(organisation: 'OrganisationPolicy | None') -> str:
     return organisation.terms.name if organisation else ''
--- a/packages/sidecar/src/boragetrestle_sidecar/entry_request.py
+++ b/packages/sidecar/src/boragetrestle_sidecar/entry_request.py
@@ -3,6 +3,8 @@
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
+from boragetrestle_sidecar.suspects import fingerprint
+
 if TYPE_CHECKING:
     from boragetrestle_kernel.ids import RequestId, ServiceName
     from boragetrestle_sidecar.caller_request import CallerRequest
@@ -54,3 +56,13 @@
     def log_id(self) -> str:
         """The request's id as text for log lines."""
         return self.request_id.decode('latin-1')
+
+    @property
+    def fingerprint(self) -> str:
+        """A hash that is the same whenever the request is sent again."""
+        organisation = self.organisation
+        return fingerprint(
+            organisation.terms.name if organisation else '',
+            self.request.request_target,
+            self.request.body,
+        )
--- a/packages/sidecar/src/boragetrestle_sidecar/store_sync.py
+++ b/packages/sidecar/src/boragetrestle_sidecar/store_sync.py
@@ -12,6 +12,7 @@
 from boragetrestle_sidecar.registration import NODES_TABLE, Registration
 from boragetrestle_sidecar.steady_clock import steady_now
 from boragetrestle_sidecar.store_following import StoreFollowing
+from boragetrestle_sidecar.suspect_archive import SuspectArchive
 from boragetrestle_sidecar.table_watch import REJOIN_SECONDS, TableWatch
 from boragetrestle_sidecar.target_archive import TargetArchive
 
@@ -85,6 +86,7 @@
             is_first_start=settings.is_first_start,
             chance=chance,
         )
+        self.suspects: SuspectArchive
         self.tree: TreeExchange
         self.started_at = steady_now()
         self.incomplete_watch: TableWatch | None = None
@@ -95,6 +97,13 @@
         """Set the tree over which other nodes pass on what they read."""
         self.tree = tree
         self.following.tree = tree
+        self.suspects = SuspectArchive(
+            tree,
+            self.store,
+            self.log,
+            is_first_start=self.settings.is_first_start,
+            reads=self.following.needs_changes,
+        )
         tree.on_rows = self.check_registration
 
     def jobs(self) -> 'list[Callable[[], Awaitable[None]]]':
@@ -126,6 +135,7 @@
             self.registration.run,
             self.costs.run,
             self.targets.run,
+            self.suspects.run,
         ]
 
     def check_registration(self) -> None:
--- a/packages/sidecar/src/boragetrestle_sidecar/tree_exchange.py
+++ b/packages/sidecar/src/boragetrestle_sidecar/tree_exchange.py
@@ -258,6 +258,14 @@
         self._send_to_neighbours(FrameKind.SUSPECT, fields, source)
         return True
 
+    def crashes_of(self, found: str) -> list[int]:
+        """Return the numbers of the crashes of a suspected request."""
+        return [
+            crash
+            for crash, known in self.known_crashes.items()
+            if known == found
+        ]
+
     def _choose_parent(self) -> None:
         if self.parent is not None and self.is_parent_silent:
             self.links.skip_parent(self.parent.address)
