Share the turns at a silent store among the nodes that run

When the store turns away the nodes that follow it, the others try it at random, one each half second on average over the fleet. The average was taken over the rows of nodes, which outlive them: with 8 of 194 nodes left, one tried it every 12 s, and a change took longer than the 7 s that are allowed then.

Change: the chance follows the number of nodes in the tree's total.

--- a/packages/sidecar/src/boragetrestle_sidecar/store_following.py
+++ b/packages/sidecar/src/boragetrestle_sidecar/store_following.py
@@ -102,9 +102,15 @@
         heard_at = max(self.heard_at, self.started_at)
         if now - heard_at < STORE_SILENCE_SECONDS:
             return False
-        nodes = len(self.links.fleet.members)
-        interval = VOLUNTEER_INTERVAL_SECONDS * nodes
+        interval = VOLUNTEER_INTERVAL_SECONDS * self._running_nodes()
         if self.chance.random() * interval >= IDLE_CHECK_SECONDS:
             return False
         self.volunteers_until = now + VOLUNTEER_SECONDS
         return True
+
+    def _running_nodes(self) -> int:
+        """Return how many nodes share the turns; rows outlive their nodes."""
+        known = len(self.links.fleet.members)
+        if self.tree is None:
+            return known
+        return min(known, self.tree.aggregation.total.nodes or known)
--- a/tests/test_path_store_following.py
+++ b/tests/test_path_store_following.py
@@ -266,6 +266,30 @@
     run_virtual(test())
 
 
+# Guards against lost nodes that take their turns in trying the store.
+@pytest.mark.parametrize('seed', range(6))
+def test_few_nodes_that_are_left_try_a_store_that_refuses_followers(
+    seed: int,
+) -> None:
+    """Their rows stay, and nobody else takes the turns of lost ones."""
+
+    async def test() -> None:
+        fleet = FollowedFleet(194, domains=1, seed=seed)
+        await fleet.seconds_until(1, longest=STRETCHED_SECONDS)
+        others = [
+            node for node in fleet.model.running if not node.links.is_follower
+        ]
+        fleet.lose(others[6:])
+        await asyncio.sleep(8 + seed)
+        fleet.turn_away(fleet.followers, Refusal.RESET)
+        fleet.store.put(TABLE, KEY, b'2')
+        await fleet.seconds_until(2, longest=STRETCHED_SECONDS)
+        for task in fleet.tasks:
+            task.cancel()
+
+    run_virtual(test())
+
+
 # Guards against changes that are late for good once the followers are lost.
 @pytest.mark.parametrize(
     ('count', 'domains', 'seed'),
