Acknowledge a drain only once the record has been read

A node that has restarted while the store is away holds reports back. A drain among them was acknowledged at once, since nothing had changed that was to be saved; after a kill of all nodes a late report of the target would be used.

Change: nothing counts as saved before the record of the target has been read.

test_drain_is_not_acknowledged_before_the_record_is_read failed before.

--- a/packages/sidecar/src/boragetrestle_sidecar/target_archive.py
+++ b/packages/sidecar/src/boragetrestle_sidecar/target_archive.py
@@ -67,8 +67,12 @@
 
     @property
     def is_saved(self) -> bool:
-        """Whether the store has all that is to outlast this node."""
-        return self.saved_revision == self.target.revision
+        """Whether the store has all that is to outlast this node.
+
+        A report that is held back until the record is read may be a drain.
+        """
+        is_current = self.saved_revision == self.target.revision
+        return is_current and self.target.is_settled
 
     def check(self) -> None:
         """Request a write if something has changed."""
--- a/tests/test_path_target_archive.py
+++ b/tests/test_path_target_archive.py
@@ -164,6 +164,26 @@
     run_virtual(test())
 
 
+# Guards against an acknowledged drain that was held back and then forgotten.
+def test_drain_is_not_acknowledged_before_the_record_is_read() -> None:
+    """The node has restarted while the store is away."""
+
+    async def test() -> None:
+        store = MemoryStore()
+        store.is_away = True
+        process = ArchiveHarness(store)
+        process.guard.handle_heartbeat(DRAINING)
+        assert not await process.archive.wait_until_saved(0.8)
+        store.is_away = False
+        process.guard.handle_heartbeat(DRAINING)
+        assert await process.archive.wait_until_saved(2.0)
+        following = await process.restart()
+        following.guard.handle_heartbeat(LATE)
+        assert not following.guard.is_open
+
+    run_virtual(test())
+
+
 def test_write_whose_answer_is_lost_is_settled_by_reading() -> None:
     """It has happened, and is not repeated."""
 
