Let rows of crashes end by the wall clock, whatever its steps

They have to: their end outlasts all processes, and no steady clock does. What the test guards against is a step of the clock that moves closes and time limits, which these rows don't.

In its place besides, a test that steps of seconds leave the block as it is, and that a row which lies ahead by more than the block, so that it would hold for ever, is over. The latter was not so before.

--- a/packages/sidecar/src/boragetrestle_sidecar/suspect_archive.py
+++ b/packages/sidecar/src/boragetrestle_sidecar/suspect_archive.py
@@ -54,9 +54,12 @@
         return msgspec.json.encode(self)
 
     def is_over(self, now_ms: float) -> bool:
-        """Return whether the request is no longer blocked."""
+        """Return whether the request is no longer blocked.
+
+        A crash that lies ahead by as much was noted before the clock was set.
+        """
         blocked_ms = block_seconds(len(self.crashes)) * 1000
-        return now_ms - self.crashed_at > blocked_ms
+        return abs(now_ms - self.crashed_at) > blocked_ms
 
 
 class SuspectArchive:
--- a/tests/test_path_suspect_archive.py
+++ b/tests/test_path_suspect_archive.py
@@ -93,6 +93,27 @@
     run_virtual(test())
 
 
+# Guards against a block that a step of the wall clock ends or keeps for ever.
+@pytest.mark.parametrize(
+    ('step', 'is_blocked'), [(-8.0, True), (8.0, True), (-86_400.0, False)]
+)
+def test_step_of_the_wall_clock_over_a_kill_moves_the_block_little(
+    step: float,
+    *,
+    is_blocked: bool,
+) -> None:
+    """Steps of seconds are usual; a day is a clock that was wrong before."""
+
+    async def test() -> None:
+        store = MemoryStore()
+        first = ArchivedNode(store, is_first_start=True)
+        await first.crash(KILLER)
+        again = await first.follow(store, NOW_SECONDS + step)
+        assert again.suspects.is_blocked(KILLER) == is_blocked
+
+    run_virtual(test())
+
+
 def test_node_that_knows_the_crashes_does_not_count_them_again() -> None:
     """Neighbours have told it before it reads the store."""
 
